Let the runner withdraw a request that it has not sent

Cause: a keyed request is claimed when its slot is free; a repeat then gives the slot back without a send. Ruled out: claiming before queueing, which costs two calls for each request that is shed. Conclusion: a result of its own, so that neither goodput nor ejection counts it.

--- a/flow/sched/msg.go
+++ b/flow/sched/msg.go
@@ -29,6 +29,8 @@
 	Failed
 	// Unknown means that the answer was lost; the request may have run.
 	Unknown
+	// Withdrawn means that the runner itself ended the request before any byte of it left, so that its slot is free and nothing follows.
+	Withdrawn
 )
 
 // Msg is anything that changes a Scheduler.
