--- /dev/null
+++ b/node/setup/document.go
@@ -0,0 +1,35 @@
+package setup
+
+// Document is the settings file: JSON with exactly these fields; a number that is left out has its default.
+type Document struct {
+	Name                 string   `json:"name"`
+	DataCentre           string   `json:"dataCentre"`
+	DataCentres          []string `json:"dataCentres"`
+	CallerAddr           string   `json:"callerAddr"`
+	PeerAddr             string   `json:"peerAddr"`
+	OperatorAddr         string   `json:"operatorAddr"`
+	PlatformAddr         string   `json:"platformAddr"`
+	PeerAddrs            []string `json:"peerAddrs,omitempty"`
+	OperatorTokenDigests []string `json:"operatorTokenDigests,omitempty"`
+	LogLevel             string   `json:"logLevel,omitempty"`
+	MaxBodyBytes         int64    `json:"maxBodyBytes,omitempty"`
+	MaxAnswerBytes       int64    `json:"maxAnswerBytes,omitempty"`
+	MaxCallerConns       int64    `json:"maxCallerConns,omitempty"`
+	MaxQueueRequests     int64    `json:"maxQueueRequests,omitempty"`
+	MaxQueueBytes        int64    `json:"maxQueueBytes,omitempty"`
+	DefaultDeadlineMs    int64    `json:"defaultDeadlineMs,omitempty"`
+	MaxDeadlineMs        int64    `json:"maxDeadlineMs,omitempty"`
+	DrainWaitMs          int64    `json:"drainWaitMs,omitempty"`
+	ConnectTimeoutMs     int64    `json:"connectTimeoutMs,omitempty"`
+	IdleConnMs           int64    `json:"idleConnMs,omitempty"`
+	PlatformTimeoutMs    int64    `json:"platformTimeoutMs,omitempty"`
+	PeerTimeoutMs        int64    `json:"peerTimeoutMs,omitempty"`
+	TickMs               int64    `json:"tickMs,omitempty"`
+	BeatMs               int64    `json:"beatMs,omitempty"`
+	EntryUnheardSeconds  int64    `json:"entryUnheardSeconds,omitempty"`
+	LeaderLeaseMs        int64    `json:"leaderLeaseMs,omitempty"`
+	WatchWaitMs          int64    `json:"watchWaitMs,omitempty"`
+	KeyRememberSeconds   int64    `json:"keyRememberSeconds,omitempty"`
+	MaxKeys              int64    `json:"maxKeys,omitempty"`
+	MaxKeyedAnswerBytes  int64    `json:"maxKeyedAnswerBytes,omitempty"`
+}
--- /dev/null
+++ b/node/setup/rules.go
@@ -0,0 +1,98 @@
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// rule checks one value; ok gets the pointer that the field's ref returns.
+type rule struct {
+	allowed string
+	def     any
+	ok      func(v any) bool
+}
+
+var (
+	nameForm   = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	digestForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	levels     = []string{"trace", "debug", "info", "warn", "error", "disabled"}
+)
+
+const (
+	nameAllowed = "1 to 63 of a-z, 0-9, '.', '_' and '-', beginning with a letter or digit"
+	addrAllowed = "an IP number and a port from 1 to 65535, as 10.0.0.1:7000"
+)
+
+// ValidName reports whether s may name a VM, data centre, pool, profile, service, team or wave.
+func ValidName(s string) bool { return nameForm.MatchString(s) }
+
+// NameAllowed says which names are valid.
+func NameAllowed() string { return nameAllowed }
+
+func nameRule() rule {
+	return rule{allowed: nameAllowed, ok: func(v any) bool { return ValidName(*v.(*string)) }}
+}
+
+func namesRule() rule {
+	return rule{
+		allowed: "a list of one or more different names, each " + nameAllowed,
+		ok:      func(v any) bool { l := *v.(*[]string); return len(l) > 0 && distinct(l, ValidName) },
+	}
+}
+
+func addrRule() rule {
+	return rule{allowed: addrAllowed, ok: func(v any) bool { return validAddr(*v.(*string)) }}
+}
+
+func addrsRule() rule {
+	return rule{
+		allowed: "a list of different addresses, each " + addrAllowed,
+		def:     []string(nil),
+		ok:      func(v any) bool { return distinct(*v.(*[]string), validAddr) },
+	}
+}
+
+func digestsRule() rule {
+	return rule{
+		allowed: "a list of different SHA-256 digests, each 64 of 0-9 and a-f",
+		def:     []string(nil),
+		ok:      func(v any) bool { return distinct(*v.(*[]string), digestForm.MatchString) },
+	}
+}
+
+func levelRule() rule {
+	return rule{
+		allowed: "one of " + strings.Join(levels, ", "),
+		def:     "info",
+		ok:      func(v any) bool { return slices.Contains(levels, *v.(*string)) },
+	}
+}
+
+func numberRule(def, lo, hi int64) rule {
+	return rule{
+		allowed: fmt.Sprintf("a whole number from %d to %d", lo, hi),
+		def:     def,
+		ok:      func(v any) bool { n := *v.(*int64); return n >= lo && n <= hi },
+	}
+}
+
+// validAddr reports whether s is an IP number with a port.
+func validAddr(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0
+}
+
+// distinct reports whether every element passes ok and none stands twice.
+func distinct(l []string, ok func(string) bool) bool {
+	seen := make(map[string]bool, len(l))
+	for _, s := range l {
+		if seen[s] || !ok(s) {
+			return false
+		}
+		seen[s] = true
+	}
+	return true
+}
