--- a/flow/sched/msg.go
+++ b/flow/sched/msg.go
@@ -47,6 +47,9 @@
 }
 
 // DoneMsg says that a send has ended; Leaving says that the target announced that it is leaving.
+//
+// After Answered the request is over without a command: the runner gives the answer, unless an EndCmd came before.
+// After any other result the request waits for its next SendCmd or its EndCmd, which may come in a later Update.
 type DoneMsg struct {
 	Now     time.Time
 	ID      ID
@@ -129,6 +132,8 @@
 	ReasonUnknown Reason = "unknown"
 	// ReasonCancelled means that the caller went away.
 	ReasonCancelled Reason = "cancelled"
+	// ReasonFailed means that the target answered with its own failure, which is the caller's answer if the runner still holds it.
+	ReasonFailed Reason = "failed"
 )
 
 // Cmd is something that the runner does for the Scheduler.
