--- a/flow/sched/sched.go
+++ b/flow/sched/sched.go
@@ -149,7 +149,7 @@
 		return
 	}
 	r.sent = false
-	if m.Result == Answered || r.over {
+	if m.Result == Answered || m.Result == Withdrawn || r.over {
 		delete(s.reqs, r.id)
 		return
 	}
