Give entries a versioned view of their targets

Cause: an entry must know what serves and what is leaving when the platform is down and when it is new; 1,500 workers a data centre are too many to send whole at each change. Ruled out: each entry reading the platform's list (a megabyte a second at the design size).

--- /dev/null
+++ b/node/view/shelf.go
@@ -0,0 +1,97 @@
+package view
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// keptDeltas is the number of past versions from which a delta can be made.
+const keptDeltas = 64
+
+// Shelf holds the newest view and enough of the past to bring others up to it; it is safe for concurrent use.
+type Shelf struct {
+	now  atomic.Pointer[View]
+	mu   sync.Mutex
+	past []*View
+	wake chan struct{}
+}
+
+// NewShelf returns a shelf with an empty view.
+func NewShelf() *Shelf {
+	s := &Shelf{wake: make(chan struct{})}
+	s.now.Store(New(Version{}, nil))
+	return s
+}
+
+// View returns the newest view.
+func (s *Shelf) View() *View { return s.now.Load() }
+
+// Offer takes a delta in; ErrOld and ErrGap change nothing.
+func (s *Shelf) Offer(d Delta) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, err := s.now.Load().Apply(d)
+	if err != nil {
+		return err
+	}
+	s.push(n)
+	return nil
+}
+
+// Put takes a whole view in; ErrOld changes nothing.
+func (s *Shelf) Put(v *View) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !v.version.After(s.now.Load().version) {
+		return ErrOld
+	}
+	s.push(v)
+	return nil
+}
+
+// push makes v the newest; s.mu is held.
+func (s *Shelf) push(v *View) {
+	s.past = append(s.past, s.now.Load())
+	if n := len(s.past) - keptDeltas; n > 0 {
+		s.past = append(s.past[:0], s.past[n:]...)
+	}
+	s.now.Store(v)
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+// Since returns what leads from base to the newest view; ok is false when there is nothing newer.
+func (s *Shelf) Since(base Version) (d Delta, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.now.Load()
+	if !v.version.After(base) {
+		return Delta{}, false
+	}
+	for _, o := range s.past {
+		if o.version == base {
+			return Diff(o, v), true
+		}
+	}
+	return Whole(v), true
+}
+
+// Wait returns when the newest view is newer than base or the context ends.
+func (s *Shelf) Wait(ctx context.Context, base Version) error {
+	for {
+		s.mu.Lock()
+		w := s.wake
+		s.mu.Unlock()
+		if s.View().version.After(base) {
+			return nil
+		}
+		select {
+		case <-w:
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "step=wait")
+		}
+	}
+}
