--- /dev/null
+++ b/fleet/pool/codec.go
@@ -0,0 +1,127 @@
+package pool
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// shardWire is a shard's document: VMs by name, with names that recur held once.
+type shardWire struct {
+	Number int64           `json:"n"`
+	Base   int64           `json:"b,omitempty"` // subtracted from every time.
+	Pools  []string        `json:"pools,omitempty"`
+	Racks  []string        `json:"racks,omitempty"`
+	Waves  []string        `json:"waves,omitempty"`
+	VMs    map[string]line `json:"vms"`
+}
+
+// line is one VM's entry; names are positions in the lists, waves counted from 1.
+type line struct {
+	Pool  int    `json:"p,omitempty"`
+	Rack  int    `json:"r,omitempty"`
+	State State  `json:"s,omitempty"`
+	Wave  int    `json:"w,omitempty"`
+	Since int64  `json:"t,omitempty"`
+	Op    string `json:"o,omitempty"`
+	Doing int    `json:"d,omitempty"`
+	To    string `json:"m,omitempty"`
+	Boot  int64  `json:"k,omitempty"`
+	Seq   int64  `json:"q,omitempty"`
+}
+
+// names gives each name its position in order of first use.
+type names struct {
+	list []string
+	at   map[string]int
+}
+
+func (n *names) add(s string) int {
+	i, ok := n.at[s]
+	if ok {
+		return i
+	}
+	if n.at == nil {
+		n.at = make(map[string]int)
+	}
+	i = len(n.list)
+	n.at[s], n.list = i, append(n.list, s)
+	return i
+}
+
+func (n *names) addOptional(s string) int {
+	if s == "" {
+		return 0
+	}
+	return n.add(s) + 1
+}
+
+// Marshal returns the shard as compact JSON.
+func (s Shard) Marshal() ([]byte, error) {
+	var pools, racks, waves names
+	w := shardWire{Number: s.number, VMs: make(map[string]line, len(s.members))}
+	for i, m := range s.members {
+		if i == 0 || m.Since < w.Base {
+			w.Base = m.Since
+		}
+	}
+	for _, m := range s.members {
+		w.VMs[m.VM] = line{
+			Pool: pools.add(m.Pool), Rack: racks.add(m.Rack), State: m.State, Wave: waves.addOptional(m.Wave),
+			Since: m.Since - w.Base, Op: m.Op, Doing: waves.addOptional(m.Doing), To: m.To, Boot: m.Boot, Seq: m.Seq,
+		}
+	}
+	w.Pools, w.Racks, w.Waves = pools.list, racks.list, waves.list
+	b, err := json.Marshal(w)
+	if err != nil {
+		return nil, eris.Wrapf(err, "marshal shard %d", s.index)
+	}
+	return b, nil
+}
+
+// ParseShard reads the shard with the given index of count shards; ErrMalformed or ErrNotHere if it holds what it must not.
+func ParseShard(b []byte, index, count int) (Shard, error) {
+	var w shardWire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return Shard{}, eris.Wrapf(ErrMalformed, "parse shard %d: %v", index, err)
+	}
+	l := make([]Member, 0, len(w.VMs))
+	for vm, e := range w.VMs {
+		if Index(vm, count) != index {
+			return Shard{}, eris.Wrapf(ErrNotHere, "parse shard %d: %s", index, vm)
+		}
+		m, ok := w.member(vm, e)
+		if !ok {
+			return Shard{}, eris.Wrapf(ErrMalformed, "parse shard %d: entry %s", index, vm)
+		}
+		l = append(l, m)
+	}
+	return build(index, count, w.Number, l), nil
+}
+
+func (w shardWire) member(vm string, e line) (Member, bool) {
+	p, okPool := name(w.Pools, e.Pool)
+	r, okRack := name(w.Racks, e.Rack)
+	v, okWave := optional(w.Waves, e.Wave)
+	d, okDoing := optional(w.Waves, e.Doing)
+	ok := vm != "" && okPool && okRack && okWave && okDoing && e.State >= Serving && e.State <= Failed
+	m := Member{
+		VM: vm, Pool: p, Rack: r, State: e.State, Wave: v, Since: e.Since + w.Base,
+		Op: e.Op, Doing: d, To: e.To, Boot: e.Boot, Seq: e.Seq,
+	}
+	return m, ok
+}
+
+func name(l []string, i int) (string, bool) {
+	if i < 0 || i >= len(l) {
+		return "", false
+	}
+	return l[i], true
+}
+
+func optional(l []string, i int) (string, bool) {
+	if i == 0 {
+		return "", true
+	}
+	return name(l, i-1)
+}
--- /dev/null
+++ b/fleet/pool/delta.go
@@ -0,0 +1,200 @@
+package pool
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// Target is what an entry needs to know of a VM.
+type Target struct {
+	VM    string `json:"v"`
+	Pool  string `json:"p"`
+	State State  `json:"s,omitempty"`
+}
+
+// ShardDelta leads one shard from version From to version To; From 0 means that it holds the whole shard.
+type ShardDelta struct {
+	Index int      `json:"i"`
+	From  int64    `json:"f,omitempty"`
+	To    int64    `json:"t"`
+	Put   []Target `json:"put,omitempty"`
+	Drop  []string `json:"drop,omitempty"`
+}
+
+// Delta is what is sent to entries for their views to follow a table.
+type Delta struct {
+	Count  int          `json:"c"`
+	Shards []ShardDelta `json:"shards,omitempty"`
+}
+
+// Diff returns what leads a view of old to a view of new; both have the same number of shards.
+func Diff(old, new Table) Delta {
+	d := Delta{Count: new.Count()}
+	for i, n := range new.shards {
+		if o := old.shards[i]; n.number > o.number {
+			d.Shards = append(d.Shards, diffShard(o, n))
+		}
+	}
+	return d
+}
+
+// Whole returns the table as a delta that any view can apply.
+func Whole(t Table) Delta {
+	return Diff(NewTable(t.Count()), t)
+}
+
+func diffShard(o, n Shard) ShardDelta {
+	d := ShardDelta{Index: n.index, From: o.number, To: n.number}
+	a, b := o.members, n.members
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && a[0].VM < b[0].VM:
+			d.Drop = append(d.Drop, a[0].VM)
+			a = a[1:]
+		case len(a) == 0 || b[0].VM < a[0].VM:
+			d.Put = append(d.Put, target(b[0]))
+			b = b[1:]
+		default:
+			if target(a[0]) != target(b[0]) {
+				d.Put = append(d.Put, target(b[0]))
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	return d
+}
+
+func target(m Member) Target { return Target{VM: m.VM, Pool: m.Pool, State: m.State} }
+
+// History keeps the last versions of each shard, so that a view a few versions behind gets only what changed.
+type History struct {
+	depth int
+	now   Table
+	past  [][]Shard // newest last.
+}
+
+// NewHistory returns an empty history that keeps depth versions of each of count shards.
+func NewHistory(count, depth int) History {
+	return History{depth: depth, now: NewTable(count), past: make([][]Shard, count)}
+}
+
+// Add returns the history with t as its newest table; a shard of t older than the kept one is passed over.
+func (h History) Add(t Table) History {
+	h.past = slices.Clone(h.past)
+	for i, s := range t.shards {
+		o := h.now.shards[i]
+		if s.number <= o.number {
+			continue
+		}
+		l := h.past[i]
+		l = append(slices.Clone(l[max(0, len(l)-h.depth+1):]), o)
+		h.past[i], h.now = l, h.now.Replace(i, s, t.revisions[i])
+	}
+	return h
+}
+
+// Table returns the newest table.
+func (h History) Table() Table { return h.now }
+
+// Since returns what a view with these versions lacks; a shard whose version is not kept any more goes whole.
+func (h History) Since(have []int64) Delta {
+	d := Delta{Count: h.now.Count()}
+	for i, n := range h.now.shards {
+		var v int64
+		if len(have) == h.now.Count() {
+			v = have[i]
+		}
+		if n.number <= v {
+			continue
+		}
+		o := NewShard(i, h.now.Count())
+		for _, s := range h.past[i] {
+			if s.number == v {
+				o = s
+			}
+		}
+		d.Shards = append(d.Shards, diffShard(o, n))
+	}
+	return d
+}
+
+// View is an entry's immutable copy of VM, pool and state; its versions only grow.
+type View struct {
+	numbers []int64
+	shards  []map[string]Target
+}
+
+// NewView returns an empty view of count shards.
+func NewView(count int) View {
+	return View{numbers: make([]int64, count), shards: make([]map[string]Target, count)}
+}
+
+// Apply returns the view led on by d; what is not newer is passed over, and ErrGap says that a whole shard is needed.
+func (v View) Apply(d Delta) (View, error) {
+	if d.Count != len(v.numbers) {
+		return v, eris.Wrapf(ErrMalformed, "apply delta of %d shards to view of %d", d.Count, len(v.numbers))
+	}
+	n := View{numbers: slices.Clone(v.numbers), shards: slices.Clone(v.shards)}
+	var gap error
+	for _, s := range d.Shards {
+		if s.Index < 0 || s.Index >= d.Count {
+			return v, eris.Wrapf(ErrMalformed, "apply delta of shard %d", s.Index)
+		}
+		switch have := n.numbers[s.Index]; {
+		case s.To <= have:
+		case s.From != 0 && s.From != have:
+			gap = eris.Wrapf(ErrGap, "apply shard %d from %d to version %d", s.Index, s.From, have)
+		default:
+			n.shards[s.Index], n.numbers[s.Index] = s.apply(v.shards[s.Index]), s.To
+		}
+	}
+	return n, gap
+}
+
+func (s ShardDelta) apply(old map[string]Target) map[string]Target {
+	m := make(map[string]Target, len(old)+len(s.Put))
+	if s.From != 0 {
+		for k, t := range old {
+			m[k] = t
+		}
+	}
+	for _, k := range s.Drop {
+		delete(m, k)
+	}
+	for _, t := range s.Put {
+		m[t.VM] = t
+	}
+	return m
+}
+
+// Numbers returns the version of each shard, for asking what is missing.
+func (v View) Numbers() []int64 { return slices.Clone(v.numbers) }
+
+// Number returns the version of the shard that holds the VM.
+func (v View) Number(vm string) int64 { return v.numbers[Index(vm, len(v.numbers))] }
+
+// Find returns what the view knows of the VM.
+func (v View) Find(vm string) (Target, bool) {
+	t, ok := v.shards[Index(vm, len(v.numbers))][vm]
+	return t, ok
+}
+
+// InPool returns the pool's VMs in any state, sorted by name.
+func (v View) InPool(pool string) []Target {
+	var l []Target
+	for _, s := range v.shards {
+		for _, t := range s {
+			if t.Pool == pool {
+				l = append(l, t)
+			}
+		}
+	}
+	slices.SortFunc(l, func(a, b Target) int {
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	})
+	return l
+}
--- /dev/null
+++ b/fleet/pool/shard.go
@@ -0,0 +1,135 @@
+package pool
+
+import (
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Count is the usual number of shards of one data centre's membership.
+const Count = 16
+
+// Index returns the shard, 0 to count-1, that the VM's name belongs to.
+func Index(vm string, count int) int {
+	return int(xxhash.Sum64String(vm) % uint64(count))
+}
+
+// Shard is an immutable part of one data centre's membership, one entry for each VM.
+type Shard struct {
+	index, count int
+	number       int64
+	members      []Member // sorted by VM.
+	busy         []int    // positions of members that are not plainly serving.
+}
+
+// NewShard returns the empty shard with the given index of count shards.
+func NewShard(index, count int) Shard {
+	return Shard{index: index, count: count}
+}
+
+// Index returns the shard's place among its siblings.
+func (s Shard) Index() int { return s.index }
+
+// Number returns the version, which grows with each change.
+func (s Shard) Number() int64 { return s.number }
+
+// Len returns the number of VMs.
+func (s Shard) Len() int { return len(s.members) }
+
+// Find returns the VM's entry.
+func (s Shard) Find(vm string) (Member, bool) {
+	i, ok := s.find(vm)
+	if !ok {
+		return Member{}, false
+	}
+	return s.members[i], true
+}
+
+// Put returns the shard with m added or replaced; ErrNotHere if the VM belongs to another shard.
+func (s Shard) Put(m Member) (Shard, error) {
+	return s.Change([]Member{m}, nil)
+}
+
+// Move returns the shard with the VM in pool to, or ErrNoVM.
+func (s Shard) Move(vm, to string) (Shard, error) {
+	m, ok := s.Find(vm)
+	if !ok {
+		return s, eris.Wrapf(ErrNoVM, "move %s", vm)
+	}
+	m.Pool = to
+	return s.Put(m)
+}
+
+// SetState returns the shard with the VM in state t since at (Unix milliseconds), or ErrNoVM.
+func (s Shard) SetState(vm string, t State, at int64) (Shard, error) {
+	m, ok := s.Find(vm)
+	if !ok {
+		return s, eris.Wrapf(ErrNoVM, "set state of %s", vm)
+	}
+	m.State, m.Since = t, at
+	return s.Put(m)
+}
+
+// Drop returns the shard without the VM, or ErrNoVM.
+func (s Shard) Drop(vm string) (Shard, error) {
+	if _, ok := s.find(vm); !ok {
+		return s, eris.Wrapf(ErrNoVM, "drop %s", vm)
+	}
+	return s.Change(nil, []string{vm})
+}
+
+// Change returns the next version with all puts and drops made at once; ErrNotHere if a put belongs to another shard.
+func (s Shard) Change(puts []Member, drops []string) (Shard, error) {
+	next := make(map[string]Member, len(puts))
+	for _, m := range puts {
+		if Index(m.VM, s.count) != s.index {
+			return s, eris.Wrapf(ErrNotHere, "put %s into shard %d", m.VM, s.index)
+		}
+		next[m.VM] = m
+	}
+	l := make([]Member, 0, len(s.members)+len(puts))
+	for _, m := range s.members {
+		n, ok := next[m.VM]
+		if ok {
+			delete(next, m.VM)
+			m = n
+		}
+		if !slices.Contains(drops, m.VM) {
+			l = append(l, m)
+		}
+	}
+	for _, m := range next {
+		if !slices.Contains(drops, m.VM) {
+			l = append(l, m)
+		}
+	}
+	return build(s.index, s.count, s.number+1, l), nil
+}
+
+// Above returns the shard with a version of at least number, for writing it back over an older one.
+func (s Shard) Above(number int64) Shard {
+	s.number = max(s.number, number)
+	return s
+}
+
+func (s Shard) find(vm string) (int, bool) {
+	return sort.Find(len(s.members), func(i int) int { return strings.Compare(vm, s.members[i].VM) })
+}
+
+func build(index, count int, number int64, l []Member) Shard {
+	if !slices.IsSortedFunc(l, byVM) {
+		slices.SortFunc(l, byVM)
+	}
+	s := Shard{index: index, count: count, number: number, members: l}
+	for i, m := range l {
+		if m.State != Serving || m.Op != "" {
+			s.busy = append(s.busy, i)
+		}
+	}
+	return s
+}
+
+func byVM(a, b Member) int { return strings.Compare(a.VM, b.VM) }
