Build the configuration document, its log and holder

Cause: entries need one ordered configuration that never goes back. A change is bound to the one before by Prev, so two histories never mix; an accepted change that is invalid here takes its number without effect, as a stuck log would hold up every later change.

--- /dev/null
+++ b/plat/conf/apply.go
@@ -0,0 +1,129 @@
+package conf
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// ApprovalName returns the name under which Changed knows an approval.
+func ApprovalName(team, service string) string { return team + "/" + service }
+
+func parseApprovalName(name string) ApprovalSpec {
+	t, s, _ := strings.Cut(name, "/")
+	return ApprovalSpec{Team: t, Service: s}
+}
+
+func compareApprovals(a, b ApprovalSpec) int {
+	if c := strings.Compare(a.Team, b.Team); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Service, b.Service)
+}
+
+// Object returns the name of the object that c puts or drops.
+func (c Change) Object() string {
+	switch {
+	case c.Kind == PutProfile && c.Profile != nil:
+		return c.Profile.Name
+	case c.Kind == PutService && c.Service != nil:
+		return c.Service.Name
+	case c.Kind == PutPool && c.Pool != nil:
+		return c.Pool.Name
+	case c.Kind == PutTeam && c.Team != nil:
+		return c.Team.Name
+	case c.Kind == PutWave && c.Wave != nil:
+		return c.Wave.ID
+	case c.Approval != nil:
+		return ApprovalName(c.Approval.Team, c.Approval.Service)
+	}
+	return c.Name
+}
+
+// Apply returns the document after c, whose number must be the next one: ErrGap otherwise, a DivergedError
+// when c follows another change than the last one here, and a FieldError when c is not valid.
+func (d *Document) Apply(c Change) (*Document, error) {
+	if c.Number != d.n+1 {
+		return nil, eris.Wrapf(ErrGap, "apply change %d to document %d", c.Number, d.n)
+	}
+	if c.Prev != "" && c.Prev != d.op {
+		return nil, &DivergedError{number: d.n, have: d.op, offered: c.Prev}
+	}
+	c = c.WithDefaults()
+	if err := d.Validate(c); err != nil {
+		return nil, err
+	}
+	e := d.next(c)
+	e.perform(c)
+	return e, nil
+}
+
+// next returns d with c's number and none of its effect.
+func (d *Document) next(c Change) *Document {
+	e := *d
+	e.n, e.op = c.Number, c.Op
+	return &e
+}
+
+func (d *Document) perform(c Change) {
+	switch c.Kind {
+	case PutProfile:
+		d.profiles = d.profiles.with(c.Profile.Name, *c.Profile, c.Number)
+	case DropProfile:
+		d.profiles = d.profiles.without(c.Name)
+	case PutService:
+		d.services = d.services.with(c.Service.Name, *c.Service, c.Number)
+	case DropService:
+		d.services = d.services.without(c.Name)
+		d.withdraw(func(a ApprovalSpec) bool { return a.Service == c.Name })
+	case PutPool:
+		d.pools = d.pools.with(c.Pool.Name, *c.Pool, c.Number)
+	case DropPool:
+		d.pools = d.pools.without(c.Name)
+	case PutTeam:
+		d.putTeam(*c.Team)
+	case DropTeam:
+		d.dropTeam(c.Name)
+	case Approve:
+		d.approvals = maps.Clone(d.approvals)
+		d.approvals[*c.Approval] = c.Number
+	case Withdraw:
+		d.withdraw(func(a ApprovalSpec) bool { return a == *c.Approval })
+	case PutWave:
+		w := *c.Wave
+		w.Pools = slices.Clone(w.Pools)
+		d.waves = d.waves.with(w.ID, w, c.Number)
+	case DropWave:
+		d.waves = d.waves.without(c.Name)
+	}
+}
+
+func (d *Document) putTeam(t TeamSpec) {
+	d.digests = maps.Clone(d.digests)
+	if old, ok := d.teams.get(t.Name); ok {
+		delete(d.digests, mustDigest(old))
+	}
+	d.digests[mustDigest(t)] = t.Name
+	d.teams = d.teams.with(t.Name, t, d.n)
+}
+
+func (d *Document) dropTeam(name string) {
+	old, _ := d.teams.get(name)
+	d.digests = maps.Clone(d.digests)
+	delete(d.digests, mustDigest(old))
+	d.teams = d.teams.without(name)
+	d.withdraw(func(a ApprovalSpec) bool { return a.Team == name })
+}
+
+// mustDigest returns the digest of a team that has been validated.
+func mustDigest(t TeamSpec) digest {
+	s, _ := parseDigest(t.TokenDigest)
+	return s
+}
+
+func (d *Document) withdraw(which func(ApprovalSpec) bool) {
+	d.approvals = maps.Clone(d.approvals)
+	maps.DeleteFunc(d.approvals, func(a ApprovalSpec, _ Number) bool { return which(a) })
+}
--- /dev/null
+++ b/plat/conf/codec.go
@@ -0,0 +1,88 @@
+package conf
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+type approvalWire struct {
+	ApprovalSpec
+	Changed Number `json:"changed"`
+}
+
+type documentWire struct {
+	N         Number               `json:"n"`
+	Op        string               `json:"op"`
+	Profiles  []entry[ProfileSpec] `json:"profiles"`
+	Services  []entry[ServiceSpec] `json:"services"`
+	Pools     []entry[PoolSpec]    `json:"pools"`
+	Teams     []entry[TeamSpec]    `json:"teams"`
+	Waves     []entry[WaveSpec]    `json:"waves"`
+	Approvals []approvalWire       `json:"approvals"`
+}
+
+// Marshal returns the document in JSON, the same bytes for equal documents.
+func (d *Document) Marshal() ([]byte, error) {
+	w := documentWire{
+		N: d.n, Op: d.op,
+		Profiles: d.profiles.entries(), Services: d.services.entries(), Pools: d.pools.entries(),
+		Teams: d.teams.entries(), Waves: d.waves.entries(),
+		Approvals: make([]approvalWire, 0, len(d.approvals)),
+	}
+	for _, a := range d.Approvals() {
+		w.Approvals = append(w.Approvals, approvalWire{ApprovalSpec: a, Changed: d.approvals[a]})
+	}
+	b, err := json.Marshal(w)
+	return b, eris.Wrapf(err, "marshal document %d", d.n)
+}
+
+// ParseDocument returns the document that Marshal wrote.
+func ParseDocument(b []byte) (*Document, error) {
+	var w documentWire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return nil, eris.Wrap(err, "parse document")
+	}
+	d := NewDocument()
+	d.n, d.op = w.N, w.Op
+	load(d.profiles, w.Profiles, func(p ProfileSpec) string { return p.Name })
+	load(d.services, w.Services, func(s ServiceSpec) string { return s.Name })
+	load(d.pools, w.Pools, func(p PoolSpec) string { return p.Name })
+	load(d.teams, w.Teams, func(t TeamSpec) string { return t.Name })
+	load(d.waves, w.Waves, func(v WaveSpec) string { return v.ID })
+	for _, a := range w.Approvals {
+		d.approvals[a.ApprovalSpec] = a.Changed
+	}
+	return d, d.index()
+}
+
+// index fills the digests and reports a document that no sequence of changes makes.
+func (d *Document) index() error {
+	if d.n < 0 {
+		return fieldErr("n", d.n, "0 or more")
+	}
+	for name, t := range d.teams {
+		s, ok := parseDigest(t.Spec.TokenDigest)
+		if _, taken := d.digests[s]; !ok || taken {
+			return eris.Wrapf(fieldErr("tokenDigest", t.Spec.TokenDigest, "64 hexadecimal digits, once"), "parse team %s", name)
+		}
+		d.digests[s] = name
+	}
+	return nil
+}
+
+func (t table[T]) entries() []entry[T] {
+	l := make([]entry[T], 0, len(t))
+	for _, k := range slices.Sorted(maps.Keys(t)) {
+		l = append(l, t[k])
+	}
+	return l
+}
+
+func load[T any](t table[T], l []entry[T], name func(T) string) {
+	for _, e := range l {
+		t[name(e.Spec)] = e
+	}
+}
--- /dev/null
+++ b/plat/conf/default.go
@@ -0,0 +1,77 @@
+package conf
+
+// Values that stand in for the fields that a profile leaves absent.
+const (
+	// DefaultMinVMs is the number of VMs that a pool keeps.
+	DefaultMinVMs = 1
+	// DefaultMaxVMs is the number of VMs that a pool never exceeds.
+	DefaultMaxVMs = 10_000
+	// DefaultMaxOut is the number of VMs that may be out at once.
+	DefaultMaxOut = 1
+	// DefaultTargetUse is the share of slots in use that sizing aims at.
+	DefaultTargetUse = 0.7
+	// DefaultDrainSeconds is the longest wait for requests in flight.
+	DefaultDrainSeconds = 60
+	// DefaultRebootSeconds is the longest wait for a VM to come back.
+	DefaultRebootSeconds = 300
+	// DefaultDeadlineMillis is the deadline of a request that names none.
+	DefaultDeadlineMillis = 10_000
+	// DefaultUrgentStartMillis is the time within which urgent work starts.
+	DefaultUrgentStartMillis = 1_500
+	// DefaultObjective is the share of requests answered in time.
+	DefaultObjective = 0.999
+	// DefaultMoveWeight is the cost of one VM move.
+	DefaultMoveWeight = 1.0
+	// DefaultBufferWeight is the cost of one spare VM for an hour.
+	DefaultBufferWeight = 1.0
+	// DefaultRetryBudgetPercent is the number of retries per hundred first sends.
+	DefaultRetryBudgetPercent = 10
+	// DefaultSlots is the number of requests that one target runs at once.
+	DefaultSlots = 8
+	// DefaultConns is the number of connections that one target accepts.
+	DefaultConns = 64
+)
+
+// WithDefaults returns p with a default in each absent field; SurviveRacks stays, as zero is a choice.
+func (p ProfileSpec) WithDefaults() ProfileSpec {
+	fill(&p.MinVMs, DefaultMinVMs)
+	fill(&p.MaxVMs, max(DefaultMaxVMs, p.MinVMs))
+	fill(&p.MaxOut, DefaultMaxOut)
+	fill(&p.TargetUse, DefaultTargetUse)
+	fill(&p.DrainSeconds, DefaultDrainSeconds)
+	fill(&p.RebootSeconds, DefaultRebootSeconds)
+	fill(&p.DeadlineMillis, DefaultDeadlineMillis)
+	fill(&p.UrgentStartMillis, DefaultUrgentStartMillis)
+	fill(&p.Objective, DefaultObjective)
+	fill(&p.MoveWeight, DefaultMoveWeight)
+	fill(&p.BufferWeight, DefaultBufferWeight)
+	fill(&p.RetryBudgetPercent, DefaultRetryBudgetPercent)
+	return p
+}
+
+// WithDefaults returns s with a default in each absent field.
+func (s ServiceSpec) WithDefaults() ServiceSpec {
+	fill(&s.Slots, DefaultSlots)
+	fill(&s.Conns, DefaultConns)
+	return s
+}
+
+// WithDefaults returns c with its defaults written out, so that the log does not depend on a program's version.
+func (c Change) WithDefaults() Change {
+	if c.Profile != nil {
+		p := c.Profile.WithDefaults()
+		c.Profile = &p
+	}
+	if c.Service != nil {
+		s := c.Service.WithDefaults()
+		c.Service = &s
+	}
+	return c
+}
+
+func fill[T comparable](f *T, v T) {
+	var zero T
+	if *f == zero {
+		*f = v
+	}
+}
--- a/plat/conf/document.go
+++ b/plat/conf/document.go
@@ -5,6 +5,9 @@
 // Number orders changes: each accepted change has the next number.
 type Number int64
 
+// ExpectAbsent as a change's Expect demands that the object does not exist.
+const ExpectAbsent Number = -1
+
 // Class is the urgency of a request.
 type Class string
 
@@ -103,11 +106,12 @@
 // Change is one entry of the log; exactly the body that Kind names is set.
 type Change struct {
 	Number   Number        `json:"n"`
-	Op       string        `json:"op"` // the operation's id, by which a lost answer is settled.
-	By       string        `json:"by"` // the operator.
+	Op       string        `json:"op"`             // the operation's id, by which a lost answer is settled.
+	Prev     string        `json:"prev,omitempty"` // Op of the change before; binds the change to its history.
+	By       string        `json:"by"`             // the operator.
 	At       time.Time     `json:"at"`
 	Kind     Kind          `json:"kind"`
-	Expect   Number        `json:"expect,omitempty"` // the number at which the object must have last changed; 0 means any.
+	Expect   Number        `json:"expect,omitempty"` // the number at which the object must have last changed; 0 means any, ExpectAbsent none.
 	Name     string        `json:"name,omitempty"`   // for drops.
 	Profile  *ProfileSpec  `json:"profile,omitempty"`
 	Service  *ServiceSpec  `json:"service,omitempty"`
--- /dev/null
+++ b/plat/conf/holder.go
@@ -0,0 +1,111 @@
+package conf
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// Holder shares one log between goroutines. Its lock guards the log and the subscribers and is never held while anything else waits.
+type Holder struct {
+	doc atomic.Pointer[Document]
+
+	mu   sync.Mutex
+	log  *Log
+	subs map[chan struct{}]struct{}
+}
+
+// NewHolder returns a holder of an empty log.
+func NewHolder(opts ...LogOption) *Holder {
+	h := &Holder{log: NewLog(opts...), subs: map[chan struct{}]struct{}{}}
+	h.doc.Store(h.log.Document())
+	return h
+}
+
+// Document returns the newest document without a lock.
+func (h *Holder) Document() *Document { return h.doc.Load() }
+
+// Offer is Log.Offer; it wakes whoever waits when a change was applied.
+func (h *Holder) Offer(c ...Change) (int, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n, err := h.log.Offer(c...)
+	if n > 0 {
+		h.publish()
+	}
+	return n, err
+}
+
+// OfferDocument is Log.OfferDocument; it wakes whoever waits when the document was taken.
+func (h *Holder) OfferDocument(d *Document) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ok := h.log.OfferDocument(d)
+	if ok {
+		h.publish()
+	}
+	return ok
+}
+
+// Since is Log.Since.
+func (h *Holder) Since(n Number, limit int) ([]Change, *Document) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.log.Since(n, limit)
+}
+
+// FindOp is Log.FindOp.
+func (h *Holder) FindOp(op string) (Number, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.log.FindOp(op)
+}
+
+// At is Log.At.
+func (h *Holder) At(n Number) (Change, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.log.At(n)
+}
+
+// Subscribe returns a channel that gets one value after one or more changes; it gets no more when ctx ends.
+func (h *Holder) Subscribe(ctx context.Context) <-chan struct{} {
+	s := make(chan struct{}, 1)
+	h.mu.Lock()
+	h.subs[s] = struct{}{}
+	h.mu.Unlock()
+	context.AfterFunc(ctx, func() {
+		h.mu.Lock()
+		delete(h.subs, s)
+		h.mu.Unlock()
+	})
+	return s
+}
+
+// Wait returns nil once the document's number is at least n, or an error when ctx ends before.
+func (h *Holder) Wait(ctx context.Context, n Number) error {
+	c, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := h.Subscribe(c)
+	for h.Document().Number() < n {
+		select {
+		case <-s:
+		case <-ctx.Done():
+			return eris.Wrapf(context.Cause(ctx), "wait for change %d", n)
+		}
+	}
+	return nil
+}
+
+// publish makes the log's document the current one; the lock is held.
+func (h *Holder) publish() {
+	h.doc.Store(h.log.Document())
+	for s := range h.subs {
+		select {
+		case s <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/plat/conf/log.go
@@ -0,0 +1,146 @@
+package conf
+
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+)
+
+// PruneBehind is the number of changes that stay in the service behind the snapshot.
+const PruneBehind = 1_000
+
+// DefaultTail is the number of recent changes that a log keeps; at most PruneBehind, so that no pruned change is written again.
+const DefaultTail = PruneBehind
+
+// Log is a document and the recent changes that led to it; it only goes forward. It is a plain value, not safe for concurrent use.
+type Log struct {
+	doc   *Document
+	tail  []Change // consecutive numbers, the last is doc's.
+	limit int
+}
+
+// LogOption adjusts a log.
+type LogOption func(*Log)
+
+// WithTail sets the number of recent changes that the log keeps, 1 to PruneBehind.
+func WithTail(n int) LogOption {
+	return func(l *Log) { l.limit = min(max(n, 1), PruneBehind) }
+}
+
+// NewLog returns a log at the empty document.
+func NewLog(opts ...LogOption) *Log {
+	l := &Log{doc: NewDocument(), limit: DefaultTail}
+	for _, o := range opts {
+		o(l)
+	}
+	return l
+}
+
+// Document returns the newest document.
+func (l *Log) Document() *Document { return l.doc }
+
+// Offer applies the changes that are next, in the given order, and returns how many it applied. Changes that it has are passed over.
+// The error joins a DivergedError for each change of another history, ErrGap for changes that are too far ahead, and a
+// FieldError for an accepted change that this program finds invalid: its number counts as applied, without effect.
+func (l *Log) Offer(changes ...Change) (int, error) {
+	applied := 0
+	var errs []error
+	for _, c := range changes {
+		ok, err := l.offer(c)
+		if ok {
+			applied++
+		}
+		if err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return applied, errors.Join(errs...)
+}
+
+func (l *Log) offer(c Change) (bool, error) {
+	if c.Number <= l.doc.n {
+		return false, l.compare(c)
+	}
+	d, err := l.doc.Apply(c)
+	if errors.Is(err, ErrInvalid) {
+		d = l.doc.next(c)
+		err = eris.Wrapf(err, "change %d has no effect", c.Number)
+	}
+	if d == nil {
+		return false, err
+	}
+	l.doc = d
+	l.push(c)
+	return true, err
+}
+
+// compare returns a DivergedError when c is not the change that was applied under its number.
+func (l *Log) compare(c Change) error {
+	have, ok := l.opAt(c.Number)
+	if ok && have != c.Op {
+		return &DivergedError{number: c.Number, have: have, offered: c.Op}
+	}
+	return nil
+}
+
+func (l *Log) opAt(n Number) (string, bool) {
+	if n == l.doc.n {
+		return l.doc.op, true
+	}
+	c, ok := l.At(n)
+	return c.Op, ok
+}
+
+// At returns the change with that number if the log still keeps it.
+func (l *Log) At(n Number) (Change, bool) {
+	i := int(n - l.first())
+	if i < 0 || i >= len(l.tail) {
+		return Change{}, false
+	}
+	return l.tail[i], true
+}
+
+// FindOp returns the number under which the operation was accepted, if the log still keeps it.
+func (l *Log) FindOp(op string) (Number, bool) {
+	for i := len(l.tail) - 1; i >= 0; i-- {
+		if l.tail[i].Op == op {
+			return l.tail[i].Number, true
+		}
+	}
+	return l.doc.n, l.doc.n > 0 && l.doc.op == op
+}
+
+// first returns the number of the oldest change kept, or the next number when there is none.
+func (l *Log) first() Number { return l.doc.n + 1 - Number(len(l.tail)) }
+
+func (l *Log) push(c Change) {
+	if len(l.tail) >= l.limit {
+		if cap(l.tail) == len(l.tail) {
+			l.tail = append(make([]Change, 0, 2*l.limit), l.tail...)
+		}
+		l.tail = l.tail[1:]
+	}
+	l.tail = append(l.tail, c)
+}
+
+// OfferDocument takes d in place of the own document only if d is newer, and reports whether it did.
+func (l *Log) OfferDocument(d *Document) bool {
+	if d == nil || d.n <= l.doc.n {
+		return false
+	}
+	l.doc, l.tail = d, nil
+	return true
+}
+
+// Since returns up to limit changes that follow n, or the whole document when the log does not reach back to n.
+func (l *Log) Since(n Number, limit int) ([]Change, *Document) {
+	if n >= l.doc.n {
+		return nil, nil
+	}
+	if n+1 < l.first() {
+		return nil, l.doc
+	}
+	c := l.tail[n+1-l.first():]
+	c = c[:min(len(c), max(limit, 0))]
+	return append([]Change(nil), c...), nil
+}
