--- /dev/null
+++ b/node/burn/burn.go
@@ -0,0 +1,114 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Burn holds the service-level figures of one entry; it is changed by Update alone and owns no clock.
+type Burn struct {
+	entry, dataCentre string
+	since             time.Time
+	now               time.Time
+	series            map[Key]*series
+	goals             map[string]ObjectiveMsg
+	spares            map[string]spare
+	moves             map[Move]int64
+	waves             map[string]WaveMsg
+}
+
+// spare is what a pool holds beyond demand, and the VM seconds of it up to at.
+type spare struct {
+	at      time.Time
+	vms     int
+	seconds float64
+}
+
+// New returns the empty figures of the entry, which begin at now.
+func New(entry, dataCentre string, now time.Time) *Burn {
+	return &Burn{
+		entry: entry, dataCentre: dataCentre, since: now, now: now,
+		series: make(map[Key]*series), goals: make(map[string]ObjectiveMsg),
+		spares: make(map[string]spare), moves: make(map[Move]int64), waves: make(map[string]WaveMsg),
+	}
+}
+
+// Update applies m and returns the alerts that follow from it.
+func (b *Burn) Update(m Msg) []Cmd {
+	switch m := m.(type) {
+	case CountMsg:
+		b.count(m)
+	case ObjectiveMsg:
+		b.goals[m.Service] = m
+	case ForgetMsg:
+		b.forget(m.Service)
+	case SpareMsg:
+		b.spare(m)
+	case MoveMsg:
+		b.moves[Move{From: m.From, To: m.To}]++
+	case WaveMsg:
+		b.waves[m.ID] = m
+	case TickMsg:
+		return b.tick(m.Now)
+	}
+	return nil
+}
+
+func (b *Burn) count(m CountMsg) {
+	s, ok := b.series[m.Key]
+	if !ok {
+		s = newSeries()
+		b.series[m.Key] = s
+	}
+	s.add(m.Now, m.Counts)
+}
+
+func (b *Burn) forget(service string) {
+	delete(b.goals, service)
+	for k := range b.series {
+		if k.Service == service {
+			delete(b.series, k)
+		}
+	}
+}
+
+// spare closes the time that the last figure of the pool stood for.
+func (b *Burn) spare(m SpareMsg) {
+	s, ok := b.spares[m.Pool]
+	if ok && m.Now.After(s.at) {
+		s.seconds += float64(s.vms) * m.Now.Sub(s.at).Seconds()
+	}
+	s.at, s.vms = m.Now, m.VMs
+	b.spares[m.Pool] = s
+}
+
+// tick clears what is too old and reports the series whose speed has changed.
+func (b *Burn) tick(now time.Time) []Cmd {
+	b.now = now
+	var cs []Cmd
+	for _, k := range b.keys() {
+		s := b.series[k]
+		s.advance(now)
+		ws, goal := s.wins(), b.goals[k.Service].Objective
+		if v := speedOf(ws, goal); v != s.speed {
+			s.speed = v
+			cs = append(cs, AlertCmd{Key: k, Speed: v, Rate: ws[1].Counts.Rate(goal)})
+		}
+	}
+	return cs
+}
+
+// keys returns the keys of all series in order.
+func (b *Burn) keys() []Key {
+	ks := make([]Key, 0, len(b.series))
+	for k := range b.series {
+		ks = append(ks, k)
+	}
+	slices.SortFunc(ks, compareKeys)
+	return ks
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class))
+}
--- /dev/null
+++ b/node/burn/meter.go
@@ -0,0 +1,99 @@
+package burn
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// shards is the number of counter sets among which concurrent requests spread; a power of two.
+const shards = 8
+
+// Counter counts the requests of one series; Add is safe for concurrent use and takes no lock.
+type Counter struct {
+	cells [shards]cell
+	taken Counts // what Flush has passed on; held under the meter's lock.
+}
+
+// cell fills a cache line of 64 bytes.
+type cell struct {
+	n [outcomes]atomic.Int64
+	_ [32]byte
+}
+
+// Add counts one request.
+func (c *Counter) Add(o Outcome) {
+	c.cells[rand.Uint32()%shards].n[o].Add(1)
+}
+
+// total returns all that was counted.
+func (c *Counter) total() Counts {
+	var n [outcomes]int64
+	for i := range c.cells {
+		for o := range n {
+			n[o] += c.cells[i].n[o].Load()
+		}
+	}
+	return Counts{n[Good], n[Late], n[Failed], n[Refused]}
+}
+
+// Meter counts on the request path and passes the counts on to a Burn; it is safe for concurrent use.
+type Meter struct {
+	counters sync.Map // Key to *Counter
+	mu       sync.Mutex
+	burn     *Burn
+}
+
+// NewMeter returns the meter of the entry, which begins at now.
+func NewMeter(entry, dataCentre string, now time.Time) *Meter {
+	return &Meter{burn: New(entry, dataCentre, now)}
+}
+
+// Counter returns the counter of k, which the caller may keep.
+func (m *Meter) Counter(k Key) *Counter {
+	if c, ok := m.counters.Load(k); ok {
+		return c.(*Counter)
+	}
+	c, _ := m.counters.LoadOrStore(k, &Counter{})
+	return c.(*Counter)
+}
+
+// Add counts one request of k.
+func (m *Meter) Add(k Key, o Outcome) { m.Counter(k).Add(o) }
+
+// Update passes a message that is not from the request path on to the Burn.
+func (m *Meter) Update(g Msg) []Cmd {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.burn.Update(g)
+}
+
+// Flush passes the counts since the last Flush on and lets time pass to now; it is called about once a second.
+func (m *Meter) Flush(now time.Time) []Cmd {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counters.Range(func(k, v any) bool {
+		m.flushOne(now, k.(Key), v.(*Counter))
+		return true
+	})
+	return m.burn.Update(TickMsg{Now: now})
+}
+
+func (m *Meter) flushOne(now time.Time, k Key, c *Counter) {
+	t := c.total()
+	d := Counts{t.Good - c.taken.Good, t.Late - c.taken.Late, t.Failed - c.taken.Failed, t.Refused - c.taken.Refused}
+	if d.Total() == 0 {
+		return
+	}
+	c.taken = t
+	m.burn.Update(CountMsg{Now: now, Key: k, Counts: d})
+}
+
+// Report flushes and returns the figures up to now.
+func (m *Meter) Report(now time.Time) Report {
+	m.Flush(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.burn.Report()
+}
--- /dev/null
+++ b/node/burn/ring.go
@@ -0,0 +1,81 @@
+package burn
+
+import "time"
+
+const (
+	fineStep     = 30 * time.Second
+	fineBuckets  = 120 // an hour
+	roughStep    = 5 * time.Minute
+	roughBuckets = 864 // three days
+)
+
+// bucket holds the counts of one step of time.
+type bucket [outcomes]uint32
+
+// ring holds the counts of the latest steps; steps are aligned to the Unix epoch so that entries' rings can be added.
+type ring struct {
+	step    time.Duration
+	last    int64 // number of the newest step
+	buckets []bucket
+}
+
+func newRing(step time.Duration, n int) ring {
+	return ring{step: step, buckets: make([]bucket, n)}
+}
+
+// index returns the number of the step that holds t.
+func (r *ring) index(t time.Time) int64 { return t.UnixNano() / int64(r.step) }
+
+// advance clears the steps between the newest one and now.
+func (r *ring) advance(now time.Time) {
+	i := r.index(now)
+	n := int64(len(r.buckets))
+	for k := max(r.last+1, i-n+1); k <= i; k++ {
+		r.buckets[k%n] = bucket{}
+	}
+	r.last = max(r.last, i)
+}
+
+// add counts c at now; time that goes back counts in the newest step.
+func (r *ring) add(now time.Time, c Counts) {
+	r.advance(now)
+	b := &r.buckets[r.last%int64(len(r.buckets))]
+	b[Good] += uint32(c.Good)
+	b[Late] += uint32(c.Late)
+	b[Failed] += uint32(c.Failed)
+	b[Refused] += uint32(c.Refused)
+}
+
+// sum returns the counts of the latest w, the present step included.
+func (r *ring) sum(w time.Duration) Counts {
+	var c Counts
+	n := min(int64(w/r.step), int64(len(r.buckets)))
+	for k := max(0, r.last-n+1); k <= r.last; k++ {
+		c = c.Plus(r.at(k))
+	}
+	return c
+}
+
+// at returns the counts of step k, which must be within the ring.
+func (r *ring) at(k int64) Counts {
+	b := r.buckets[k%int64(len(r.buckets))]
+	return Counts{int64(b[Good]), int64(b[Late]), int64(b[Failed]), int64(b[Refused])}
+}
+
+// points returns the steps that hold requests, grouped into spans, oldest first.
+func (r *ring) points(span time.Duration) []Point {
+	var ps []Point
+	for k := max(0, r.last-int64(len(r.buckets))+1); k <= r.last; k++ {
+		c := r.at(k)
+		if c.Total() == 0 {
+			continue
+		}
+		s := time.Unix(0, k*int64(r.step)).UTC().Truncate(span)
+		if n := len(ps); n > 0 && ps[n-1].Start.Equal(s) {
+			ps[n-1].Counts = ps[n-1].Counts.Plus(c)
+			continue
+		}
+		ps = append(ps, Point{Start: s, Counts: c})
+	}
+	return ps
+}
--- /dev/null
+++ b/node/burn/series.go
@@ -0,0 +1,75 @@
+package burn
+
+import "time"
+
+// Speed tells how fast a series spends its error budget.
+type Speed string
+
+const (
+	// Within means that the budget lasts.
+	Within Speed = "within"
+	// Slow means that the budget of three days would not last, over both six hours and three days.
+	Slow Speed = "slow"
+	// Fast means that two per cent of a thirty days' budget go in an hour, over both five minutes and an hour.
+	Fast Speed = "fast"
+)
+
+const (
+	fastRate = 14.4 // burn rate: 2% of 30 days' budget in an hour
+	slowRate = 1.0  // burn rate: the whole budget
+)
+
+// windows returns the lengths of time over which burn rates are given, shortest first.
+func windows() []time.Duration {
+	return []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 72 * time.Hour}
+}
+
+// series holds the counts of one service and class.
+type series struct {
+	fine, rough ring
+	speed       Speed
+}
+
+func newSeries() *series {
+	return &series{fine: newRing(fineStep, fineBuckets), rough: newRing(roughStep, roughBuckets), speed: Within}
+}
+
+func (s *series) add(now time.Time, c Counts) {
+	s.fine.add(now, c)
+	s.rough.add(now, c)
+}
+
+func (s *series) advance(now time.Time) {
+	s.fine.advance(now)
+	s.rough.advance(now)
+}
+
+// window returns the counts of the latest w.
+func (s *series) window(w time.Duration) Counts {
+	if w <= fineStep*fineBuckets {
+		return s.fine.sum(w)
+	}
+	return s.rough.sum(w)
+}
+
+// wins returns the counts of every window.
+func (s *series) wins() []Window {
+	ws := make([]Window, 0, len(windows()))
+	for _, w := range windows() {
+		ws = append(ws, Window{Seconds: int64(w / time.Second), Counts: s.window(w)})
+	}
+	return ws
+}
+
+// speedOf returns how fast windows spend the budget of the objective.
+func speedOf(ws []Window, objective float64) Speed {
+	over := func(i int, rate float64) bool { return len(ws) > i && ws[i].Counts.Rate(objective) >= rate }
+	switch {
+	case over(0, fastRate) && over(1, fastRate):
+		return Fast
+	case over(2, slowRate) && over(3, slowRate):
+		return Slow
+	default:
+		return Within
+	}
+}
--- /dev/null
+++ b/node/burn/text.go
@@ -0,0 +1,91 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// worstHours is the number of worst hours that the text names for each series.
+const worstHours = 3
+
+// minute is the form of a time in the text.
+const minute = "2006-01-02 15:04"
+
+// WriteText writes the report as aligned tables; it returns the writer's error.
+func (r Report) WriteText(w io.Writer) error {
+	var b strings.Builder
+	r.writeEntries(&b)
+	r.writeServices(&b)
+	r.writeWorst(&b)
+	r.writeCost(&b)
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	if _, err := io.WriteString(t, b.String()); err != nil {
+		return eris.Wrap(err, "burn: write text")
+	}
+	return eris.Wrap(t.Flush(), "burn: write text")
+}
+
+func (r Report) writeEntries(w *strings.Builder) {
+	fmt.Fprintf(w, "ENTRY\tDATA CENTRE\tCOUNTS SINCE\n")
+	for _, e := range r.Entries {
+		if e.Unheard != "" {
+			fmt.Fprintf(w, "%s\t%s\tnot heard: %s\n", e.Entry, e.DataCentre, e.Unheard)
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\n", e.Entry, e.DataCentre, e.Since.UTC().Format(minute))
+	}
+}
+
+func (r Report) writeServices(w *strings.Builder) {
+	fmt.Fprintf(w, "\nSERVICE\tCLASS\tPROFILE\tOBJECTIVE\tREQUESTS\tLATE\tFAILED\tREFUSED\tBUDGET SPENT\tBURN 5m\t1h\t6h\t3d\tSPEED\n")
+	for _, s := range r.Services {
+		var c Counts
+		if n := len(s.Windows); n > 0 {
+			c = s.Windows[n-1].Counts
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.4g%%\t%d\t%d\t%d\t%d\t%.1f%%", s.Service, s.Class, s.Profile, s.Objective*100,
+			c.Total(), c.Late, c.Failed, c.Refused, s.Spent()*100)
+		for _, x := range s.Windows {
+			fmt.Fprintf(w, "\t%.2f", x.Counts.Rate(s.Objective))
+		}
+		fmt.Fprintf(w, "\t%s\n", s.Speed)
+	}
+}
+
+func (r Report) writeWorst(w *strings.Builder) {
+	fmt.Fprintf(w, "\nWORST HOUR\tSERVICE\tCLASS\tREQUESTS\tMISSED\tBURN\n")
+	for _, s := range r.Services {
+		for _, p := range s.Worst(worstHours) {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.2f\n", p.Start.UTC().Format(minute), s.Service, s.Class,
+				p.Counts.Total(), p.Counts.Bad(), p.Counts.Rate(s.Objective))
+		}
+	}
+}
+
+func (r Report) writeCost(w *strings.Builder) {
+	fmt.Fprintf(w, "\nPOOL\tDATA CENTRE\tSPARE VMS\tSPARE VM HOURS\n")
+	for _, s := range r.Spares {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\n", s.Pool, s.DataCentre, s.VMs, s.VMHours)
+	}
+	fmt.Fprintf(w, "\nMOVED FROM\tTO\tVMS\n")
+	for _, m := range r.Moves {
+		fmt.Fprintf(w, "%s\t%s\t%d\n", m.From, m.To, m.Count)
+	}
+	fmt.Fprintf(w, "\nWAVE\tDATA CENTRE\tDONE\tOF\tTOOK\n")
+	for _, v := range r.Waves {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", v.ID, v.DataCentre, v.Done, v.Total, v.took())
+	}
+}
+
+// took returns how long the wave ran, or that it still does.
+func (v WaveReport) took() string {
+	if v.Ended.IsZero() {
+		return "running"
+	}
+	return v.Ended.Sub(v.Started).Round(time.Second).String()
+}
