Serve callers' requests through the scheduler

Cause: first whole path of a request inside an entry: route, team, approval, class, deadline, key, schedule, send, whole answer or a refusal that says what is wrong and that nothing was run. Ruled out: a claim of the key before queueing (two calls for each request that is shed).

--- /dev/null
+++ b/node/entry/broken.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"burdockreach.dev/flow/sched"
+)
+
+// broken answers what the server could not read as a request; nothing was run.
+func (e *Entry) broken(x *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	r := notRun(fasthttp.StatusBadRequest, "parse", "the request cannot be read as HTTP")
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		r = notRun(fasthttp.StatusRequestEntityTooLarge, "parse", fmt.Sprintf("the body is over %d bytes", e.set.MaxBodyBytes()))
+	case errors.As(err, &small):
+		r = notRun(fasthttp.StatusRequestHeaderFieldsTooLarge, "parse", fmt.Sprintf("the header is over %d bytes", readBuffer))
+	}
+	e.count.refused.Add(1)
+	r.write(x, e.ids.next())
+}
+
+// ids makes request ids that are unique in the fleet and over restarts.
+type ids struct {
+	prefix string
+	n      atomic.Uint64
+}
+
+func newIDs(name string) *ids {
+	return &ids{prefix: name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"}
+}
+
+func (i *ids) next() string { return i.prefix + strconv.FormatUint(i.n.Add(1), 36) }
+
+// noKeys refuses every keyed request.
+type noKeys struct{}
+
+// Claim refuses.
+func (noKeys) Claim(context.Context, string, string, []byte) (Verdict, Claim, Kept, string) {
+	return Unheld, nil, Kept{}, "no holder of keys is configured"
+}
+
+// noBurner counts nothing.
+type noBurner struct{}
+
+// Count does nothing.
+func (noBurner) Count(string, string, time.Time, time.Duration, bool) {}
+
+func className(c sched.Class) string {
+	switch c {
+	case sched.Urgent:
+		return "urgent"
+	case sched.Background:
+		return "background"
+	}
+	return "normal"
+}
+
+func (e *Entry) burn(o order, now time.Time, took time.Duration, good bool) {
+	e.burner.Count(o.service, className(o.class), now, took, good)
+}
+
+// spent counts a request without a target's answer.
+func (e *Entry) spent(o order, r *Refusal) {
+	switch r.Outcome {
+	case OutcomeRepeat:
+		e.count.repeated.Add(1)
+		return
+	case OutcomeUnknown:
+		e.count.unknown.Add(1)
+	default:
+		e.count.ended.Add(1)
+	}
+	if r.Step == stepSchedule {
+		e.burn(o, time.Now(), 0, false)
+	}
+}
--- /dev/null
+++ b/node/entry/claim.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Verdict is what the holders of a key say.
+type Verdict uint8
+
+const (
+	// Granted means that the request may be sent.
+	Granted Verdict = iota
+	// Repeated means that an earlier copy has its answer, which is kept.
+	Repeated
+	// Running means that an earlier copy has no answer yet.
+	Running
+	// Lost means that an earlier copy may have run and its answer is not known or not kept.
+	Lost
+	// Mismatched means that the key was used for another request.
+	Mismatched
+	// Unheld means that the key could not be claimed; nothing was sent.
+	Unheld
+)
+
+// Kept is the answer of an earlier copy.
+type Kept struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Claim is the right to send one keyed request; exactly one of Settle's outcomes ends it.
+type Claim interface {
+	// Answered records the target's answer.
+	Answered(k Kept)
+	// Unknown records that the request may have run.
+	Unknown()
+	// NotRun records that the request was certainly not run, so that the key can be claimed again.
+	NotRun()
+}
+
+// Keys claims idempotency keys in all of the fleet.
+type Keys interface {
+	// Claim asks the key's holders; the claim is set for Granted and the kept answer for Repeated.
+	Claim(ctx context.Context, key, attempt string, digest []byte) (Verdict, Claim, Kept, string)
+}
+
+// claimKey claims the request's key before its first send; a refusal or a kept answer ends the request.
+func (c *call) claimKey(ctx context.Context) *Refusal {
+	if c.o.key == "" || c.claim != nil {
+		return nil
+	}
+	x, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	v, claim, kept, why := c.e.keys.Claim(x, c.o.key, c.request, c.digest())
+	switch v {
+	case Granted:
+		c.claim = claim
+		return nil
+	case Repeated:
+		return &Refusal{Outcome: OutcomeRepeat, Step: "claim", kept: &kept}
+	case Running:
+		return conflict(OutcomeUnknown, "an earlier copy of this key is still running").after(time.Second)
+	case Lost:
+		return conflict(OutcomeUnknown, "an earlier copy of this key may have run: "+why)
+	case Mismatched:
+		return conflict(OutcomeNotRun, "the key was used for another request")
+	}
+	return notRun(fasthttp.StatusServiceUnavailable, "claim", why).after(time.Second)
+}
+
+func conflict(o Outcome, reason string) *Refusal {
+	return &Refusal{Outcome: o, Step: "claim", Reason: reason, status: fasthttp.StatusConflict}
+}
+
+// digest covers all that makes two requests the same.
+func (c *call) digest() []byte {
+	h := sha256.New()
+	for _, b := range [][]byte{[]byte(c.o.service), []byte(c.o.team), c.x.Method(), c.x.Request.Header.RequestURI(), c.x.Request.Body()} {
+		var n [8]byte
+		binary.LittleEndian.PutUint64(n[:], uint64(len(b)))
+		h.Write(n[:])
+		h.Write(b)
+	}
+	return h.Sum(nil)[:digestBytes]
+}
+
+// digestBytes is the length of a request's digest.
+const digestBytes = 16
+
+// settle tells the key's holders how the request ended; they keep the target's answer when answered.
+func (c *call) settle(o Outcome) {
+	if c.claim == nil {
+		return
+	}
+	switch o {
+	case OutcomeAnswered:
+		c.claim.Answered(Kept{
+			Status:      c.x.Response.StatusCode(),
+			ContentType: string(c.x.Response.Header.ContentType()),
+			Body:        append([]byte(nil), c.x.Response.Body()...),
+		})
+	case OutcomeNotRun:
+		c.claim.NotRun()
+	default:
+		c.claim.Unknown()
+	}
+	c.claim = nil
+}
--- /dev/null
+++ b/node/entry/entry.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/flow/sched"
+	"burdockreach.dev/node/setup"
+	"burdockreach.dev/node/view"
+	"burdockreach.dev/plat/conf"
+)
+
+const (
+	tickEvery    = 10 * time.Millisecond // the scheduler's time while requests wait
+	refreshEvery = time.Second           // the table's, when nothing has changed
+	reapEvery    = time.Second
+	healthPath   = "/health"
+	readBuffer   = 16 << 10 // bytes; the longest request header
+)
+
+// Documents gives the configuration in force.
+type Documents interface {
+	Document() *conf.Document
+	Wait(ctx context.Context, n conf.Number) error
+}
+
+// Burner counts requests against the objective of their service and class.
+type Burner interface {
+	Count(service, class string, now time.Time, took time.Duration, good bool)
+}
+
+// Entry serves callers; New makes one and Run runs it.
+type Entry struct {
+	set    setup.Settings
+	log    zerolog.Logger
+	conf   Documents
+	view   *view.Shelf
+	keys   Keys
+	share  Share
+	burner Burner
+	ids    *ids
+	ctx    context.Context
+
+	services sync.Map // name → *service
+	table    atomic.Pointer[table]
+	count    counts
+
+	tableMu sync.Mutex
+	leaving map[string]view.Version // VMs that refused as leaving, with the view at that time
+	listed  *view.View              // the view that the services' lists were made from
+
+	stopMu   sync.Mutex
+	stopping bool // the health page is unhealthy
+	closed   bool // new requests are refused
+	inFlight int
+	empty    chan struct{}
+}
+
+// Option changes an Entry when it is made.
+type Option func(*Entry)
+
+// WithKeys sets where idempotency keys are claimed; without it, no keyed request is taken.
+func WithKeys(k Keys) Option { return func(e *Entry) { e.keys = k } }
+
+// WithShare sets how many slots of a target this entry may use; without it, all of them.
+func WithShare(s Share) Option { return func(e *Entry) { e.share = s } }
+
+// WithBurner sets what counts requests against objectives.
+func WithBurner(b Burner) Option { return func(e *Entry) { e.burner = b } }
+
+// New returns an entry over the configuration and the view.
+func New(s setup.Settings, l zerolog.Logger, d Documents, v *view.Shelf, opts ...Option) *Entry {
+	e := &Entry{
+		set: s, log: l, conf: d, view: v, keys: noKeys{}, burner: noBurner{}, ids: newIDs(s.Name()),
+		share:   func(_ string, n int) int { return n },
+		ctx:     context.Background(),
+		leaving: make(map[string]view.Version), listed: v.View(), empty: make(chan struct{}, 1),
+	}
+	e.table.Store(&table{})
+	for _, o := range opts {
+		o(e)
+	}
+	return e
+}
+
+// Run serves callers on ln until the context ends, then finishes what it has accepted, for at most the settings' drain wait.
+func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	e.ctx = work
+	s := e.server()
+	g, x := errgroup.WithContext(work)
+	g.Go(func() error { return eris.Wrapf(s.Serve(ln), "step=serve peer=%s", ln.Addr()) })
+	g.Go(func() error { return e.loop(x) })
+	g.Go(func() error { return e.follow(x) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-x.Done():
+			return nil
+		}
+		err := e.stop(s)
+		cancel()
+		return err
+	})
+	return g.Wait()
+}
+
+func (e *Entry) server() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: e.serve, ErrorHandler: e.broken, Name: "burdockreach",
+		MaxRequestBodySize: e.set.MaxBodyBytes(), ReadBufferSize: readBuffer,
+		Concurrency: e.set.MaxCallerConns(), NoDefaultContentType: true, NoDefaultDate: true,
+		NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: quietLogger{},
+	}
+}
+
+// quietLogger drops the server's own lines; what a caller did wrong is counted and answered.
+type quietLogger struct{}
+
+// Printf drops the line.
+func (quietLogger) Printf(string, ...any) {}
+
+// loop lets the services' time pass.
+func (e *Entry) loop(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	var reaped, refreshed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			e.eachService(func(v *service) { v.tick(now) })
+			if now.Sub(reaped) >= reapEvery {
+				e.reap(now)
+				reaped = now
+			}
+			if now.Sub(refreshed) >= refreshEvery {
+				e.refresh(now)
+				refreshed = now
+			}
+		}
+	}
+}
+
+// follow rebuilds the table when the view or the configuration changes.
+func (e *Entry) follow(ctx context.Context) error {
+	g, x := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		for {
+			v := e.view.View().Version()
+			e.refresh(time.Now())
+			if e.view.Wait(x, v) != nil {
+				return nil
+			}
+		}
+	})
+	g.Go(func() error {
+		for {
+			n := e.conf.Document().Number()
+			e.refresh(time.Now())
+			if e.conf.Wait(x, n+1) != nil {
+				return nil
+			}
+		}
+	})
+	return g.Wait()
+}
+
+func (e *Entry) reap(now time.Time) {
+	for _, t := range *e.table.Load() {
+		t.conns.Reap(now)
+	}
+}
+
+// Loads returns the use of each service's slots at this entry.
+func (e *Entry) Loads() map[string]sched.Stats {
+	m := make(map[string]sched.Stats)
+	e.eachService(func(v *service) { m[v.name] = v.stats() })
+	return m
+}
+
+// Ready reports whether the entry takes new work.
+func (e *Entry) Ready() bool {
+	e.stopMu.Lock()
+	defer e.stopMu.Unlock()
+	return !e.stopping && e.conf.Document().Number() > 0 && e.view.View().Len() > 0
+}
--- /dev/null
+++ b/node/entry/service.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"burdockreach.dev/flow/sched"
+)
+
+// service runs one service's requests at this entry; mu guards all below it.
+type service struct {
+	name string
+
+	mu      sync.Mutex
+	s       *sched.Scheduler
+	next    sched.ID
+	waiting map[sched.ID]chan sched.Cmd
+	out     map[string]int // requests handed out for sending, by VM
+	listed  map[string]bool
+}
+
+func newService(name string, opts ...sched.Option) *service {
+	return &service{
+		name: name, s: sched.New(name, opts...),
+		waiting: make(map[sched.ID]chan sched.Cmd), out: make(map[string]int), listed: make(map[string]bool),
+	}
+}
+
+// maxPending is the number of commands that one call can have before it: one send and one end.
+const maxPending = 2
+
+// replies holds the channels that calls wait on.
+var replies = sync.Pool{New: func() any { return make(chan sched.Cmd, maxPending) }}
+
+// arrive hands a new request to the scheduler and returns its id and the channel of its commands.
+func (v *service) arrive(m sched.ArriveMsg) (sched.ID, chan sched.Cmd) {
+	ch := replies.Get().(chan sched.Cmd)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.next++
+	m.ID = v.next
+	v.waiting[m.ID] = ch
+	v.perform(v.s.Update(m))
+	return m.ID, ch
+}
+
+// done tells the scheduler how a send ended.
+func (v *service) done(m sched.DoneMsg) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.out[m.Target]--
+	if v.out[m.Target] <= 0 {
+		delete(v.out, m.Target)
+	}
+	v.perform(v.s.Update(m))
+}
+
+// leave forgets a call that has its final answer.
+func (v *service) leave(id sched.ID, ch chan sched.Cmd) {
+	v.mu.Lock()
+	delete(v.waiting, id)
+	v.mu.Unlock()
+	for len(ch) > 0 {
+		<-ch
+	}
+	replies.Put(ch)
+}
+
+// update passes any other message on.
+func (v *service) update(m sched.Msg) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if t, ok := m.(sched.TargetsMsg); ok {
+		clear(v.listed)
+		for _, x := range t.Targets {
+			v.listed[x.Name()] = true
+		}
+	}
+	v.perform(v.s.Update(m))
+}
+
+// perform hands each command to the call that waits for it; v.mu is held.
+func (v *service) perform(cmds []sched.Cmd) {
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case sched.SendCmd:
+			v.out[c.Target]++
+			v.hand(c.ID, c)
+		case sched.EndCmd:
+			v.hand(c.ID, c)
+		}
+	}
+}
+
+func (v *service) hand(id sched.ID, c sched.Cmd) {
+	if ch, ok := v.waiting[id]; ok {
+		ch <- c
+	}
+}
+
+// idle reports whether nothing waits and nothing is at a target.
+func (v *service) idle() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.waiting) == 0
+}
+
+// tick lets the scheduler's time pass while anything waits.
+func (v *service) tick(now time.Time) {
+	if !v.idle() {
+		v.update(sched.TickMsg{Now: now})
+	}
+}
+
+// quitFor reports whether the VM is off the list and nothing is in flight to it.
+func (v *service) quitFor(vm string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.listed[vm] && v.out[vm] == 0
+}
+
+func (v *service) stats() sched.Stats {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.s.Stats()
+}
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -37,6 +37,7 @@
 	Rack    string `json:"r"`
 	Pool    string `json:"p"`
 	Serving bool   `json:"s"`
+	Number  int64  `json:"n"` // version of the membership shard in which the target came to this state.
 }
 
 // View is one version of the targets of a data centre; it never changes.
