Add stand-ins of a target and of a forwarder that cuts

Cause: the promises of the request path are counted where the runs happen, and a silent or cut connection has to be brought about on demand. Ruled out: counting at the entry, which would believe itself. Conclusion: runs are counted by key and by mark, faults come by header or control.

--- /dev/null
+++ b/fakes/cutter/cutter_test.go
@@ -0,0 +1,113 @@
+package cutter_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/fakes/cutter"
+)
+
+const patience = 5 * time.Second
+
+// start serves an echo and a forwarder to it, until the test ends.
+func start(t *testing.T) (*cutter.Cutter, string) {
+	i := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	c := cutter.New("127.0.0.1:0", l.Addr().String())
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.Serve(ctx) })
+	g.Go(func() error { return echo(g, l) })
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		i.NoErr(g.Wait())
+		goleak.VerifyNone(t)
+	})
+	a, err := c.Addr(ctx)
+	i.NoErr(err)
+	return c, a
+}
+
+func echo(g *errgroup.Group, l net.Listener) error {
+	for {
+		n, err := l.Accept()
+		if err != nil {
+			return nil
+		}
+		g.Go(func() error {
+			defer n.Close()
+			s := bufio.NewScanner(n)
+			for s.Scan() {
+				if _, err := n.Write(append(s.Bytes(), '\n')); err != nil {
+					return nil
+				}
+			}
+			return nil
+		})
+	}
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	n, err := net.Dial("tcp", addr)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
+func says(n net.Conn, d time.Duration) (string, error) {
+	_ = n.SetDeadline(time.Now().Add(d))
+	if _, err := n.Write([]byte("hello\n")); err != nil {
+		return "", err
+	}
+	return bufio.NewReader(n).ReadString('\n')
+}
+
+func echoes(t *testing.T, n net.Conn) {
+	t.Helper()
+	s, err := says(n, patience)
+	is.New(t).NoErr(err)
+	is.New(t).Equal(s, "hello\n")
+}
+
+func TestCutter(t *testing.T) {
+	t.Run("a stalled connection is silent while a new one works", func(t *testing.T) {
+		i := is.New(t)
+		c, a := start(t)
+		n := dial(t, a)
+		echoes(t, n)
+		c.Stall()
+		_, err := says(n, 50*time.Millisecond)
+		e, ok := err.(net.Error)
+		i.True(ok && e.Timeout())
+		echoes(t, dial(t, a))
+		i.Equal(c.Stats().Stalled, 1)
+	})
+	t.Run("a cut closes what is open", func(t *testing.T) {
+		i := is.New(t)
+		c, a := start(t)
+		n := dial(t, a)
+		echoes(t, n)
+		c.Cut()
+		_, err := says(n, patience)
+		e, ok := err.(net.Error)
+		i.True(err != nil && (!ok || !e.Timeout()))
+	})
+	t.Run("refuses until it accepts again", func(t *testing.T) {
+		i := is.New(t)
+		c, a := start(t)
+		c.Refuse()
+		_, err := says(dial(t, a), patience)
+		i.True(err != nil)
+		c.Accept()
+		echoes(t, dial(t, a))
+	})
+}
--- /dev/null
+++ b/fakes/target/ctl.go
@@ -0,0 +1,108 @@
+package target
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// control serves one request at the control address.
+func (t *Target) control(x *fasthttp.RequestCtx) {
+	switch string(x.Path()) {
+	case "/ctl/runs":
+		reply(x, t.report(!x.QueryArgs().Has("brief")))
+		return
+	case "/ctl/drain":
+		t.Drain()
+	case "/ctl/undrain":
+		t.draining.Store(false)
+	case "/ctl/reboot":
+		t.ctlReboot(x)
+	case "/ctl/assign":
+		t.ctlAssign(x)
+	case "/ctl/fault":
+		t.ctlFault(x)
+	default:
+		x.Error("no such call", fasthttp.StatusNotFound)
+		return
+	}
+	if x.Response.StatusCode() == fasthttp.StatusOK {
+		reply(x, struct {
+			OK bool `json:"ok"`
+		}{true})
+	}
+}
+
+// Drain makes the target refuse new requests as leaving; what runs goes on.
+func (t *Target) Drain() {
+	t.mu.Lock()
+	t.drain = time.Now()
+	t.mu.Unlock()
+	t.draining.Store(true)
+}
+
+// Reboot stops the target at once and brings it back after its reboot time; planned says under which count cut requests fall.
+func (t *Target) Reboot(planned bool) { t.rebootFor(planned, t.rebootTime) }
+
+func (t *Target) rebootFor(planned bool, d time.Duration) {
+	select {
+	case t.reboots <- reboot{planned: planned, after: d}:
+	default:
+	}
+}
+
+// SetFault makes every request without its own Fake-Fault header misbehave.
+func (t *Target) SetFault(f Fault) {
+	if f.Mode == None {
+		t.fault.Store(nil)
+		return
+	}
+	t.fault.Store(&f)
+}
+
+func (t *Target) ctlReboot(x *fasthttp.RequestCtx) {
+	d := t.rebootTime
+	if n := x.QueryArgs().GetUintOrZero("ms"); n > 0 {
+		d = time.Duration(n) * time.Millisecond
+	}
+	t.rebootFor(!x.QueryArgs().Has("crash"), d)
+}
+
+func (t *Target) ctlAssign(x *fasthttp.RequestCtx) {
+	var a struct {
+		Pool string `json:"pool"`
+	}
+	if !read(x, &a) {
+		return
+	}
+	t.mu.Lock()
+	t.pool = a.Pool
+	t.mu.Unlock()
+	t.count.assigned()
+}
+
+func (t *Target) ctlFault(x *fasthttp.RequestCtx) {
+	var f Fault
+	if read(x, &f) {
+		t.SetFault(f)
+	}
+}
+
+func read(x *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(x.PostBody(), v); err != nil {
+		x.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(x *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		x.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	x.SetContentType("application/json")
+	x.SetBody(b)
+}
--- /dev/null
+++ b/fakes/target/handle.go
@@ -0,0 +1,146 @@
+package target
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	headerRequest = "Burdock-Request"
+	headerNotRun  = "Burdock-Not-Run"
+	headerLeaving = "Burdock-Leaving"
+	headerKey     = "Idempotency-Key"
+	headerDigest  = "Fake-Digest"
+	headerAnswer  = "Fake-Answer-Digest"
+	headerTarget  = "Fake-Target"
+)
+
+// handle serves one request.
+func (t *Target) handle(x *fasthttp.RequestCtx) {
+	p := t.present.Add(1)
+	defer t.present.Add(-1)
+	f := t.faultOf(x)
+	if f.Mode != None {
+		t.count.faults.Add(1)
+	}
+	if f.Mode == CloseIdle && x.ConnRequestNum() > 1 {
+		x.HijackSetNoResponse(true)
+		x.Hijack(func(c net.Conn) { _ = c.Close() })
+		return
+	}
+	if f.Mode == Refuse {
+		x.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if t.draining.Load() {
+		t.leave(x)
+		return
+	}
+	n := t.running.Add(1)
+	if n > t.slots {
+		t.running.Add(-1)
+		t.count.oversent(p - t.slots)
+		refuse(x)
+		return
+	}
+	t.run(x, f, n)
+}
+
+func refuse(x *fasthttp.RequestCtx) {
+	x.Response.Header.SetBytesV(headerRequest, x.Request.Header.Peek(headerRequest))
+	x.Response.Header.Set(headerNotRun, "1")
+	x.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+func (t *Target) leave(x *fasthttp.RequestCtx) {
+	t.mu.Lock()
+	d := time.Since(t.drain)
+	t.mu.Unlock()
+	t.count.whileLeaving(d)
+	refuse(x)
+	x.Response.Header.Set(headerLeaving, "1")
+}
+
+// run holds a slot for the run time and answers.
+func (t *Target) run(x *fasthttp.RequestCtx, f Fault, n int64) {
+	h := &x.Request.Header
+	t.count.started(h.Peek(headerKey), h.Peek(headerRequest), n)
+	whole := t.work(x)
+	t.running.Add(-1)
+	if f.Mode == Late {
+		whole = whole && t.wait(time.Duration(f.LateMs)*time.Millisecond)
+	}
+	if !whole {
+		x.HijackSetNoResponse(true)
+		x.Hijack(func(c net.Conn) { _ = c.Close() })
+		return
+	}
+	t.answer(x, f)
+}
+
+func (t *Target) answer(x *fasthttp.RequestCtx, f Fault) {
+	mark := string(x.Request.Header.Peek(headerRequest))
+	body := t.body(x)
+	switch f.Mode {
+	case Cut, Longer, Shorter, Silent:
+		t.spoil(x, f, mark, body)
+		return
+	case Fail:
+		x.SetStatusCode(fasthttp.StatusInternalServerError)
+	case WrongMark:
+		mark += "-other"
+	}
+	r := &x.Response.Header
+	r.Set(headerRequest, mark)
+	r.Set(headerTarget, t.name)
+	r.Set(headerAnswer, digest(body))
+	r.Set(headerDigest, digest(x.Request.Body()))
+	x.SetBody(body)
+}
+
+// body returns an answer that depends on the request, of Fake-Answer-Bytes bytes if the header is there.
+func (t *Target) body(x *fasthttp.RequestCtx) []byte {
+	b := fmt.Appendf(nil, "{\"target\":%q,\"digest\":%q,\"bytes\":%d}\n", t.name, digest(x.Request.Body()), len(x.Request.Body()))
+	if n := int(number(x, "Fake-Answer-Bytes")); n > 0 {
+		b = bytes.Repeat(b, n/len(b)+1)[:n]
+	}
+	return b
+}
+
+func digest(b []byte) string { return strconv.FormatUint(xxhash.Sum64(b), 16) }
+
+func number(x *fasthttp.RequestCtx, header string) float64 {
+	n, _ := strconv.ParseFloat(string(x.Request.Header.Peek(header)), 64)
+	return n
+}
+
+// work takes the run time; it is false if the target went down meanwhile.
+func (t *Target) work(x *fasthttp.RequestCtx) bool {
+	if len(x.Request.Header.Peek("Fake-Run-Ms")) > 0 {
+		return t.wait(time.Duration(number(x, "Fake-Run-Ms") * float64(time.Millisecond)))
+	}
+	t.mu.Lock()
+	d := t.runTime(t.rand)
+	t.mu.Unlock()
+	return t.wait(d)
+}
+
+func (t *Target) wait(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	k := time.NewTimer(d)
+	defer k.Stop()
+	select {
+	case <-k.C:
+		return true
+	case <-t.downs():
+		return false
+	}
+}
--- /dev/null
+++ b/fakes/target/target.go
@@ -0,0 +1,216 @@
+package target
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	defaultSlots       = 8
+	defaultConnections = 64
+	defaultRebootTime  = time.Second
+	maxBodyBytes       = 64 << 20
+)
+
+// Target is one stand-in of a target; it is safe for concurrent use.
+type Target struct {
+	name       string
+	slots      int64
+	conns      int
+	rebootTime time.Duration
+	runTime    func(*rand.Rand) time.Duration
+
+	running  atomic.Int64
+	present  atomic.Int64
+	draining atomic.Bool
+	fault    atomic.Pointer[Fault]
+	count    counts
+	reboots  chan reboot
+	ready    chan struct{}
+
+	mu    sync.Mutex
+	rand  *rand.Rand
+	addr  string
+	ctl   string
+	pool  string
+	boot  int64
+	down  chan struct{}
+	drain time.Time
+}
+
+type reboot struct {
+	planned bool
+	after   time.Duration
+}
+
+// Option changes a Target at its making.
+type Option func(*Target)
+
+// WithName sets the name that answers carry.
+func WithName(s string) Option { return func(t *Target) { t.name = s } }
+
+// WithSlots sets how many requests run at once.
+func WithSlots(n int) Option { return func(t *Target) { t.slots = int64(n) } }
+
+// WithConnections sets how many connections may be open at once.
+func WithConnections(n int) Option { return func(t *Target) { t.conns = n } }
+
+// WithRebootTime sets how long the target is away for a reboot.
+func WithRebootTime(d time.Duration) Option { return func(t *Target) { t.rebootTime = d } }
+
+// WithSeed sets the seed of the run times.
+func WithSeed(n uint64) Option {
+	return func(t *Target) { t.rand = rand.New(rand.NewPCG(n, 0)) }
+}
+
+// WithRunTime makes a request run for d.
+func WithRunTime(d time.Duration) Option {
+	return func(t *Target) { t.runTime = func(*rand.Rand) time.Duration { return d } }
+}
+
+// WithRandomRunTime makes requests run for an exponentially distributed time of the given mean.
+func WithRandomRunTime(mean time.Duration) Option {
+	return func(t *Target) {
+		t.runTime = func(r *rand.Rand) time.Duration { return time.Duration(r.ExpFloat64() * float64(mean)) }
+	}
+}
+
+// New returns a target with 8 slots and 64 connections that answers at once.
+func New(opts ...Option) *Target {
+	t := &Target{
+		name: "target", slots: defaultSlots, conns: defaultConnections, rebootTime: defaultRebootTime,
+		runTime: func(*rand.Rand) time.Duration { return 0 },
+		rand:    rand.New(rand.NewPCG(1, 0)), reboots: make(chan reboot, 1), ready: make(chan struct{}),
+		down: make(chan struct{}),
+	}
+	t.count.init()
+	for _, o := range opts {
+		o(t)
+	}
+	return t
+}
+
+// Addrs waits until the target serves and returns the addresses of its requests and of its control.
+func (t *Target) Addrs(ctx context.Context) (addr, ctl string, err error) {
+	select {
+	case <-t.ready:
+	case <-ctx.Done():
+		return "", "", eris.Wrapf(ctx.Err(), "wait for target %s", t.name)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.addr, t.ctl, nil
+}
+
+// Serve serves requests on addr and control on ctlAddr until ctx ends; it returns an error if an address cannot be had.
+func (t *Target) Serve(ctx context.Context, addr, ctlAddr string) error {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "listen at target %s", t.name)
+	}
+	k, err := c.Listen(ctx, "tcp", ctlAddr)
+	if err != nil {
+		_ = l.Close()
+		return eris.Wrapf(err, "listen at control of target %s", t.name)
+	}
+	t.mu.Lock()
+	t.addr, t.ctl = l.Addr().String(), k.Addr().String()
+	t.mu.Unlock()
+	close(t.ready)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return serve(ctx, k, t.control, t.name) })
+	g.Go(func() error { return t.live(ctx, l) })
+	return g.Wait()
+}
+
+// live serves from boot to boot.
+func (t *Target) live(ctx context.Context, l net.Listener) error {
+	for {
+		r, err := t.up(ctx, l)
+		if err != nil || ctx.Err() != nil {
+			return err
+		}
+		if sleep(ctx, r.after) != nil {
+			return nil
+		}
+		if l, err = t.listenAgain(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// up serves one boot and returns the reboot that ended it.
+func (t *Target) up(ctx context.Context, l net.Listener) (reboot, error) {
+	b, cancel := context.WithCancel(ctx)
+	g, b := errgroup.WithContext(b)
+	down := make(chan struct{})
+	t.mu.Lock()
+	t.boot++
+	t.down = down
+	t.mu.Unlock()
+	t.draining.Store(false)
+	gate := newGate(l, t.conns, &t.count.refused)
+	var r reboot
+	g.Go(func() error { return serve(b, gate, t.handle, t.name) })
+	g.Go(func() error {
+		select {
+		case r = <-t.reboots:
+			t.count.stopped(r.planned, t.running.Load())
+		case <-b.Done():
+		}
+		close(down)
+		gate.closeAll()
+		cancel()
+		return nil
+	})
+	err := g.Wait()
+	cancel()
+	return r, err
+}
+
+func (t *Target) listenAgain(ctx context.Context) (net.Listener, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", t.addr)
+	for i := 0; err != nil && i < 50 && sleep(ctx, 20*time.Millisecond) == nil; i++ {
+		l, err = c.Listen(ctx, "tcp", t.addr)
+	}
+	return l, eris.Wrapf(err, "listen again at target %s", t.name)
+}
+
+func serve(ctx context.Context, l net.Listener, h fasthttp.RequestHandler, name string) error {
+	s := &fasthttp.Server{
+		Handler: h, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true,
+		NoDefaultDate: true, Name: name, KeepHijackedConns: true, CloseOnShutdown: true,
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return eris.Wrapf(s.Serve(l), "serve at target %s", name) })
+	g.Go(func() error {
+		<-ctx.Done()
+		_ = l.Close()
+		return nil
+	})
+	if err := g.Wait(); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	k := time.NewTimer(d)
+	defer k.Stop()
+	select {
+	case <-k.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
