--- a/plat/keyval/store.go
+++ b/plat/keyval/store.go
@@ -26,6 +26,8 @@
 	ErrUnknown = eris.New("keyval: outcome unknown")
 	// ErrTooLarge reports a value over MaxValue bytes; nothing was sent.
 	ErrTooLarge = eris.New("keyval: value too large")
+	// ErrReset reports that a watch cannot go on from its revision, because the service is older or has forgotten it: list again.
+	ErrReset = eris.New("keyval: watch must list again")
 )
 
 // MaxValue is the largest value in bytes.
--- /dev/null
+++ b/plat/keyval/watch.go
@@ -0,0 +1,109 @@
+package keyval
+
+import (
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxEvents is the number of events that one watch returns at most.
+const maxEvents = 1_000
+
+// Watch implements Store; ErrReset when rev is newer than the store or already forgotten.
+func (m *Memory) Watch(ctx context.Context, prefix string, rev Revision, wait time.Duration) ([]Event, Revision, error) {
+	m.watches.Add(1)
+	if err := down(ctx, "watch", prefix); err != nil {
+		return nil, 0, err
+	}
+	end := time.Now().Add(wait)
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		l, to, w, err := m.after(prefix, rev)
+		if err != nil || len(l) > 0 {
+			return l, to, err
+		}
+		rev = to
+		left := time.Until(end)
+		if left <= 0 {
+			return nil, to, nil
+		}
+		t.Reset(min(left, m.lapse()))
+		select {
+		case <-w:
+		case <-t.C:
+		case <-ctx.Done():
+			return nil, 0, eris.Wrapf(ErrUnknown, "watch %s in memory: %v", prefix, ctx.Err())
+		}
+	}
+}
+
+// after returns the events after rev, the revision to go on from and the channel that the next change closes.
+func (m *Memory) after(prefix string, rev Revision) ([]Event, Revision, chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	s := &m.state
+	if rev > s.rev || rev < s.forgot {
+		return nil, s.rev, nil, eris.Wrapf(ErrReset, "watch %s from %d in memory at %d", prefix, rev, s.rev)
+	}
+	var l []Event
+	at := sort.Search(len(s.events), func(i int) bool { return s.events[i].item.rev > rev })
+	for _, e := range s.events[at:] {
+		if !strings.HasPrefix(e.item.key, prefix) {
+			continue
+		}
+		if l = append(l, e); len(l) == maxEvents {
+			return l, e.item.rev, m.wake, nil
+		}
+	}
+	return l, s.rev, m.wake, nil
+}
+
+// lapse returns the time until the next lease may lapse.
+func (m *Memory) lapse() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := time.Duration(math.MaxInt64)
+	for _, g := range m.leases {
+		d = min(d, max(g.expiry.Sub(m.now()), time.Millisecond))
+	}
+	return d
+}
+
+// Saved is the state of a memory at one moment, without its leases.
+type Saved struct {
+	state memoryState
+}
+
+// Save returns the present state.
+func (m *Memory) Save() Saved {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	s := m.state
+	s.items, s.keys, s.events = maps.Clone(s.items), slices.Clone(s.keys), slices.Clone(s.events)
+	return Saved{state: s}
+}
+
+// Restore puts an older state back, as a service that returns from a backup: revisions go back too, and every lease lapses.
+func (m *Memory) Restore(s Saved) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = s.state
+	m.state.items, m.state.keys = maps.Clone(s.state.items), slices.Clone(s.state.keys)
+	m.state.events = slices.Clone(s.state.events)
+	m.leases = map[LeaseID]*grant{}
+	for _, k := range slices.Clone(m.state.keys) {
+		if m.state.items[k].lease != 0 {
+			m.remove(k)
+		}
+	}
+	m.wakeAll()
+}
--- /dev/null
+++ b/plat/keyval/wire.go
@@ -0,0 +1,96 @@
+package keyval
+
+// Bodies of the service's calls, as the client sends them and a stand-in reads them.
+type (
+	// GetRequest asks for one key.
+	GetRequest struct {
+		Key string `json:"key"`
+	}
+	// GetAnswer holds the key's value, if Found.
+	GetAnswer struct {
+		Found bool     `json:"found"`
+		Value []byte   `json:"value"`
+		Rev   Revision `json:"rev"`
+	}
+	// ListRequest asks for up to Limit keys that begin with Prefix and follow After.
+	ListRequest struct {
+		Prefix string `json:"prefix"`
+		After  string `json:"after"`
+		Limit  int    `json:"limit"`
+	}
+	// ItemWire is one item in JSON.
+	ItemWire struct {
+		Key   string   `json:"key"`
+		Value []byte   `json:"value"`
+		Rev   Revision `json:"rev"`
+	}
+	// ListAnswer holds the items in key order and the service's revision.
+	ListAnswer struct {
+		Items []ItemWire `json:"items"`
+		Rev   Revision   `json:"rev"`
+	}
+	// PutRequest writes Value if the key's revision is Cond.
+	PutRequest struct {
+		Key   string   `json:"key"`
+		Value []byte   `json:"value"`
+		Cond  Revision `json:"cond"`
+		Lease LeaseID  `json:"lease"`
+	}
+	// PutAnswer holds the new revision, if OK.
+	PutAnswer struct {
+		OK  bool     `json:"ok"`
+		Rev Revision `json:"rev"`
+	}
+	// DeleteRequest removes the key if its revision is Cond.
+	DeleteRequest struct {
+		Key  string   `json:"key"`
+		Cond Revision `json:"cond"`
+	}
+	// OKAnswer tells whether the call took effect.
+	OKAnswer struct {
+		OK bool `json:"ok"`
+	}
+	// WatchRequest waits up to WaitMillis for changes after Rev under Prefix.
+	WatchRequest struct {
+		Prefix     string   `json:"prefix"`
+		Rev        Revision `json:"rev"`
+		WaitMillis int64    `json:"waitMs"`
+	}
+	// EventWire is one event in JSON.
+	EventWire struct {
+		Key     string   `json:"key"`
+		Value   []byte   `json:"value"`
+		Rev     Revision `json:"rev"`
+		Deleted bool     `json:"deleted"`
+	}
+	// WatchAnswer holds the events and the revision to go on from; Reset means that the caller must list again.
+	WatchAnswer struct {
+		Events []EventWire `json:"events"`
+		Rev    Revision    `json:"rev"`
+		Reset  bool        `json:"reset"`
+	}
+	// GrantRequest opens a lease.
+	GrantRequest struct {
+		TTLMillis int64 `json:"ttlMs"`
+	}
+	// GrantAnswer names the lease.
+	GrantAnswer struct {
+		Lease LeaseID `json:"lease"`
+	}
+	// LeaseRequest names the lease to renew or revoke.
+	LeaseRequest struct {
+		Lease LeaseID `json:"lease"`
+	}
+)
+
+// Paths of the service's calls.
+const (
+	PathGet    = "/kv/get"
+	PathList   = "/kv/list"
+	PathPut    = "/kv/put"
+	PathDelete = "/kv/delete"
+	PathWatch  = "/kv/watch"
+	PathGrant  = "/kv/grant"
+	PathRenew  = "/kv/renew"
+	PathRevoke = "/kv/revoke"
+)
--- /dev/null
+++ b/plat/wire/client.go
@@ -0,0 +1,175 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// EntryHeader names the calling entry to the platform.
+const EntryHeader = "Burdock-Entry"
+
+// DefaultTimeout bounds a call whose context has no deadline.
+const DefaultTimeout = 3 * time.Second
+
+// maxIdleLanes is the number of connections that are kept while unused.
+const maxIdleLanes = 16
+
+// maxAnswer is the longest answer in bytes; a page of a list holds several values.
+const maxAnswer = 64 << 20
+
+// Error reports a failed call.
+type Error struct {
+	path, peer string
+	sent       bool
+	status     int
+	cause      error
+}
+
+// Sent reports whether the call may have taken effect.
+func (e *Error) Sent() bool { return e.sent }
+
+// Status returns the HTTP status of an answer that was not 200, or 0.
+func (e *Error) Status() int { return e.status }
+
+// Error names the call, the peer and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s at %s (sent %t, status %d): %v", e.path, e.peer, e.sent, e.status, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Client posts calls to one address; it is safe for concurrent use.
+type Client struct {
+	addr, name string
+	timeout    time.Duration
+
+	mu    sync.Mutex
+	lanes []*lane // unused, the last used at the end.
+}
+
+// Option adjusts a client.
+type Option func(*Client)
+
+// WithName sets the name under which the platform knows the caller.
+func WithName(name string) Option { return func(c *Client) { c.name = name } }
+
+// WithTimeout bounds a call whose context has no deadline.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// New returns a client of the server at addr.
+func New(addr string, opts ...Option) *Client {
+	c := &Client{addr: addr, timeout: DefaultTimeout}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Addr returns the server's address.
+func (c *Client) Addr() string { return c.addr }
+
+// Close drops the unused connections; calls under way end with their contexts.
+func (c *Client) Close() {
+	c.mu.Lock()
+	l := c.lanes
+	c.lanes = nil
+	c.mu.Unlock()
+	for _, o := range l {
+		o.close()
+	}
+}
+
+// Call posts in as JSON to path and decodes the answer into out, in one attempt; extra is added to the default timeout.
+// Each error is an Error: not Sent only when the call certainly took no effect.
+func (c *Client) Call(ctx context.Context, path string, in, out any, extra time.Duration) error {
+	if ctx.Err() != nil {
+		return c.fail(path, false, 0, context.Cause(ctx))
+	}
+	b, err := json.Marshal(in)
+	if err != nil {
+		return c.fail(path, false, 0, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+extra)
+	defer cancel()
+	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(a)
+	c.prepare(q, path, b)
+	if err := c.send(ctx, q, a); err != nil {
+		return c.fail(path, !errors.Is(err, errDial), 0, err)
+	}
+	return c.decode(path, a, out)
+}
+
+func (c *Client) prepare(q *fasthttp.Request, path string, body []byte) {
+	q.Header.SetMethod(fasthttp.MethodPost)
+	q.Header.SetContentType("application/json")
+	q.SetRequestURI("http://" + c.addr + path)
+	if c.name != "" {
+		q.Header.Set(EntryHeader, c.name)
+	}
+	q.SetBodyRaw(body)
+}
+
+func (c *Client) send(ctx context.Context, q *fasthttp.Request, a *fasthttp.Response) error {
+	l := c.acquire()
+	err := l.do(ctx, q, a)
+	if err != nil {
+		l.close()
+		return err
+	}
+	c.release(l)
+	return nil
+}
+
+func (c *Client) acquire() *lane {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.lanes)
+	if n == 0 {
+		return newLane(c.addr, maxAnswer)
+	}
+	l := c.lanes[n-1]
+	c.lanes = c.lanes[:n-1]
+	return l
+}
+
+func (c *Client) release(l *lane) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.lanes) < maxIdleLanes {
+		c.lanes = append(c.lanes, l)
+		return
+	}
+	l.close()
+}
+
+type refusal struct {
+	Error string `json:"error"`
+}
+
+// decode reads the answer; only a status other than 200 with an error in JSON says that the call took no effect.
+func (c *Client) decode(path string, a *fasthttp.Response, out any) error {
+	if s := a.StatusCode(); s != fasthttp.StatusOK {
+		var r refusal
+		if err := json.Unmarshal(a.Body(), &r); err != nil || r.Error == "" {
+			return c.fail(path, true, s, errors.New("answer is not the platform's"))
+		}
+		return c.fail(path, false, s, errors.New(r.Error))
+	}
+	if err := json.Unmarshal(a.Body(), out); err != nil {
+		return c.fail(path, true, 0, err)
+	}
+	return nil
+}
+
+func (c *Client) fail(path string, sent bool, status int, cause error) error {
+	return &Error{path: path, peer: c.addr, sent: sent, status: status, cause: cause}
+}
--- /dev/null
+++ b/plat/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire posts JSON to the platform with exactly one attempt per call.
+package wire
--- /dev/null
+++ b/plat/wire/lane.go
@@ -0,0 +1,91 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maxIdle is the time after which an unused connection is not trusted any more.
+const maxIdle = 2 * time.Second
+
+// maxDial bounds the opening of a connection.
+const maxDial = time.Second
+
+var errDial = errors.New("dial")
+
+// lane carries one call at a time on at most one connection, so that a call can be cut off with its connection.
+type lane struct {
+	host *fasthttp.HostClient
+
+	mu   sync.Mutex
+	conn net.Conn
+	cut  bool
+}
+
+func newLane(addr string, maxBody int) *lane {
+	l := &lane{}
+	l.host = &fasthttp.HostClient{
+		Addr:                      addr,
+		MaxConns:                  1,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxIdleConnDuration:       maxIdle,
+		MaxResponseBodySize:       maxBody,
+		NoDefaultUserAgentHeader:  true,
+		DialTimeout:               l.dial,
+	}
+	return l
+}
+
+// dial opens the lane's connection and remembers it; its error is an errDial.
+func (l *lane) dial(addr string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > maxDial {
+		timeout = maxDial
+	}
+	c, err := net.DialTimeout("tcp", addr, timeout) //nolint:noctx // the lane's owner closes the connection when its context ends
+	if err != nil {
+		return nil, errors.Join(errDial, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		return nil, errors.Join(errDial, c.Close())
+	}
+	l.conn = c
+	return c, nil
+}
+
+// do performs the call; when ctx ends first, it closes the connection, so that no late answer is read by another call.
+func (l *lane) do(ctx context.Context, q *fasthttp.Request, a *fasthttp.Response) error {
+	stop := context.AfterFunc(ctx, l.abort)
+	var err error
+	if d, ok := ctx.Deadline(); ok {
+		err = l.host.DoDeadline(q, a, d)
+	} else {
+		err = l.host.Do(q, a)
+	}
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
+	return err
+}
+
+func (l *lane) abort() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+	if l.conn != nil {
+		_ = l.conn.Close()
+	}
+}
+
+// close drops the connection.
+func (l *lane) close() {
+	l.abort()
+	l.host.CloseIdleConnections()
+}
