--- /dev/null
+++ b/flow/ledger/book.go
@@ -0,0 +1,200 @@
+package ledger
+
+import "time"
+
+const (
+	// Remember is how long a key is remembered after its last change.
+	Remember = 10 * time.Minute
+	// Abandon is how long a claim that nobody settles is remembered.
+	Abandon = time.Hour
+	// MaxAnswer is the longest answer that is kept, in bytes.
+	MaxAnswer = 16 << 10
+
+	renewalsMax     = uint8(Abandon/Remember) - 1
+	recordsDefault  = 200_000
+	bytesDefault    = 16 << 20
+	handoverRetryIn = 50 * time.Millisecond
+)
+
+// Book is one holder's records of keys; it is changed only by messages and is not safe for concurrent use.
+type Book struct {
+	self       Member
+	table      table
+	epoch      time.Time
+	maxRecords int
+	maxBytes   int
+	roster     Roster
+	holding    int64 // number of the newest roster in force here
+	wasHolding bool  // whether the roster before was in force here
+	sources    []source
+	gaps       []Lapse
+}
+
+// BookOption changes a new Book.
+type BookOption func(*Book)
+
+// WithRecords bounds the number of records.
+func WithRecords(n int) BookOption { return func(b *Book) { b.maxRecords = n } }
+
+// WithAnswerBytes bounds the bytes of all kept answers.
+func WithAnswerBytes(n int) BookOption { return func(b *Book) { b.maxBytes = n } }
+
+// NewBook returns the empty records of one life of an entry.
+func NewBook(self Member, o ...BookOption) *Book {
+	b := &Book{self: self, table: newTable(), maxRecords: recordsDefault, maxBytes: bytesDefault}
+	for _, f := range o {
+		f(b)
+	}
+	return b
+}
+
+// ClaimMsg asks whether a copy of a keyed request may be sent, as far as this holder knows.
+type ClaimMsg struct {
+	Now     time.Time
+	ID      ID
+	Roster  int64
+	Attempt Attempt
+	Digest  Digest
+}
+
+// ClaimReply is a holder's answer to a ClaimMsg.
+type ClaimReply struct {
+	Verdict Verdict
+	Record  Record        // with Repeat
+	Store   bool          // whether the key must be created in the platform's service too
+	Retry   time.Duration // when to come back, after Stale and Gap
+}
+
+// SettleMsg tells what became of a claimed copy.
+type SettleMsg struct {
+	Now    time.Time
+	Record Record
+}
+
+// Roster returns the newest roster that the book has adopted.
+func (b *Book) Roster() Roster { return b.roster }
+
+// Holding returns the number of the newest roster that is in force at this holder.
+func (b *Book) Holding() int64 { return b.holding }
+
+// Len returns the number of records.
+func (b *Book) Len() int { return len(b.table.index) }
+
+// AnswerBytes returns the bytes of the kept answers.
+func (b *Book) AnswerBytes() int { return b.table.bytes }
+
+func (b *Book) since(t time.Time) time.Duration {
+	if b.epoch.IsZero() {
+		b.epoch = t
+	}
+	return t.Sub(b.epoch)
+}
+
+// Claim records the claim and grants it, or says why not.
+func (b *Book) Claim(m ClaimMsg) ClaimReply {
+	now := b.since(m.Now)
+	b.expire(now, 2)
+	if m.Roster != b.roster.number || !lists(b.roster.members, b.self) {
+		return ClaimReply{Verdict: Stale, Retry: handoverRetryIn}
+	}
+	r := b.standing(m.ID, m.Now)
+	if r.Verdict != Granted {
+		return r
+	}
+	i, s := b.table.find(m.ID)
+	if s == nil {
+		if b.Len() >= b.maxRecords {
+			return ClaimReply{Verdict: Full, Store: r.Store, Retry: time.Second}
+		}
+		i, s = b.table.add(m.ID, now)
+	} else if v := judge(s, m); v != Granted {
+		return ClaimReply{Verdict: v, Record: b.table.record(i, s, now)}
+	}
+	b.grant(i, s, m, now)
+	return r
+}
+
+// judge compares a claim with the record of its key.
+func judge(s *slot, m ClaimMsg) Verdict {
+	switch {
+	case s.phase == NotRun && s.attempt != m.Attempt:
+		return Granted
+	case s.digest != m.Digest && s.digest != 0:
+		return Mismatch
+	case s.phase == Claimed && s.attempt == m.Attempt:
+		return Granted
+	default:
+		return Repeat
+	}
+}
+
+func (b *Book) grant(i uint32, s *slot, m ClaimMsg, now time.Duration) {
+	b.table.drop(i, s)
+	s.attempt, s.digest, s.phase, s.status, s.renewals = m.Attempt, m.Digest, Claimed, 0, 0
+	b.table.touch(i, s, now)
+}
+
+// Settle records what became of a copy; a message that comes late or twice does no harm.
+func (b *Book) Settle(m SettleMsg) {
+	now, r := b.since(m.Now), m.Record
+	if !r.Phase.Settled() {
+		return
+	}
+	i, s := b.table.find(r.ID)
+	if s == nil {
+		if b.Len() >= b.maxRecords {
+			return
+		}
+		i, s = b.table.add(r.ID, now)
+	} else if !supersedes(r, s) {
+		return
+	}
+	b.write(i, s, r, now)
+}
+
+// supersedes reports whether r says more than the record in s.
+func supersedes(r Record, s *slot) bool {
+	if r.Attempt == s.attempt {
+		return s.phase == Claimed || s.phase == Unknown && r.Phase == Answered
+	}
+	return r.Phase.rank() > s.phase.rank()
+}
+
+func (b *Book) write(i uint32, s *slot, r Record, now time.Duration) {
+	b.table.drop(i, s)
+	s.attempt, s.phase, s.status, s.renewals = r.Attempt, r.Phase, int16(r.Status), 0
+	if r.Digest != 0 {
+		s.digest = r.Digest
+	}
+	n := len(r.Answer) + len(r.ContentType)
+	if r.Kept && len(r.Answer) <= MaxAnswer && b.table.bytes+n <= b.maxBytes {
+		b.table.keep(i, s, answer{contentType: r.ContentType, body: r.Answer})
+	}
+	b.table.touch(i, s, now)
+}
+
+// TickMsg lets time pass.
+type TickMsg struct{ Now time.Time }
+
+// Tick forgets the records whose time is over and ends gaps.
+func (b *Book) Tick(m TickMsg) {
+	b.expire(b.since(m.Now), b.Len())
+	b.endGaps(m.Now)
+}
+
+// expire forgets at most n records that are due.
+func (b *Book) expire(now time.Duration, n int) {
+	for ; n > 0 && b.table.head != none; n-- {
+		i := b.table.head
+		s := b.table.at(i)
+		if now-s.at < Remember {
+			return
+		}
+		if s.phase == Claimed && s.renewals < renewalsMax {
+			s.renewals++
+			b.table.touch(i, s, now)
+			continue
+		}
+		b.table.remove(i, s)
+	}
+}
--- /dev/null
+++ b/flow/ledger/claim.go
@@ -0,0 +1,320 @@
+package ledger
+
+import "time"
+
+const (
+	// ClaimWithin is how long a claim may take before it is given up.
+	ClaimWithin = time.Second
+
+	askTries      = 2
+	refuseRetryIn = 500 * time.Millisecond
+)
+
+// Reason is why a claim was refused.
+type Reason uint8
+
+const (
+	// Unreachable means that a holder or the platform's service did not answer.
+	Unreachable Reason = iota
+	// Changing means that the roster changed and was not in force in time.
+	Changing
+	// Lost means that the records of the key may have been lost.
+	Lost
+	// NoRoom means that a holder can remember no more keys.
+	NoRoom
+	// OtherRequest means that the key was used for another request.
+	OtherRequest
+	// NoRoster means that no roster of the key's data centre is known.
+	NoRoster
+)
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	return [...]string{"unreachable", "rosterChanging", "recordsLost", "full", "otherRequest", "noRoster"}[r]
+}
+
+// Msg is anything that changes a Claim.
+type Msg interface{ isMsg() }
+
+// StartMsg begins the claim.
+type StartMsg struct {
+	Now    time.Time
+	Roster Roster
+}
+
+// ReplyMsg is a holder's answer; Roster is the newest that is known by now.
+type ReplyMsg struct {
+	Now    time.Time
+	Holder string
+	Reply  ClaimReply
+	Roster Roster
+}
+
+// FailMsg says that a holder did not answer, so that it may or may not have granted.
+type FailMsg struct {
+	Now    time.Time
+	Holder string
+	Roster Roster
+}
+
+// StoreMsg is the outcome of the write to the platform's service.
+type StoreMsg struct {
+	Now     time.Time
+	Outcome StoreOutcome
+	Record  Record // with StoreTaken
+}
+
+// StoreOutcome is what became of a create-only write.
+type StoreOutcome uint8
+
+const (
+	// StoreMade means that the key is this copy's.
+	StoreMade StoreOutcome = iota
+	// StoreTaken means that the key is another copy's.
+	StoreTaken
+	// StoreFailed means that the write's outcome is not known or that it was not made.
+	StoreFailed
+)
+
+func (StartMsg) isMsg() {}
+func (ReplyMsg) isMsg() {}
+func (FailMsg) isMsg()  {}
+func (StoreMsg) isMsg() {}
+
+// Cmd is anything that a Claim asks its runner to do.
+type Cmd interface{ isCmd() }
+
+// AskCmd asks a holder to grant the claim under a roster's number.
+type AskCmd struct {
+	Holder Member
+	Roster int64
+}
+
+// WaitCmd asks for a FailMsg, with the newest roster, after a time.
+type WaitCmd struct{ For time.Duration }
+
+// StoreCmd asks for a create-only write of the key in the platform's service.
+type StoreCmd struct{}
+
+// ReleaseCmd asks to tell the holders, until they have it, that this copy is not run; Store tells of the platform's service.
+type ReleaseCmd struct {
+	Holders []Member
+	Store   bool
+}
+
+// GoCmd allows the copy to be sent.
+type GoCmd struct {
+	Holders []Member
+	Store   bool
+}
+
+// RefuseCmd refuses the copy; NotRun says that no copy of the key had been sent when the claim was made.
+type RefuseCmd struct {
+	Reason     Reason
+	NotRun     bool
+	Holder     string
+	RetryAfter time.Duration
+}
+
+// RepeatCmd says that another copy was claimed before.
+type RepeatCmd struct{ Record Record }
+
+func (AskCmd) isCmd()     {}
+func (WaitCmd) isCmd()    {}
+func (StoreCmd) isCmd()   {}
+func (ReleaseCmd) isCmd() {}
+func (GoCmd) isCmd()      {}
+func (RefuseCmd) isCmd()  {}
+func (RepeatCmd) isCmd()  {}
+
+type claimStep uint8
+
+const (
+	askFirst claimStep = iota
+	askSecond
+	writeStore
+	probeSecond
+	ended
+)
+
+// Claim is one copy's way to leave to be sent; it is changed only by Update.
+type Claim struct {
+	id      ID
+	step    claimStep
+	start   time.Time
+	roster  Roster
+	tries   int
+	asked   []Member // that may have granted
+	granted bool     // whether a holder in force has testified that there is no record
+	store   bool     // whether a holder demands the platform's service
+	stored  bool     // whether the platform's service may have the key
+	why     RefuseCmd
+}
+
+// NewClaim returns the claim of one copy of the key with the id.
+func NewClaim(id ID) *Claim { return &Claim{id: id} }
+
+// Update takes a message and returns what is to be done; after GoCmd, RefuseCmd or RepeatCmd the claim has ended.
+func (c *Claim) Update(m Msg) []Cmd {
+	if c.step == ended {
+		return nil
+	}
+	switch m := m.(type) {
+	case StartMsg:
+		c.start, c.roster = m.Now, m.Roster
+		if m.Roster.number == 0 {
+			return c.refuse(RefuseCmd{Reason: NoRoster, RetryAfter: refuseRetryIn})
+		}
+		return c.ask()
+	case ReplyMsg:
+		return c.replied(m)
+	case FailMsg:
+		return c.failed(m)
+	case StoreMsg:
+		return c.wrote(m)
+	}
+	return nil
+}
+
+func (c *Claim) holder() Member {
+	f, s := c.roster.HoldersOf(c.id)
+	if c.step == askSecond || c.step == probeSecond {
+		f = s
+	}
+	m, _ := c.roster.Member(f)
+	return m
+}
+
+func (c *Claim) ask() []Cmd {
+	h := c.holder()
+	if !lists(c.asked, h) {
+		c.asked = append(c.asked, h)
+	}
+	return []Cmd{AskCmd{Holder: h, Roster: c.roster.number}}
+}
+
+func (c *Claim) replied(m ReplyMsg) []Cmd {
+	if m.Holder != c.holder().Entry {
+		return nil
+	}
+	switch m.Reply.Verdict {
+	case Granted:
+		return c.grantedBy(m)
+	case Repeat, Mismatch:
+		return c.known(m)
+	case Gap:
+		return c.refuse(RefuseCmd{Reason: Lost, NotRun: c.granted, Holder: m.Holder, RetryAfter: m.Reply.Retry})
+	case Full:
+		free := c.granted || !m.Reply.Store
+		return c.refuse(RefuseCmd{Reason: NoRoom, NotRun: free, Holder: m.Holder, RetryAfter: m.Reply.Retry})
+	default:
+		return c.stale(m)
+	}
+}
+
+func (c *Claim) known(m ReplyMsg) []Cmd {
+	if m.Reply.Verdict == Mismatch {
+		return c.refuse(RefuseCmd{Reason: OtherRequest, NotRun: true, Holder: m.Holder})
+	}
+	return c.end(RepeatCmd{Record: m.Reply.Record})
+}
+
+func (c *Claim) grantedBy(m ReplyMsg) []Cmd {
+	c.store = c.store || m.Reply.Store
+	c.granted = c.granted || !m.Reply.Store
+	c.tries = 0
+	_, second := c.roster.HoldersOf(c.id)
+	switch {
+	case c.step == probeSecond:
+		c.why.NotRun = c.granted
+		return c.refuse(c.why)
+	case m.Now.Sub(c.start) > ClaimWithin:
+		return c.refuse(RefuseCmd{Reason: Unreachable, NotRun: c.granted, Holder: m.Holder, RetryAfter: refuseRetryIn})
+	case c.step == askFirst && second != "":
+		c.step = askSecond
+		return c.ask()
+	case c.store || second == "":
+		c.step, c.stored = writeStore, true
+		return []Cmd{StoreCmd{}}
+	default:
+		return c.allow()
+	}
+}
+
+func (c *Claim) allow() []Cmd {
+	c.step = ended
+	return []Cmd{GoCmd{Holders: c.asked, Store: c.stored}}
+}
+
+// stale begins again when the roster has changed, and waits while it is changing.
+func (c *Claim) stale(m ReplyMsg) []Cmd {
+	if c.step == probeSecond {
+		return c.refuse(c.why)
+	}
+	if m.Now.Sub(c.start) > ClaimWithin {
+		return c.giveUp(RefuseCmd{Reason: Changing, Holder: m.Holder, RetryAfter: refuseRetryIn})
+	}
+	if c.renew(m.Roster) {
+		return c.ask()
+	}
+	return []Cmd{WaitCmd{For: handoverRetryIn}}
+}
+
+// renew takes up a newer roster, under which nothing has been granted yet.
+func (c *Claim) renew(r Roster) bool {
+	if r.number <= c.roster.number {
+		return false
+	}
+	c.roster, c.step, c.tries, c.store, c.granted = r, askFirst, 0, false, false
+	return true
+}
+
+func (c *Claim) failed(m FailMsg) []Cmd {
+	if c.step == probeSecond {
+		return c.refuse(c.why)
+	}
+	c.tries++
+	late := m.Now.Sub(c.start) > ClaimWithin
+	switch {
+	case !late && c.renew(m.Roster):
+		return c.ask()
+	case !late && (m.Holder == "" || c.tries < askTries):
+		return c.ask()
+	default:
+		return c.giveUp(RefuseCmd{Reason: Unreachable, Holder: m.Holder, RetryAfter: refuseRetryIn})
+	}
+}
+
+// giveUp refuses, but first asks the second holder whether there is a record if no one has said so yet.
+func (c *Claim) giveUp(r RefuseCmd) []Cmd {
+	_, second := c.roster.HoldersOf(c.id)
+	if c.granted || c.step != askFirst || second == "" {
+		r.NotRun = c.granted
+		return c.refuse(r)
+	}
+	c.step, c.why = probeSecond, r
+	return c.ask()
+}
+
+func (c *Claim) wrote(m StoreMsg) []Cmd {
+	switch {
+	case m.Outcome == StoreTaken:
+		return c.end(RepeatCmd{Record: m.Record})
+	case m.Outcome == StoreMade && m.Now.Sub(c.start) <= ClaimWithin:
+		return c.allow()
+	case m.Outcome == StoreMade:
+		c.granted = true
+	}
+	return c.refuse(RefuseCmd{Reason: Unreachable, NotRun: c.granted, RetryAfter: refuseRetryIn})
+}
+
+func (c *Claim) refuse(r RefuseCmd) []Cmd { return c.end(r) }
+
+// end gives back whatever may have been granted before it tells the outcome.
+func (c *Claim) end(last Cmd) []Cmd {
+	c.step = ended
+	if len(c.asked) == 0 {
+		return []Cmd{last}
+	}
+	return []Cmd{ReleaseCmd{Holders: c.asked, Store: c.stored}, last}
+}
--- /dev/null
+++ b/flow/ledger/handover.go
@@ -0,0 +1,400 @@
+package ledger
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	pageRecords = 1000
+	pageBytes   = 256 << 10
+)
+
+// source is a member of the roster before, from which records are pulled.
+type source struct {
+	member Member
+	state  sourceState
+	goneAt time.Time
+}
+
+type sourceState uint8
+
+const (
+	pending sourceState = iota
+	unreached
+	gone
+	done
+)
+
+// Lapse is a part of the keys whose records may have been lost: those of which every holder among Members is in Lost.
+//
+// The keys of a single member's roster are in the platform's service too, so they may be claimed in a lapse if the
+// service agrees; the keys of other rosters may not.
+type Lapse struct {
+	Roster  int64 // under which the lapse began
+	Members []Member
+	Lost    []Member
+	Until   time.Time // zero while a lost member may still be alive
+
+	seeds []uint64
+}
+
+// Single reports whether the lapse is that of a roster with one member.
+func (l Lapse) Single() bool { return len(l.Members) == 1 }
+
+func (l Lapse) covers(id ID) bool {
+	if l.Single() {
+		return true
+	}
+	f, s := top(l.Members, l.seeds, id)
+	_, x := find(l.Lost, f)
+	_, y := find(l.Lost, s)
+	return x && y
+}
+
+// RosterMsg brings a roster of the holder's data centre.
+type RosterMsg struct {
+	Now    time.Time
+	Roster Roster
+}
+
+// GoneMsg says that a life of an entry is certainly over.
+type GoneMsg struct {
+	Now    time.Time
+	Member Member
+}
+
+// UnreachedMsg says that pulling from a source has failed for long.
+type UnreachedMsg struct {
+	Now    time.Time
+	Roster int64
+	Entry  string
+}
+
+// PulledMsg brings a page of records from a source.
+type PulledMsg struct {
+	Now    time.Time
+	Roster int64
+	Entry  string
+	Page   Page
+}
+
+// PullCmd asks for the records of a source; a newcomer needs also those of keys that it held before.
+type PullCmd struct {
+	From     Member
+	Roster   int64
+	Newcomer bool
+}
+
+// HandoverMsg asks a source for a page of the records that an entry holds under a roster.
+type HandoverMsg struct {
+	Now      time.Time
+	Entry    string
+	Roster   int64
+	Newcomer bool
+	After    string
+}
+
+// Page is a part of a source's records; they count only if it is complete.
+type Page struct {
+	Records  []Record
+	Lapses   []Lapse
+	After    string
+	More     bool
+	Complete bool
+}
+
+// Adopt takes up a roster that is newer than the one in use and says from whom to pull.
+func (b *Book) Adopt(m RosterMsg) []PullCmd {
+	b.since(m.Now)
+	r := m.Roster
+	if r.number <= b.roster.number {
+		return nil
+	}
+	b.wasHolding = b.holding != 0 && b.holding == r.prior
+	if b.wasHolding {
+		b.sweep(r)
+	}
+	b.roster, b.sources = r, nil
+	if !lists(r.members, b.self) {
+		return nil
+	}
+	if !b.gainsNothing() {
+		b.open()
+	}
+	b.settleSources(m.Now)
+	return b.Pulls()
+}
+
+// gainsNothing reports whether every key held here now was held here before.
+func (b *Book) gainsNothing() bool {
+	if b.roster.prior == 0 {
+		return true
+	}
+	return b.wasHolding && !slices.ContainsFunc(b.roster.previous, func(p Member) bool {
+		_, ok := find(b.roster.members, p.Entry)
+		return !ok
+	}) && lists(b.roster.previous, b.self)
+}
+
+func (b *Book) open() {
+	for _, p := range b.roster.previous {
+		if !p.Is(b.self) || !b.wasHolding {
+			b.sources = append(b.sources, source{member: p})
+		}
+	}
+	// An earlier life of this very entry has nothing to give.
+	for i := range b.sources {
+		if p := b.sources[i].member; p.Entry == b.self.Entry && !p.Is(b.self) {
+			b.sources[i].state = gone
+		}
+	}
+}
+
+// Pulls returns the pulls that are still to be made.
+func (b *Book) Pulls() []PullCmd {
+	var c []PullCmd
+	for _, s := range b.sources {
+		if s.state == pending || s.state == unreached {
+			c = append(c, PullCmd{From: s.member, Roster: b.roster.number, Newcomer: !b.wasHolding})
+		}
+	}
+	return c
+}
+
+// sweep drops the records that are neither held under the roster in use nor under its successor r.
+func (b *Book) sweep(r Roster) {
+	for _, i := range b.table.index {
+		s := b.table.at(i)
+		if !holds(b.self.Entry, b.roster, s.id) && !holds(b.self.Entry, r, s.id) {
+			b.table.remove(i, s)
+		}
+	}
+}
+
+func holds(entry string, r Roster, id ID) bool {
+	f, s := r.HoldersOf(id)
+	return f == entry || s == entry
+}
+
+// standing says whether the holder knows all that was granted for the key before.
+func (b *Book) standing(id ID, now time.Time) ClaimReply {
+	if !holds(b.self.Entry, b.roster, id) {
+		return ClaimReply{Verdict: Stale, Retry: handoverRetryIn}
+	}
+	r := b.lapsed(id, now)
+	if r.Verdict != Granted || b.holding == b.roster.number {
+		return r
+	}
+	f, s := b.roster.priorHoldersOf(id)
+	switch {
+	case b.knows(f) || b.knows(s):
+		return r
+	case s == "":
+		r.Store = true
+		return r
+	default:
+		return ClaimReply{Verdict: Stale, Retry: handoverRetryIn}
+	}
+}
+
+func (b *Book) lapsed(id ID, now time.Time) ClaimReply {
+	r := ClaimReply{}
+	for _, l := range b.gaps {
+		if !l.Until.IsZero() && !now.Before(l.Until) || !l.covers(id) {
+			continue
+		}
+		if !l.Single() {
+			return ClaimReply{Verdict: Gap, Retry: max(l.Until.Sub(now), 0)}
+		}
+		r.Store = true
+	}
+	return r
+}
+
+// knows reports whether the records of a former holder are here.
+func (b *Book) knows(entry string) bool {
+	if entry == "" {
+		return false
+	}
+	for _, s := range b.sources {
+		if s.member.Entry == entry {
+			return s.state == done
+		}
+	}
+	return entry == b.self.Entry && b.wasHolding
+}
+
+// Gone notes that a life of an entry is over, which bounds what may still come from it.
+func (b *Book) Gone(m GoneMsg) {
+	for i := range b.sources {
+		if s := &b.sources[i]; s.member.Is(m.Member) && s.goneAt.IsZero() {
+			s.goneAt = m.Now
+			if s.state != done {
+				s.state = gone
+			}
+		}
+	}
+	for i := range b.gaps {
+		if l := &b.gaps[i]; l.Until.IsZero() && lists(l.Lost, m.Member) {
+			l.Until = m.Now.Add(Remember)
+		}
+	}
+	b.settleSources(m.Now)
+}
+
+// Unreached notes that a source does not answer; the holder does without it where another has the same records.
+func (b *Book) Unreached(m UnreachedMsg) {
+	if m.Roster != b.roster.number {
+		return
+	}
+	for i := range b.sources {
+		if s := &b.sources[i]; s.member.Entry == m.Entry && s.state == pending {
+			s.state = unreached
+		}
+	}
+	b.settleSources(m.Now)
+}
+
+// Pulled takes in a page of a source's records; the last page of a complete source ends its part of the handover.
+func (b *Book) Pulled(m PulledMsg) {
+	i := slices.IndexFunc(b.sources, func(s source) bool { return s.member.Entry == m.Entry })
+	if m.Roster != b.roster.number || !m.Page.Complete || i < 0 {
+		return
+	}
+	now := b.since(m.Now)
+	for _, r := range m.Page.Records {
+		b.merge(r, now)
+	}
+	b.inherit(m.Page.Lapses)
+	if m.Page.More {
+		return
+	}
+	b.sources[i].state = done
+	b.settleSources(m.Now)
+}
+
+// merge takes in a source's record; handed-over records may exceed the bound, because forgetting one early could double a request.
+func (b *Book) merge(r Record, now time.Duration) {
+	i, s := b.table.find(r.ID)
+	if s == nil {
+		i, s = b.table.add(r.ID, now)
+	} else if !supersedes(r, s) {
+		return
+	}
+	b.write(i, s, r, now)
+}
+
+func (b *Book) inherit(ls []Lapse) {
+	for _, l := range ls {
+		k := slices.IndexFunc(b.gaps, func(g Lapse) bool { return g.Roster == l.Roster })
+		if k < 0 {
+			l.seeds = seeds(l.Members)
+			b.gaps = append(b.gaps, l)
+		}
+	}
+}
+
+// settleSources puts the roster in force here when no record that can still be had is missing.
+func (b *Book) settleSources(now time.Time) {
+	if b.roster.number == 0 || !lists(b.roster.members, b.self) {
+		return
+	}
+	missing, alive, open := b.missing()
+	few := len(b.roster.previous) > 1 && len(missing) <= 1
+	if !few && len(missing) > 0 && (open > 0 || alive > 1 && len(b.roster.previous) > 1) {
+		return
+	}
+	b.gaps = slices.DeleteFunc(b.gaps, func(l Lapse) bool { return l.Roster == b.roster.number })
+	if !few && len(missing) > 0 {
+		b.gaps = append(b.gaps, b.lapse(missing, now))
+	}
+	b.holding = b.roster.number
+}
+
+// missing returns the sources whose records are not here, how many of them may be alive, and how many may still answer.
+func (b *Book) missing() (m []source, alive, open int) {
+	for _, s := range b.sources {
+		if s.state == done {
+			continue
+		}
+		m = append(m, s)
+		if s.state != gone {
+			alive++
+		}
+		if s.state == pending {
+			open++
+		}
+	}
+	return m, alive, open
+}
+
+func (b *Book) lapse(missing []source, now time.Time) Lapse {
+	l := Lapse{Roster: b.roster.number, Members: b.roster.previous, seeds: b.roster.priorSeeds}
+	for _, s := range missing {
+		l.Lost = append(l.Lost, s.member)
+		if s.state != gone {
+			continue
+		}
+		at := s.goneAt
+		if at.IsZero() {
+			at = now
+		}
+		if u := at.Add(Remember); u.After(l.Until) {
+			l.Until = u
+		}
+	}
+	return l
+}
+
+func (b *Book) endGaps(now time.Time) {
+	b.gaps = slices.DeleteFunc(b.gaps, func(l Lapse) bool { return !l.Until.IsZero() && !now.Before(l.Until) })
+}
+
+// Handover returns a page of the records that the asker holds under the roster both use.
+func (b *Book) Handover(m HandoverMsg) Page {
+	if m.Roster != b.roster.number || !b.wasHolding {
+		return Page{}
+	}
+	now := b.since(m.Now)
+	p := Page{Complete: true, Lapses: b.passOn()}
+	k, _ := strconv.ParseUint(m.After, 10, 32)
+	n := 0
+	for i := uint32(k); i < b.table.used; i++ {
+		s := b.table.at(i)
+		if s.phase == None || !b.owes(s.id, m) {
+			continue
+		}
+		r := b.table.record(i, s, now)
+		p.Records = append(p.Records, r)
+		n += len(r.Answer)
+		if len(p.Records) >= pageRecords || n >= pageBytes {
+			p.More, p.After = true, strconv.FormatUint(uint64(i)+1, 10)
+			break
+		}
+	}
+	return p
+}
+
+// passOn returns the lapses that began before the roster in use.
+func (b *Book) passOn() []Lapse {
+	var o []Lapse
+	for _, l := range b.gaps {
+		if l.Roster < b.roster.number {
+			o = append(o, l)
+		}
+	}
+	return o
+}
+
+func (b *Book) owes(id ID, m HandoverMsg) bool {
+	if !holds(m.Entry, b.roster, id) {
+		return false
+	}
+	if m.Newcomer {
+		return true
+	}
+	f, s := b.roster.priorHoldersOf(id)
+	return f != m.Entry && s != m.Entry
+}
--- /dev/null
+++ b/flow/ledger/member.go
@@ -0,0 +1,215 @@
+package ledger
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// UnheardAfter is how long a member must be unheard before it may be removed.
+	UnheardAfter = 4 * time.Second
+	// proposeEvery spaces the proposals of entries that stand behind the first.
+	proposeEvery = time.Second
+)
+
+// BeatMsg is what one entry of the data centre last said of itself; an entry tells its own Membership too.
+type BeatMsg struct {
+	Now      time.Time
+	Member   Member
+	Holding  int64 // number of the newest roster in force at the entry
+	Stopping bool
+	Unheard  []string // members that the entry has not heard for UnheardAfter
+}
+
+// VMsMsg brings the entries that the platform's list says are gone.
+type VMsMsg struct {
+	Now  time.Time
+	Gone []string
+}
+
+// ProposeCmd asks to write a roster in place of the one in use.
+type ProposeCmd struct{ Roster Roster }
+
+type peer struct {
+	beat  BeatMsg
+	since time.Time // first beat of this life
+}
+
+// Membership decides when the roster of a data centre changes; every entry runs one.
+type Membership struct {
+	self       Member
+	dataCentre string
+	roster     Roster
+	adopted    time.Time
+	wanted     time.Time // since when a change is wanted
+	peers      map[string]peer
+	gone       map[string]bool
+	stopping   bool
+}
+
+// NewMembership returns the decision of one entry.
+func NewMembership(self Member, dataCentre string) *Membership {
+	return &Membership{self: self, dataCentre: dataCentre, peers: map[string]peer{}, gone: map[string]bool{}}
+}
+
+// Beat notes what an entry says of itself.
+func (s *Membership) Beat(m BeatMsg) {
+	p, ok := s.peers[m.Member.Entry]
+	if ok && p.beat.Member.Incarnation > m.Member.Incarnation {
+		return
+	}
+	if !ok || !p.beat.Member.Is(m.Member) {
+		p.since = m.Now
+	}
+	p.beat = m
+	s.peers[m.Member.Entry] = p
+}
+
+// VMs notes which entries are gone for good.
+func (s *Membership) VMs(m VMsMsg) {
+	s.gone = map[string]bool{}
+	for _, g := range m.Gone {
+		s.gone[g] = true
+	}
+}
+
+// Adopt notes the roster in use.
+func (s *Membership) Adopt(m RosterMsg) {
+	if m.Roster.number > s.roster.number {
+		s.roster, s.adopted, s.wanted = m.Roster, m.Now, time.Time{}
+	}
+}
+
+// Unheard returns the members not heard for UnheardAfter.
+func (s *Membership) Unheard(now time.Time) []string {
+	var u []string
+	for _, m := range s.roster.members {
+		if m.Entry != s.self.Entry && s.silent(m, now) {
+			u = append(u, m.Entry)
+		}
+	}
+	return u
+}
+
+func (s *Membership) silent(m Member, now time.Time) bool {
+	last := s.adopted
+	if p, ok := s.peers[m.Entry]; ok && p.beat.Now.After(last) {
+		last = p.beat.Now
+	}
+	return now.Sub(last) >= UnheardAfter
+}
+
+// Over reports whether the member's life is certainly over: the platform says so, or a later life was heard.
+func (s *Membership) Over(m Member) bool {
+	p, ok := s.peers[m.Entry]
+	return s.gone[m.Entry] || ok && p.beat.Member.Incarnation > m.Incarnation ||
+		m.Entry == s.self.Entry && s.self.Incarnation > m.Incarnation
+}
+
+// Tick returns a proposal when the roster should change and may.
+func (s *Membership) Tick(m TickMsg) []ProposeCmd {
+	next := s.next(m.Now)
+	if len(next) == 0 || slices.Equal(next, s.roster.members) || !s.may(next) {
+		s.wanted = time.Time{}
+		return nil
+	}
+	if s.wanted.IsZero() {
+		s.wanted = m.Now
+	}
+	if m.Now.Sub(s.wanted) < time.Duration(s.place(next))*proposeEvery {
+		return nil
+	}
+	tag := uint64(s.self.Incarnation) ^ seeds([]Member{s.self})[0]
+	if s.roster.number == 0 {
+		return []ProposeCmd{{Roster: NewRoster(s.dataCentre, next, tag)}}
+	}
+	return []ProposeCmd{{Roster: s.roster.Next(next, tag)}}
+}
+
+// place is how many entries should propose before this one.
+func (s *Membership) place(next []Member) int {
+	n := 0
+	for _, m := range next {
+		if m.Entry == s.self.Entry {
+			return n
+		}
+		n++
+	}
+	return n
+}
+
+// next returns the members that the roster should have.
+func (s *Membership) next(now time.Time) []Member {
+	var n []Member
+	for _, m := range s.roster.members {
+		if !s.Over(m) && !s.stops(m) && !s.cut(m, now) {
+			n = append(n, m)
+		}
+	}
+	return sorted(append(n, s.joiners(now)...))
+}
+
+func (s *Membership) stops(m Member) bool {
+	if m.Entry == s.self.Entry {
+		return s.stopping
+	}
+	p, ok := s.peers[m.Entry]
+	return ok && p.beat.Member.Is(m) && p.beat.Stopping
+}
+
+// cut reports whether this entry and most of the members that it hears have not heard m.
+func (s *Membership) cut(m Member, now time.Time) bool {
+	if m.Entry == s.self.Entry || !s.silent(m, now) {
+		return false
+	}
+	yes, all := 1, 1
+	for _, o := range s.roster.members {
+		p, ok := s.peers[o.Entry]
+		if o.Entry == s.self.Entry || o.Entry == m.Entry || !ok || s.silent(o, now) {
+			continue
+		}
+		all++
+		if slices.Contains(p.beat.Unheard, m.Entry) {
+			yes++
+		}
+	}
+	return 2*yes > all
+}
+
+func (s *Membership) joiners(now time.Time) []Member {
+	var j []Member
+	if !s.stopping && !lists(s.roster.members, s.self) {
+		j = append(j, s.self)
+	}
+	for _, p := range s.peers {
+		b := p.beat
+		fresh := now.Sub(b.Now) < UnheardAfter/2 && !b.Stopping
+		if fresh && !s.gone[b.Member.Entry] && b.Member.Entry != s.self.Entry && !lists(s.roster.members, b.Member) {
+			j = append(j, b.Member)
+		}
+	}
+	slices.SortFunc(j, func(a, b Member) int { return strings.Compare(a.Entry, b.Entry) })
+	return j
+}
+
+// may reports whether the last change is complete at all members that stay, and whether enough of them stay.
+func (s *Membership) may(next []Member) bool {
+	stay, alive := 0, 0
+	for _, m := range s.roster.members {
+		if !s.Over(m) && !s.stops(m) {
+			alive++
+		}
+		if !lists(next, m) {
+			continue
+		}
+		stay++
+		if p := s.peers[m.Entry]; !p.beat.Member.Is(m) || p.beat.Holding != s.roster.number {
+			return false
+		}
+	}
+	return 2*stay >= alive
+}
+
+// Stop says that this entry is about to leave, so that the next roster is without it.
+func (s *Membership) Stop() { s.stopping = true }
--- /dev/null
+++ b/flow/ledger/record.go
@@ -0,0 +1,63 @@
+package ledger
+
+import "time"
+
+// Phase is how far a keyed request has come.
+type Phase uint8
+
+const (
+	// None is no record.
+	None Phase = iota
+	// Claimed means that a copy may be sent or has been.
+	Claimed
+	// Answered means that a copy ran and was answered.
+	Answered
+	// Unknown means that a copy was sent and its outcome was lost.
+	Unknown
+	// NotRun means that the copy certainly did not run and never will.
+	NotRun
+)
+
+// Settled reports whether nothing more is expected of the copy.
+func (p Phase) Settled() bool { return p >= Answered }
+
+// rank orders phases by how much they forbid, for two records of one key.
+func (p Phase) rank() int {
+	return [...]int{None: 0, NotRun: 1, Claimed: 2, Unknown: 3, Answered: 4}[p]
+}
+
+// Record is what a holder remembers of a key.
+type Record struct {
+	ID          ID
+	Attempt     Attempt
+	Digest      Digest
+	Phase       Phase
+	Status      int
+	ContentType string
+	Answer      []byte
+	Kept        bool // whether Answer is the whole answer
+	Age         time.Duration
+}
+
+// Verdict is a holder's answer to a claim.
+type Verdict uint8
+
+const (
+	// Granted means that the holder has recorded the claim.
+	Granted Verdict = iota
+	// Repeat means that a copy was claimed before; the record tells how far it came.
+	Repeat
+	// Mismatch means that the key was used for another request.
+	Mismatch
+	// Stale means that the holder uses another roster or does not hold the key yet.
+	Stale
+	// Gap means that records of this key may have been lost.
+	Gap
+	// Full means that the holder has no record of the key and can remember no more.
+	Full
+)
+
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	return [...]string{"granted", "repeat", "mismatch", "roster", "gap", "full"}[v]
+}
--- /dev/null
+++ b/flow/ledger/table.go
@@ -0,0 +1,139 @@
+package ledger
+
+import "time"
+
+const (
+	chunkBits = 12
+	chunkSize = 1 << chunkBits // records
+	none      = ^uint32(0)
+)
+
+// slot is one record in memory; slots are linked in the order in which they expire.
+type slot struct {
+	id         ID
+	attempt    Attempt
+	digest     Digest
+	at         time.Duration // last change, since the table's first message
+	prev, next uint32
+	status     int16
+	phase      Phase
+	renewals   uint8
+	kept       bool
+}
+
+type answer struct {
+	contentType string
+	body        []byte
+}
+
+// table keeps records compactly: chunks that never move, an index by id, and the few answers apart.
+type table struct {
+	index      map[ID]uint32
+	chunks     []*[chunkSize]slot
+	used       uint32
+	free       []uint32
+	head, tail uint32
+	answers    map[uint32]answer
+	bytes      int // of kept answers
+}
+
+func newTable() table {
+	return table{index: map[ID]uint32{}, answers: map[uint32]answer{}, head: none, tail: none}
+}
+
+func (t *table) at(i uint32) *slot { return &t.chunks[i>>chunkBits][i&(chunkSize-1)] }
+
+func (t *table) find(id ID) (uint32, *slot) {
+	i, ok := t.index[id]
+	if !ok {
+		return none, nil
+	}
+	return i, t.at(i)
+}
+
+func (t *table) add(id ID, now time.Duration) (uint32, *slot) {
+	i := t.take()
+	s := t.at(i)
+	*s = slot{id: id}
+	t.index[id] = i
+	t.append(i, s, now)
+	return i, s
+}
+
+func (t *table) take() uint32 {
+	if n := len(t.free); n > 0 {
+		i := t.free[n-1]
+		t.free = t.free[:n-1]
+		return i
+	}
+	if t.used&(chunkSize-1) == 0 {
+		t.chunks = append(t.chunks, new([chunkSize]slot))
+	}
+	t.used++
+	return t.used - 1
+}
+
+func (t *table) append(i uint32, s *slot, now time.Duration) {
+	s.at, s.prev, s.next = now, t.tail, none
+	if t.tail == none {
+		t.head = i
+	} else {
+		t.at(t.tail).next = i
+	}
+	t.tail = i
+}
+
+func (t *table) unlink(s *slot) {
+	if s.prev == none {
+		t.head = s.next
+	} else {
+		t.at(s.prev).next = s.next
+	}
+	if s.next == none {
+		t.tail = s.prev
+	} else {
+		t.at(s.next).prev = s.prev
+	}
+}
+
+// touch makes the record the last to expire.
+func (t *table) touch(i uint32, s *slot, now time.Duration) {
+	t.unlink(s)
+	t.append(i, s, now)
+}
+
+func (t *table) remove(i uint32, s *slot) {
+	t.drop(i, s)
+	t.unlink(s)
+	delete(t.index, s.id)
+	s.phase = None
+	t.free = append(t.free, i)
+}
+
+func (t *table) keep(i uint32, s *slot, a answer) {
+	t.drop(i, s)
+	s.kept = true
+	if len(a.body) == 0 && a.contentType == "" {
+		return
+	}
+	t.answers[i] = a
+	t.bytes += len(a.body) + len(a.contentType)
+}
+
+func (t *table) drop(i uint32, s *slot) {
+	if !s.kept {
+		return
+	}
+	s.kept = false
+	a := t.answers[i]
+	t.bytes -= len(a.body) + len(a.contentType)
+	delete(t.answers, i)
+}
+
+func (t *table) record(i uint32, s *slot, now time.Duration) Record {
+	a := t.answers[i]
+	return Record{
+		ID: s.id, Attempt: s.attempt, Digest: s.digest, Phase: s.phase, Status: int(s.status),
+		Kept: s.kept, ContentType: a.contentType, Answer: a.body, Age: now - s.at,
+	}
+}
