Decide planned stops from the documents alone

Each VM counts its ended stops; a reservation names the next one and is released only after the membership counts it, so a leader with an old budget fails its conditional write.

--- a/fleet/pool/shard.go
+++ b/fleet/pool/shard.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"iter"
 	"slices"
 	"sort"
 	"strings"
@@ -109,6 +110,17 @@
 	return build(s.index, s.count, s.number+1, l), nil
 }
 
+// Busy yields the members that are not plainly serving.
+func (s Shard) Busy() iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for _, i := range s.busy {
+			if !yield(s.members[i]) {
+				return
+			}
+		}
+	}
+}
+
 // Above returns the shard with a version of at least number, for writing it back over an older one.
 func (s Shard) Above(number int64) Shard {
 	s.number = max(s.number, number)
--- a/fleet/pool/table.go
+++ b/fleet/pool/table.go
@@ -73,8 +73,8 @@
 func (t Table) Busy() iter.Seq[Member] {
 	return func(yield func(Member) bool) {
 		for _, s := range t.shards {
-			for _, i := range s.busy {
-				if !yield(s.members[i]) {
+			for m := range s.Busy() {
+				if !yield(m) {
 					return
 				}
 			}
--- /dev/null
+++ b/fleet/wave/sight.go
@@ -0,0 +1,111 @@
+package wave
+
+import "burdockreach.dev/fleet/pool"
+
+// takeHosts notes the platform's list; a list without a single target tells nothing.
+func (p *Planner) takeHosts(m HostsMsg) bool {
+	if m.At < p.hostsAt {
+		return false
+	}
+	h, workers := make(map[string]Host, len(m.Hosts)), 0
+	for _, v := range m.Hosts {
+		h[v.Name] = v
+		if !v.Entry {
+			workers++
+		}
+	}
+	if workers == 0 {
+		return false
+	}
+	p.hosts, p.hostsAt = h, m.At
+	return true
+}
+
+func (p *Planner) takeHeard(m HeardMsg) {
+	p.heard[m.Entry] = m.At
+	for _, d := range m.Drained {
+		if p.said[d.VM] == nil {
+			p.said[d.VM] = map[string]int64{}
+		}
+		p.said[d.VM][m.Entry] = max(p.said[d.VM][m.Entry], d.Number)
+	}
+}
+
+// senders returns the entries that may still send to the data centre's targets.
+func (p *Planner) senders() []string {
+	var l []string
+	for _, h := range p.hosts {
+		if h.Entry && h.State != Gone {
+			l = append(l, h.Name)
+		}
+	}
+	for e, at := range p.heard {
+		if _, listed := p.hosts[e]; !listed && p.hostsAt-at < entryGraceMillis {
+			l = append(l, e)
+		}
+	}
+	return l
+}
+
+// isHearing tells whether every entry that may still send was heard lately, so that a drain can end.
+func (p *Planner) isHearing() bool {
+	l := p.senders()
+	for _, e := range l {
+		at, ok := p.heard[e]
+		if !ok || p.now-at > p.limits.maxAge {
+			return false
+		}
+	}
+	return len(l) > 0
+}
+
+// isDrained tells whether every entry that may still send has said that it has nothing in flight to the VM
+// under a version that shows it draining.
+func (p *Planner) isDrained(m pool.Member) bool {
+	if len(p.services[m.Pool]) == 0 {
+		return true
+	}
+	s, ok := p.draining[m.VM]
+	if !ok || s.seq != m.Seq || p.hostsAt < s.at+p.limits.listLag {
+		return false
+	}
+	l := p.senders()
+	for _, e := range l {
+		if n, ok := p.said[m.VM][e]; !ok || n < s.number {
+			return false
+		}
+	}
+	return len(l) > 0
+}
+
+// isDown tells whether the platform's list or the entries find the VM dead.
+func (p *Planner) isDown(vm string) bool {
+	if p.dead[vm] {
+		return true
+	}
+	return p.isGone(vm)
+}
+
+func (p *Planner) isGone(vm string) bool {
+	if p.hostsAt == 0 {
+		return false
+	}
+	h, ok := p.hosts[vm]
+	return !ok || h.State == Gone
+}
+
+// isUp tells whether the list shows the VM live and no entry finds it dead.
+func (p *Planner) isUp(vm string) bool {
+	h, ok := p.hosts[vm]
+	return ok && h.State == Live && !p.dead[vm]
+}
+
+// isListFresh tells whether the platform's list is young enough to start a planned stop by.
+func (p *Planner) isListFresh() bool {
+	return p.hostsAt > 0 && p.now-p.hostsAt <= p.limits.maxAge
+}
+
+// isCalm tells whether nothing outside the documents forbids a planned stop.
+func (p *Planner) isCalm() bool {
+	return p.isListFresh() && len(p.unheard) == 0
+}
--- /dev/null
+++ b/fleet/wave/step.go
@@ -0,0 +1,229 @@
+package wave
+
+import (
+	"fmt"
+
+	"burdockreach.dev/fleet/pool"
+)
+
+// writeShards returns the writes that lead the membership on by one step.
+func (p *Planner) writeShards() []Cmd {
+	var l []Cmd
+	changes := p.changes()
+	for i, d := range p.shards {
+		s := p.table.Shard(i)
+		behind := d.restore || s.Number() < p.floors[i]
+		if !d.writable() || len(changes[i].puts)+len(changes[i].drops) == 0 && !behind {
+			continue
+		}
+		n, err := s.Above(p.floors[i]).Change(changes[i].puts, changes[i].drops)
+		if err != nil {
+			continue
+		}
+		d.writing, d.wrote, p.sent[i] = true, p.now, n
+		l = append(l, WriteShardCmd{Shard: n, Revision: d.revision})
+	}
+	return l
+}
+
+// change is what one shard's next write puts and drops.
+type change struct {
+	puts  []pool.Member
+	drops []string
+}
+
+func (p *Planner) changes() []change {
+	l := make([]change, p.table.Count())
+	put := func(m pool.Member) {
+		i := p.table.Index(m.VM)
+		l[i].puts = append(l[i].puts, m)
+	}
+	for m := range p.table.Busy() {
+		if p.isForgotten(m) {
+			i := p.table.Index(m.VM)
+			l[i].drops = append(l[i].drops, m.VM)
+		} else if n := p.step(m); n != m {
+			put(n)
+		}
+	}
+	for vm := range p.failing {
+		if m, ok := p.table.Find(vm); ok && m.State == pool.Serving {
+			put(p.fall(m))
+		}
+	}
+	for _, m := range p.starts() {
+		put(m)
+	}
+	for _, m := range p.joins() {
+		put(m)
+	}
+	return l
+}
+
+// step returns the member after the next step of what it is in, or the member itself.
+func (p *Planner) step(m pool.Member) pool.Member {
+	switch m.State {
+	case pool.Draining:
+		return p.stepDraining(m)
+	case pool.Rebooting:
+		return p.stepRebooting(m)
+	case pool.Failed:
+		if m.Op != "" {
+			return p.comeBack(m)
+		}
+		return p.rise(m)
+	case pool.Out:
+		if p.isDown(m.VM) {
+			return p.fall(m)
+		}
+		return p.rise(m)
+	default:
+		return m
+	}
+}
+
+func (p *Planner) stepDraining(m pool.Member) pool.Member {
+	switch {
+	case p.isDown(m.VM):
+		return p.fall(m)
+	case p.isDrained(m) && m.To != "":
+		return p.moveOn(m)
+	case p.isDrained(m) && p.isListFresh() && p.isFresh(p.shards[p.table.Index(m.VM)]):
+		m.State, m.Since, m.Boot = pool.Rebooting, p.now, p.hosts[m.VM].Boot
+		return m
+	case !p.isWanted(m), p.isOver(m):
+		return p.putBack(m)
+	case p.now-m.Since > p.drainMillis(m.Pool):
+		return p.putBack(m)
+	default:
+		return m
+	}
+}
+
+// moveOn puts the VM into its new pool once the platform has done so.
+func (p *Planner) moveOn(m pool.Member) pool.Member {
+	if p.assigned[m.VM] != m.To {
+		return m
+	}
+	m.Pool, m.State, m.Since = m.To, pool.Serving, p.now
+	return p.end(m)
+}
+
+func (p *Planner) stepRebooting(m pool.Member) pool.Member {
+	if n := p.comeBack(m); n != m {
+		return n
+	}
+	if p.now-m.Since > p.rebootMillis(m.Pool) {
+		m.State, m.Since = pool.Failed, p.now
+	}
+	return m
+}
+
+// comeBack lets the VM serve once the platform has accepted the reboot and a later list shows a later boot.
+func (p *Planner) comeBack(m pool.Member) pool.Member {
+	at, ok := p.rebooted[m.Op]
+	if !ok || p.hostsAt < at+p.limits.listLag || p.hosts[m.VM].Boot <= m.Boot || !p.isUp(m.VM) {
+		return m
+	}
+	m.Wave, m.State, m.Since = m.Doing, pool.Serving, p.now
+	return p.end(m)
+}
+
+// end marks the planned stop as ended, which lets its reservation be released.
+func (p *Planner) end(m pool.Member) pool.Member {
+	m.Op, m.Doing, m.To, m.Boot = "", "", "", 0
+	m.Seq++
+	return m
+}
+
+func (p *Planner) putBack(m pool.Member) pool.Member {
+	m.State, m.Since = pool.Serving, p.now
+	return p.end(m)
+}
+
+// fall marks the VM as failed, or as out while the platform is about to stop it, and voids its reservation.
+func (p *Planner) fall(m pool.Member) pool.Member {
+	m = p.end(m)
+	m.State, m.Since = pool.Out, p.now
+	if p.isDown(m.VM) {
+		m.State = pool.Failed
+	}
+	return m
+}
+
+func (p *Planner) rise(m pool.Member) pool.Member {
+	if p.isUp(m.VM) {
+		m.State, m.Since = pool.Serving, p.now
+	}
+	return m
+}
+
+// isForgotten tells whether the VM has been gone for so long that it leaves the membership; one that a wave has
+// wrecked stays while the wave is wanted, so that the wave stays stopped.
+func (p *Planner) isForgotten(m pool.Member) bool {
+	at, ok := p.goneAt[m.VM]
+	return ok && m.State == pool.Failed && p.now-at > forgetMillis && (m.Op == "" || !p.isKnown(m.Doing))
+}
+
+// joins returns the live VMs of the list that the membership lacks.
+func (p *Planner) joins() []pool.Member {
+	var l []pool.Member
+	for _, vm := range p.newcomers {
+		h := p.hosts[vm]
+		if _, ok := p.table.Find(vm); ok || h.State != Live || h.Entry || h.Pool == "" {
+			continue
+		}
+		l = append(l, pool.Member{VM: vm, Pool: h.Pool, Rack: h.Rack, Since: p.now})
+	}
+	return l
+}
+
+// starts returns the reserved VMs that now begin to drain, and those whose reservation is withdrawn.
+func (p *Planner) starts() []pool.Member {
+	var l []pool.Member
+	for _, m := range p.reserved() {
+		a := p.reservation(m)
+		switch {
+		case !p.isStartable(m, a):
+			l = append(l, p.end(m))
+		case p.isClear(m):
+			l = append(l, p.start(m, a))
+		}
+	}
+	return append(l, p.idleStarts()...)
+}
+
+func (p *Planner) start(m pool.Member, a Absence) pool.Member {
+	m.State, m.Since, m.Op, m.Doing = pool.Draining, p.now, a.Op, a.Wave
+	if a.Wave == "" {
+		m.To = p.moves[m.VM].To
+	}
+	return m
+}
+
+// opOf names a planned stop; the same stop has the same name at every leader.
+func opOf(dataCentre string, m pool.Member, w string) string {
+	return fmt.Sprintf("%s/%s/%d/%s", dataCentre, m.VM, m.Seq+1, w)
+}
+
+func (p *Planner) drainMillis(name string) int64 {
+	var d int64
+	for _, s := range p.services[name] {
+		d = max(d, s.DrainMillis)
+	}
+	if d == 0 {
+		return idleDrainMillis
+	}
+	return d
+}
+
+func (p *Planner) rebootMillis(name string) int64 {
+	var d int64
+	for _, s := range p.services[name] {
+		d = max(d, s.RebootMillis)
+	}
+	if d == 0 {
+		return idleRebootMillis
+	}
+	return d
+}
