Serve the operators' API

Operators need one place to change and read the configuration, with a plain outcome for each change: accepted with its number, certainly not accepted, or unknown with the id to ask again. The API needs the entry only through three small interfaces. Names in settings follow the same form as in changes.

--- /dev/null
+++ b/node/oper/api.go
@@ -0,0 +1,142 @@
+package oper
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/node/burn"
+	"burdockreach.dev/plat/conf"
+)
+
+const (
+	maxBodyBytes  = 64 << 10
+	maxReadBytes  = 1 << 20 // over maxBodyBytes, so that a body a little too long gets a clear answer.
+	maxConns      = 256
+	readTimeout   = 10 * time.Second
+	writeTimeout  = 10 * time.Second
+	idleTimeout   = 30 * time.Second
+	closeTimeout  = time.Second
+	commitTimeout = 8 * time.Second
+)
+
+// Config is what the API needs of the configuration.
+type Config interface {
+	// Document returns the document in force at this entry.
+	Document() *conf.Document
+	// At returns a recent change by its number.
+	At(n conf.Number) (conf.Change, bool)
+	// Commit makes c the next change and returns its number; an error that matches conf.ErrUnsettled leaves the outcome open.
+	Commit(ctx context.Context, c conf.Change) (conf.Number, error)
+	// Settle returns the number under which op was accepted; conf.ErrNotAccepted when it certainly was not and will not be.
+	Settle(ctx context.Context, op string) (conf.Number, error)
+}
+
+// Fleet is what the API needs of the entry's knowledge of VMs and entries.
+type Fleet interface {
+	// VMs returns every VM that the entry knows.
+	VMs() []VM
+	// Entries returns every entry that the entry knows, itself included.
+	Entries() []Entry
+}
+
+// Reporter hands out the service-level burn.
+type Reporter interface {
+	Report(now time.Time) burn.Report
+}
+
+// API serves operators; it is safe for concurrent use.
+type API struct {
+	name    string
+	digests [][]byte
+	config  Config
+	fleet   Fleet
+	burn    Reporter
+	log     zerolog.Logger
+	now     func() time.Time
+	routes  map[string]route
+}
+
+// Option changes an API.
+type Option func(*API)
+
+// WithLogger sets the logger; without it nothing is logged.
+func WithLogger(l zerolog.Logger) Option { return func(a *API) { a.log = l } }
+
+// WithClock sets the clock.
+func WithClock(now func() time.Time) Option { return func(a *API) { a.now = now } }
+
+// New returns the API of the entry with that name; digests are SHA-256 digests of operators' tokens in hex, and without any
+// the API refuses everyone.
+func New(name string, digests []string, c Config, f Fleet, r Reporter, opts ...Option) *API {
+	a := &API{name: name, config: c, fleet: f, burn: r, log: zerolog.Nop(), now: time.Now}
+	for _, s := range digests {
+		if b, err := hex.DecodeString(s); err == nil {
+			a.digests = append(a.digests, b)
+		}
+	}
+	for _, o := range opts {
+		o(a)
+	}
+	a.routes = a.table()
+	return a
+}
+
+// Serve listens on addr until ctx ends; it returns nil after a clean end.
+func (a *API) Serve(ctx context.Context, addr string) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "oper: listen on %s", addr)
+	}
+	return a.ServeListener(ctx, l)
+}
+
+// ServeListener serves l until ctx ends and closes it; it returns nil after a clean end.
+func (a *API) ServeListener(ctx context.Context, l net.Listener) error {
+	s := &fasthttp.Server{
+		Handler: a.Handle, Name: "burdockreach", MaxRequestBodySize: maxReadBytes, Concurrency: maxConns,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		CloseOnShutdown: true, NoDefaultDate: true, Logger: quiet{}, ErrorHandler: tooLong,
+	}
+	g, c := errgroup.WithContext(ctx)
+	g.Go(func() error { return eris.Wrap(s.Serve(l), "oper: serve") })
+	g.Go(func() error {
+		<-c.Done()
+		e, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		if err := s.ShutdownWithContext(e); err != nil && !eris.Is(err, context.DeadlineExceeded) {
+			return eris.Wrap(err, "oper: shut down")
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+// quiet drops the server's own messages, which are about broken connections.
+type quiet struct{}
+
+// Printf drops the message.
+func (quiet) Printf(string, ...any) {}
+
+// allowed reports whether the request carries an operator's token.
+func (a *API) allowed(x *fasthttp.RequestCtx) bool {
+	t, ok := strings.CutPrefix(string(x.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	if !ok {
+		return false
+	}
+	sum := sha256.Sum256([]byte(t))
+	found := 0
+	for _, d := range a.digests {
+		found |= subtle.ConstantTimeCompare(d, sum[:])
+	}
+	return found == 1
+}
--- /dev/null
+++ b/node/oper/change.go
@@ -0,0 +1,129 @@
+package oper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"burdockreach.dev/plat/conf"
+)
+
+// maxOpBytes is the longest operation's id.
+const maxOpBytes = 128
+
+// change commits the change in the body.
+func (a *API) change(x *fasthttp.RequestCtx) {
+	c, bad := parseChange(x.PostBody())
+	if bad != nil {
+		a.refuse(x, fasthttp.StatusBadRequest, *bad)
+		return
+	}
+	if c.Op == "" {
+		c.Op = uuid.NewString()
+	}
+	c.At = a.now().UTC()
+	t, cancel := context.WithTimeout(x, commitTimeout)
+	defer cancel()
+	n, err := a.config.Commit(t, c)
+	r := changeReply(c.Op, n, err)
+	a.log.Info().Str("step", "change").Stringer("peer", x.RemoteAddr()).Str("op", c.Op).Str("by", c.By).Str("kind", string(c.Kind)).
+		Str("object", c.Object()).Str("outcome", string(r.Outcome)).Int64("n", int64(r.Number)).Str("reason", r.Reason).Msg("change")
+	reply(x, changeStatus(r), r)
+}
+
+// settle tells what became of an operation.
+func (a *API) settle(x *fasthttp.RequestCtx) {
+	op := string(x.QueryArgs().Peek("op"))
+	if op == "" || len(op) > maxOpBytes {
+		a.refuse(x, fasthttp.StatusBadRequest, Refusal{
+			Reason: "bad query", Field: "op", Value: cut(op), Allowed: fmt.Sprintf("1 to %d bytes", maxOpBytes),
+		})
+		return
+	}
+	t, cancel := context.WithTimeout(x, commitTimeout)
+	defer cancel()
+	n, err := a.config.Settle(t, op)
+	r := changeReply(op, n, err)
+	reply(x, changeStatus(r), r)
+}
+
+// parseChange reads a change that has no number yet.
+func parseChange(b []byte) (conf.Change, *Refusal) {
+	var c conf.Change
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		return c, jsonRefusal(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return c, &Refusal{Reason: "malformed change", Field: "body", Value: "more than one value", Allowed: "one JSON object"}
+	}
+	if c.Number != 0 {
+		return c, &Refusal{Reason: "malformed change", Field: "n", Value: fmt.Sprint(c.Number), Allowed: "none: the number is given on acceptance"}
+	}
+	if c.Prev != "" {
+		return c, &Refusal{Reason: "malformed change", Field: "prev", Value: cut(c.Prev), Allowed: "none: it is set on acceptance"}
+	}
+	return c, nil
+}
+
+// jsonRefusal names the field and value at which JSON could not be read.
+func jsonRefusal(err error) *Refusal {
+	r := &Refusal{Reason: "malformed change", Field: "body", Value: "not readable", Allowed: "one JSON object: " + err.Error()}
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) {
+		r.Field, r.Value, r.Allowed = t.Field, t.Value, "a value of type "+t.Type.String()
+	}
+	if f, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		r.Field, r.Value, r.Allowed = strings.Trim(f, `"`), "unknown field", "the fields of a change"
+	}
+	return r
+}
+
+// changeReply tells what err leaves of the operation.
+func changeReply(op string, n conf.Number, err error) ChangeReply {
+	var f *conf.FieldError
+	switch {
+	case err == nil:
+		return ChangeReply{Outcome: Accepted, Op: op, Number: n}
+	case errors.As(err, &f):
+		return ChangeReply{Outcome: NotAccepted, Op: op, Reason: "not valid", Field: f.Field(), Value: cut(f.Value()), Allowed: f.Allowed()}
+	case errors.Is(err, conf.ErrNotAccepted), errors.Is(err, conf.ErrInvalid):
+		return ChangeReply{Outcome: NotAccepted, Op: op, Reason: eris.ToString(err, false)}
+	default:
+		return ChangeReply{Outcome: Unknown, Op: op, Reason: eris.ToString(err, false)}
+	}
+}
+
+// changeStatus returns the HTTP status of a reply.
+func changeStatus(r ChangeReply) int {
+	switch {
+	case r.Outcome == Accepted:
+		return fasthttp.StatusOK
+	case r.Outcome == Unknown:
+		return fasthttp.StatusGatewayTimeout
+	case r.Field != "":
+		return fasthttp.StatusUnprocessableEntity
+	default:
+		return fasthttp.StatusConflict
+	}
+}
+
+// maxShownBytes bounds the part of a value that an answer repeats.
+const maxShownBytes = 200
+
+// cut returns s as an answer repeats it.
+func cut(s string) string {
+	if len(s) > maxShownBytes {
+		return s[:maxShownBytes] + "..."
+	}
+	return s
+}
--- /dev/null
+++ b/node/oper/route.go
@@ -0,0 +1,107 @@
+package oper
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+)
+
+// route is what a path does; args are the query fields that it knows.
+type route struct {
+	method string
+	args   []string
+	serve  fasthttp.RequestHandler
+}
+
+// table returns the routes by path; the change path has one for each method.
+func (a *API) table() map[string]route {
+	get := func(f fasthttp.RequestHandler, args ...string) route { return route{fasthttp.MethodGet, args, f} }
+	return map[string]route{
+		"POST /op/change":   {fasthttp.MethodPost, nil, a.change},
+		"GET /op/change":    get(a.settle, "op"),
+		"GET /op/conf":      get(a.document),
+		"GET /op/profiles":  get(a.profiles, "name"),
+		"GET /op/services":  get(a.services, "name"),
+		"GET /op/pools":     get(a.pools, "name"),
+		"GET /op/teams":     get(a.teams, "name"),
+		"GET /op/waves":     get(a.waves, "name"),
+		"GET /op/approvals": get(a.approvals, "team", "service"),
+		"GET /op/vms":       get(a.vms, "name", "pool", "state", "dataCentre"),
+		"GET /op/entries":   get(a.entries),
+		"GET /op/applied":   get(a.applied, "n"),
+		"GET /op/jobs":      get(a.jobs),
+		"GET /op/burn":      get(a.report),
+		"GET /debug/vars":   get(expvarhandler.ExpvarHandler, "r"),
+	}
+}
+
+// Handle serves one request.
+func (a *API) Handle(x *fasthttp.RequestCtx) {
+	if !a.allowed(x) {
+		a.refuse(x, fasthttp.StatusUnauthorized, Refusal{Reason: "no operator's token, or one that this entry does not know"})
+		return
+	}
+	r, ok := a.routes[string(x.Method())+" "+string(x.Path())]
+	if !ok {
+		a.refuse(x, fasthttp.StatusNotFound, Refusal{Reason: fmt.Sprintf("no such call: %s %s", x.Method(), x.Path())})
+		return
+	}
+	if f := unknownArg(x, r.args); f != "" {
+		a.refuse(x, fasthttp.StatusBadRequest, Refusal{
+			Reason: "unknown query field", Field: f, Value: string(x.QueryArgs().Peek(f)), Allowed: fmt.Sprintf("one of %v", r.args),
+		})
+		return
+	}
+	if len(x.PostBody()) > maxBodyBytes {
+		tooLong(x, fasthttp.ErrBodyTooLarge)
+		return
+	}
+	r.serve(x)
+}
+
+// unknownArg returns a query field that is not in known, or nothing.
+func unknownArg(x *fasthttp.RequestCtx, known []string) string {
+	for k := range x.QueryArgs().All() {
+		found := false
+		for _, n := range known {
+			found = found || n == string(k)
+		}
+		if !found {
+			return string(k)
+		}
+	}
+	return ""
+}
+
+// refuse answers a request that is not served and logs it.
+func (a *API) refuse(x *fasthttp.RequestCtx, status int, r Refusal) {
+	a.log.Info().Str("step", "operate").Stringer("peer", x.RemoteAddr()).Bytes("path", x.Path()).
+		Int("status", status).Str("reason", r.Reason).Str("field", r.Field).Msg("operatorRefused")
+	reply(x, status, r)
+}
+
+// reply answers with v as JSON.
+func reply(x *fasthttp.RequestCtx, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		x.Error(`{"reason":"the answer cannot be written"}`, fasthttp.StatusInternalServerError)
+		return
+	}
+	x.SetStatusCode(status)
+	x.SetContentType("application/json")
+	x.SetBody(append(b, '\n'))
+}
+
+// tooLong answers a request that the server could not read.
+func tooLong(x *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		reply(x, fasthttp.StatusRequestEntityTooLarge, Refusal{
+			Reason: "request too long", Field: "body", Value: "too long", Allowed: fmt.Sprintf("at most %d bytes", maxBodyBytes),
+		})
+		return
+	}
+	reply(x, fasthttp.StatusBadRequest, Refusal{Reason: "malformed request"})
+}
--- /dev/null
+++ b/node/oper/show.go
@@ -0,0 +1,129 @@
+package oper
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"burdockreach.dev/plat/conf"
+)
+
+// document answers with the whole configuration in force.
+func (a *API) document(x *fasthttp.RequestCtx) {
+	b, err := a.config.Document().Marshal()
+	if err != nil {
+		a.refuse(x, fasthttp.StatusInternalServerError, Refusal{Reason: "the configuration cannot be written"})
+		return
+	}
+	x.SetContentType("application/json")
+	x.SetBody(b)
+}
+
+func (a *API) profiles(x *fasthttp.RequestCtx) {
+	d := a.config.Document()
+	show(a, x, d, d.Profiles(), conf.PutProfile, func(p conf.ProfileSpec) string { return p.Name })
+}
+
+func (a *API) services(x *fasthttp.RequestCtx) {
+	d := a.config.Document()
+	show(a, x, d, d.Services(), conf.PutService, func(s conf.ServiceSpec) string { return s.Name })
+}
+
+func (a *API) pools(x *fasthttp.RequestCtx) {
+	d := a.config.Document()
+	show(a, x, d, d.Pools(), conf.PutPool, func(p conf.PoolSpec) string { return p.Name })
+}
+
+func (a *API) teams(x *fasthttp.RequestCtx) {
+	d := a.config.Document()
+	show(a, x, d, d.Teams(), conf.PutTeam, func(t conf.TeamSpec) string { return t.Name })
+}
+
+func (a *API) waves(x *fasthttp.RequestCtx) {
+	d := a.config.Document()
+	show(a, x, d, d.Waves(), conf.PutWave, func(w conf.WaveSpec) string { return w.ID })
+}
+
+// show answers with all objects, or with the one that the query names.
+func show[T any](a *API, x *fasthttp.RequestCtx, d *conf.Document, all []T, k conf.Kind, name func(T) string) {
+	want := string(x.QueryArgs().Peek("name"))
+	r := Objects[T]{Number: d.Number(), Items: []Object[T]{}}
+	for _, v := range all {
+		if want == "" || name(v) == want {
+			r.Items = append(r.Items, Object[T]{Spec: v, Changed: d.Changed(k, name(v))})
+		}
+	}
+	if want != "" && len(r.Items) == 0 {
+		a.refuse(x, fasthttp.StatusNotFound, Refusal{Reason: "no such object", Field: "name", Value: cut(want), Allowed: "an existing name"})
+		return
+	}
+	reply(x, fasthttp.StatusOK, r)
+}
+
+// approvals answers with the approvals of the team and of the service that the query names.
+func (a *API) approvals(x *fasthttp.RequestCtx) {
+	d := a.config.Document()
+	team, service := string(x.QueryArgs().Peek("team")), string(x.QueryArgs().Peek("service"))
+	r := Objects[conf.ApprovalSpec]{Number: d.Number(), Items: []Object[conf.ApprovalSpec]{}}
+	for _, v := range d.Approvals() {
+		if matches(team, v.Team) && matches(service, v.Service) {
+			n := d.Changed(conf.Approve, conf.ApprovalName(v.Team, v.Service))
+			r.Items = append(r.Items, Object[conf.ApprovalSpec]{Spec: v, Changed: n})
+		}
+	}
+	reply(x, fasthttp.StatusOK, r)
+}
+
+// vms answers with the VMs that match the query.
+func (a *API) vms(x *fasthttp.RequestCtx) {
+	arg := func(k string) string { return string(x.QueryArgs().Peek(k)) }
+	vs := slices.DeleteFunc(slices.Clone(a.fleet.VMs()), func(v VM) bool {
+		return !matches(arg("name"), v.ID) || !matches(arg("pool"), v.Pool) ||
+			!matches(arg("state"), v.State) || !matches(arg("dataCentre"), v.DataCentre)
+	})
+	if arg("name") != "" && len(vs) == 0 {
+		a.refuse(x, fasthttp.StatusNotFound, Refusal{Reason: "no such VM", Field: "name", Value: cut(arg("name")), Allowed: "an existing name"})
+		return
+	}
+	reply(x, fasthttp.StatusOK, VMs{Items: vs})
+}
+
+// matches reports whether v is what was asked for; nothing asks for all.
+func matches(want, v string) bool { return want == "" || want == v }
+
+func (a *API) entries(x *fasthttp.RequestCtx) {
+	reply(x, fasthttp.StatusOK, Entries{Items: a.fleet.Entries()})
+}
+
+// applied tells whether a change is in force here and at the entries that are heard.
+func (a *API) applied(x *fasthttp.RequestCtx) {
+	r := Applied{Entry: a.name, Newest: a.config.Document().Number(), Entries: a.fleet.Entries()}
+	r.Number = r.Newest
+	if s := string(x.QueryArgs().Peek("n")); s != "" {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || n < 1 {
+			a.refuse(x, fasthttp.StatusBadRequest, Refusal{Reason: "bad query", Field: "n", Value: cut(s), Allowed: "a whole number from 1"})
+			return
+		}
+		r.Number = conf.Number(n)
+	}
+	r.InForce = r.Newest >= r.Number
+	for _, e := range r.Entries {
+		r.InForce = r.InForce && e.Heard && e.Applied >= r.Number
+	}
+	if c, ok := a.config.At(r.Number); ok {
+		r.At, r.AgeMs, r.Op, r.ByPerson = c.At, a.now().Sub(c.At).Milliseconds(), c.Op, c.By
+	}
+	reply(x, fasthttp.StatusOK, r)
+}
+
+// jobs is kept for the jobs of pools.
+func (a *API) jobs(x *fasthttp.RequestCtx) {
+	a.refuse(x, fasthttp.StatusNotImplemented, Refusal{Reason: fmt.Sprintf("%s is reserved: this version runs no jobs", x.Path())})
+}
+
+func (a *API) report(x *fasthttp.RequestCtx) {
+	reply(x, fasthttp.StatusOK, a.burn.Report(a.now()))
+}
--- a/node/setup/rules.go
+++ b/node/setup/rules.go
@@ -16,13 +16,13 @@
 }
 
 var (
-	nameForm   = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	nameForm   = regexp.MustCompile(`^[A-Za-z0-9._-]{1,63}$`)
 	digestForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	levels     = []string{"trace", "debug", "info", "warn", "error", "disabled"}
 )
 
 const (
-	nameAllowed = "1 to 63 of a-z, 0-9, '.', '_' and '-', beginning with a letter or digit"
+	nameAllowed = "1 to 63 letters, digits, '-', '_' or '.'"
 	addrAllowed = "an IP number and a port from 1 to 65535, as 10.0.0.1:7000"
 )
 
--- a/node/setup/setup_test.go
+++ b/node/setup/setup_test.go
@@ -33,7 +33,7 @@
 		"callerAddr": "localhost:1", "peerAddr": "10.0.0.1:2", "operatorAddr": "10.0.0.1:3", "platformAddr": "10.0.0.9:1"}`))
 	fmt.Println(err)
 	// Output:
-	// name: "A 1" is not allowed; allowed: 1 to 63 of a-z, 0-9, '.', '_' and '-', beginning with a letter or digit
+	// name: "A 1" is not allowed; allowed: 1 to 63 letters, digits, '-', '_' or '.'
 	// callerAddr: "localhost:1" is not allowed; allowed: an IP number and a port from 1 to 65535, as 10.0.0.1:7000
 	// tickMs: 7 is not allowed; allowed: a whole number from 50 to 10000
 	// colour: unknown field is not allowed; allowed: the fields of docs/SETTINGS.md
