Build the platform's stand-in with its faults

Cause: entries need a platform that goes down, refuses, falls silent, slows, loses answers, comes back older and parts single clients.

--- /dev/null
+++ b/fakes/cloud/meter.go
@@ -0,0 +1,58 @@
+package cloud
+
+import (
+	"sync"
+	"time"
+)
+
+// meter counts calls and the most in one second.
+type meter struct {
+	limit int // calls a second; 0 means no limit.
+
+	mu    sync.Mutex
+	total int64
+	peak  int
+	start time.Time
+	count int
+}
+
+// allow counts one call and reports whether it is within the limit.
+func (m *meter) allow(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.start) >= time.Second {
+		m.start, m.count = now, 0
+	}
+	m.total++
+	m.count++
+	m.peak = max(m.peak, m.count)
+	return m.limit == 0 || m.count <= m.limit
+}
+
+func (m *meter) figures() (int64, int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.total, m.peak
+}
+
+// Stats tells how much the platform was called.
+type Stats struct {
+	Reads       int64 `json:"reads"`
+	Writes      int64 `json:"writes"`
+	Watches     int64 `json:"watches"`
+	PeakReads   int   `json:"peakReads"`  // reads and watches in one second.
+	PeakWrites  int   `json:"peakWrites"` // writes in one second.
+	VMCalls     int64 `json:"vmCalls"`
+	Rev         int64 `json:"rev"`
+	LostAnswers int64 `json:"lostAnswers"`
+}
+
+// Stats returns the counts so far.
+func (s *Server) Stats() Stats {
+	a := Stats{Rev: int64(s.store.Rev()), Watches: s.store.Watches(), LostAnswers: s.faults.lostCount()}
+	a.Reads, a.PeakReads = s.reads.figures()
+	a.Reads -= a.Watches
+	a.Writes, a.PeakWrites = s.writes.figures()
+	a.VMCalls, _ = s.vmCalls.figures()
+	return a
+}
--- /dev/null
+++ b/fakes/cloud/vm.go
@@ -0,0 +1,176 @@
+package cloud
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"burdockreach.dev/plat/hosts"
+)
+
+// controlOffset is what a worker's control port is above its port.
+const controlOffset = 1_000
+
+// controlWait bounds one word to a worker.
+const controlWait = 300 * time.Millisecond
+
+// Control is the body of a word to a worker's control address.
+type Control struct {
+	ID         string `json:"id"`
+	Op         string `json:"op,omitempty"`
+	Pool       string `json:"pool,omitempty"`
+	DownMillis int64  `json:"downMs,omitempty"` // for a reboot: the time for which the worker answers nothing.
+}
+
+func vmList(_ context.Context, s *Server, _ []byte) (any, error) {
+	return hosts.ListAnswer{VMs: s.fleet.list(time.Now())}, nil
+}
+
+func vmDrain(_ context.Context, s *Server, b []byte) (any, error) {
+	return s.setState(b, "drain", hosts.Leaving)
+}
+
+func vmUndrain(_ context.Context, s *Server, b []byte) (any, error) {
+	return s.setState(b, "undrain", hosts.Live)
+}
+
+func (s *Server) setState(b []byte, word string, to hosts.State) (any, error) {
+	q, err := parse[hosts.Request](b)
+	if err != nil {
+		return nil, err
+	}
+	w, ok := s.fleet.setState(time.Now(), q.ID, to)
+	if ok {
+		s.tell(w, word, Control{ID: q.ID})
+	}
+	return hosts.Answer{OK: ok}, nil
+}
+
+func vmReboot(_ context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[hosts.Request](b)
+	if err != nil {
+		return nil, err
+	}
+	w, first, ok := s.fleet.startReboot(time.Now(), q.ID, q.Op)
+	if ok && first {
+		s.tell(w, "reboot", Control{ID: q.ID, Op: q.Op, DownMillis: s.fleet.reboot.Milliseconds()})
+	}
+	return hosts.Answer{OK: ok}, nil
+}
+
+func vmAssign(_ context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[hosts.Request](b)
+	if err != nil {
+		return nil, err
+	}
+	w, ok := s.fleet.assign(time.Now(), q.ID, q.Pool)
+	if ok {
+		s.tell(w, "assign", Control{ID: q.ID, Pool: q.Pool})
+	}
+	return hosts.Answer{OK: ok}, nil
+}
+
+func vmFail(_ context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[hosts.Request](b)
+	if err != nil {
+		return nil, err
+	}
+	_, ok := s.fleet.setState(time.Now(), q.ID, hosts.Gone)
+	return hosts.Answer{OK: ok}, nil
+}
+
+func vmAdd(_ context.Context, s *Server, b []byte) (any, error) {
+	w, err := parse[hosts.Wire](b)
+	if err != nil {
+		return nil, err
+	}
+	s.fleet.add(time.Now(), w)
+	return hosts.Answer{OK: true}, nil
+}
+
+func vmRemove(_ context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[hosts.Request](b)
+	if err != nil {
+		return nil, err
+	}
+	s.fleet.remove(time.Now(), q.ID)
+	return hosts.Answer{OK: true}, nil
+}
+
+func fault(_ context.Context, s *Server, b []byte) (any, error) {
+	f, err := parse[Fault](b)
+	if err != nil {
+		return nil, err
+	}
+	if !f.Mode.known() {
+		return nil, eris.Errorf("cloud: fault mode %q is not known", f.Mode)
+	}
+	s.Fault(f)
+	return hosts.Answer{OK: true}, nil
+}
+
+func save(_ context.Context, s *Server, _ []byte) (any, error) {
+	s.Save()
+	return hosts.Answer{OK: true}, nil
+}
+
+func restore(_ context.Context, s *Server, _ []byte) (any, error) {
+	return hosts.Answer{OK: s.Restore()}, nil
+}
+
+func stats(_ context.Context, s *Server, _ []byte) (any, error) { return s.Stats(), nil }
+
+// Save keeps the key-value service's present state.
+func (s *Server) Save() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved, s.hasSaved = s.store.Save(), true
+}
+
+// Restore puts the kept state back, and reports whether there was one.
+func (s *Server) Restore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hasSaved {
+		s.store.Restore(s.saved)
+	}
+	return s.hasSaved
+}
+
+// tell sends a word to the worker's control address; a worker that is not there is passed over.
+func (s *Server) tell(w hosts.Wire, word string, body Control) {
+	addr, ok := controlAddr(w)
+	if !ok {
+		return
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(a)
+	q.Header.SetMethod(fasthttp.MethodPost)
+	q.Header.SetContentType("application/json")
+	q.SetRequestURI("http://" + addr + "/ctl/" + word)
+	q.SetBodyRaw(b)
+	err = s.ctl.DoTimeout(q, a, controlWait)
+	s.log.Debug().Str("event", "word").Str("vm", w.ID).Str("word", word).Err(err).Send()
+}
+
+func controlAddr(w hosts.Wire) (string, bool) {
+	if w.Kind != hosts.Worker {
+		return "", false
+	}
+	host, port, err := net.SplitHostPort(w.Addr)
+	if err != nil {
+		return "", false
+	}
+	n, err := strconv.Atoi(port)
+	return net.JoinHostPort(host, strconv.Itoa(n+controlOffset)), err == nil
+}
