--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -79,7 +79,7 @@
 // prepare turns the caller's request into the one that targets see.
 func (c *call) prepare() {
 	h := &c.x.Request.Header
-	h.SetRequestURIBytes(c.o.path)
+	c.x.Request.SetRequestURIBytes(c.o.path)
 	h.Del(fasthttp.HeaderAuthorization)
 	h.Del(fasthttp.HeaderConnection)
 	h.Set(headerRequest, c.request)
