--- a/flow/ledger/claim.go
+++ b/flow/ledger/claim.go
@@ -26,11 +26,13 @@
 	OtherRequest
 	// NoRoster means that no roster of the key's data centre is known.
 	NoRoster
+	// Withdrawn means that the caller or the entry ended the request.
+	Withdrawn
 )
 
 // String returns the reason's name.
 func (r Reason) String() string {
-	return [...]string{"unreachable", "rosterChanging", "recordsLost", "full", "otherRequest", "noRoster"}[r]
+	return [...]string{"unreachable", "rosterChanging", "recordsLost", "full", "otherRequest", "noRoster", "withdrawn"}[r]
 }
 
 // Msg is anything that changes a Claim.
@@ -76,10 +78,14 @@
 	StoreFailed
 )
 
+// EndMsg ends the claim before its outcome.
+type EndMsg struct{}
+
 func (StartMsg) isMsg() {}
 func (ReplyMsg) isMsg() {}
 func (FailMsg) isMsg()  {}
 func (StoreMsg) isMsg() {}
+func (EndMsg) isMsg()   {}
 
 // Cmd is anything that a Claim asks its runner to do.
 type Cmd interface{ isCmd() }
@@ -172,6 +178,8 @@
 		return c.failed(m)
 	case StoreMsg:
 		return c.wrote(m)
+	case EndMsg:
+		return c.refuse(RefuseCmd{Reason: Withdrawn, NotRun: c.granted})
 	}
 	return nil
 }
--- a/flow/ledger/handover.go
+++ b/flow/ledger/handover.go
@@ -398,3 +398,14 @@
 	f, s := b.roster.priorHoldersOf(id)
 	return f != m.Entry && s != m.Entry
 }
+
+// Lost returns the members that may still be alive and whose records are missing here.
+func (b *Book) Lost() []Member {
+	var l []Member
+	for _, g := range b.gaps {
+		if g.Until.IsZero() {
+			l = append(l, g.Lost...)
+		}
+	}
+	return l
+}
--- a/flow/ledger/member.go
+++ b/flow/ledger/member.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -64,6 +65,7 @@
 	}
 	p.beat = m
 	s.peers[m.Member.Entry] = p
+	maps.DeleteFunc(s.peers, func(_ string, p peer) bool { return m.Now.Sub(p.beat.Now) > Remember })
 }
 
 // VMs notes which entries are gone for good.
@@ -213,3 +215,16 @@
 
 // Stop says that this entry is about to leave, so that the next roster is without it.
 func (s *Membership) Stop() { s.stopping = true }
+
+// Complete reports whether the roster in use is in force at all of its members, so that an entry that has left it may end.
+func (s *Membership) Complete() bool {
+	for _, m := range s.roster.members {
+		if p := s.peers[m.Entry]; !p.beat.Member.Is(m) || p.beat.Holding != s.roster.number {
+			return false
+		}
+	}
+	return true
+}
+
+// Stopping reports whether this entry is about to leave.
+func (s *Membership) Stopping() bool { return s.stopping }
--- /dev/null
+++ b/node/relay/beater.go
@@ -0,0 +1,280 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	beatEvery = 500 * time.Millisecond
+	// beatFan is the number of peers of the own data centre that one round beats; rounds take turns.
+	beatFan = 6
+	// beatFar is the number of entries of each other data centre that one round beats.
+	beatFar    = 1
+	farRounds  = 2 // rounds between beats to other data centres
+	openRounds = 4 // rounds between beats to a peer whose circuit is open
+	beatTasks  = 16
+	// heardFor is how long a peer that no list names is remembered.
+	heardFor = 30 * time.Second
+)
+
+// Report is what an entry says of its services and VMs in a beat to its own data centre.
+type Report struct {
+	Loads                     []*ServiceLoad
+	Drained, Leaving, Failing []string
+	Members                   []byte // delta of the membership document, from the leader
+}
+
+// Carrier is the entry's side of beats.
+type Carrier interface {
+	// Applied returns the newest configuration change in force.
+	Applied() int64
+	// Since returns the changes after n in order, or a whole document when they are no longer held; few enough for one beat.
+	Since(n int64) (changes [][]byte, snapshot []byte)
+	// Offer takes changes or a document from a peer.
+	Offer(changes [][]byte, snapshot []byte)
+	// Report returns what to tell entries of the own data centre.
+	Report() Report
+}
+
+// Beater tells the other entries what this one knows and remembers what they say.
+type Beater struct {
+	keeper  *Keeper
+	client  *Client
+	carrier Carrier
+	every   time.Duration
+	onBeat  func(Peer, []byte)
+
+	mu    sync.Mutex
+	known []Address
+	heard map[string]Peer
+	round int
+
+	kicks chan struct{}
+	backs chan Address // peers that have newer changes
+}
+
+// BeaterOption changes a new Beater.
+type BeaterOption func(*Beater)
+
+// WithEvery sets the time between rounds of beats.
+func WithEvery(d time.Duration) BeaterOption { return func(b *Beater) { b.every = d } }
+
+// OnBeat is called after each beat that comes in, with the sender and its delta of the membership document; it must not block.
+func OnBeat(f func(p Peer, members []byte)) BeaterOption { return func(b *Beater) { b.onBeat = f } }
+
+// NewBeater returns the beater of the keeper's entry.
+func NewBeater(k *Keeper, c *Client, r Carrier, o ...BeaterOption) *Beater {
+	b := &Beater{
+		keeper: k, client: c, carrier: r, every: beatEvery, onBeat: func(Peer, []byte) {},
+		heard: map[string]Peer{}, kicks: make(chan struct{}, 1), backs: make(chan Address, 8),
+	}
+	for _, f := range o {
+		f(b)
+	}
+	k.mu.Lock()
+	k.changed = b.Kick
+	k.mu.Unlock()
+	return b
+}
+
+// Know replaces the list of entries of all data centres, as the platform gives it.
+func (b *Beater) Know(l []Address) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.known = slices.Clone(l)
+}
+
+// Kick beats to the own data centre at once, because something has changed.
+func (b *Beater) Kick() {
+	select {
+	case b.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// Heard returns what the other entries last said, in order of their ids.
+func (b *Beater) Heard() []Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := make([]Peer, 0, len(b.heard))
+	for _, p := range b.heard {
+		l = append(l, p)
+	}
+	slices.SortFunc(l, func(x, y Peer) int { return strings.Compare(x.address.entry, y.address.entry) })
+	return l
+}
+
+// Run beats until ctx ends.
+func (b *Beater) Run(ctx context.Context) error {
+	t := time.NewTicker(b.every)
+	defer t.Stop()
+	for {
+		var l []Address
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			l = b.targets()
+		case <-b.kicks:
+			l = b.near()
+		case a := <-b.backs:
+			l = []Address{a}
+		}
+		each(ctx, beatTasks, l, b.beat)
+	}
+}
+
+// Beat implements Relay.
+func (b *Beater) Beat(_ context.Context, r *BeatRequest) (*BeatReply, error) {
+	p := b.note(NewAddress(r.GetEntry(), r.GetAddr(), r.GetDataCentre()), r.GetIncarnation(), func(p *Peer) { p.fromRequest(r) })
+	k := b.keeper
+	own := k.Roster(k.dataCentre)
+	if r.GetDataCentre() == k.dataCentre && r.GetRoster() > own.Number() {
+		k.ask(k.dataCentre)
+	}
+	o := &BeatReply{
+		Entry: k.self.Entry, Incarnation: k.self.Incarnation, Applied: b.carrier.Applied(), Roster: own.Number(),
+		Holding: k.Holding(), Stopping: k.stopping(), Leaving: b.carrier.Report().Leaving,
+	}
+	if own.Number() > r.GetPeerRoster() {
+		o.RosterDocument = own.Marshal()
+	}
+	switch {
+	case o.Applied > r.GetApplied():
+		o.Changes, o.Snapshot = b.carrier.Since(r.GetApplied())
+	case o.Applied < r.GetApplied():
+		select {
+		case b.backs <- p.address:
+		default:
+		}
+	}
+	b.onBeat(p, r.GetMembers())
+	return o, nil
+}
+
+func (b *Beater) beat(ctx context.Context, a Address) {
+	o, err := b.client.Beat(ctx, a.addr, b.request(a))
+	if err != nil {
+		return
+	}
+	b.note(NewAddress(o.GetEntry(), a.addr, a.dataCentre), o.GetIncarnation(), func(p *Peer) { p.fromReply(o) })
+	if len(o.GetChanges()) > 0 || len(o.GetSnapshot()) > 0 {
+		b.carrier.Offer(o.GetChanges(), o.GetSnapshot())
+	}
+	if err := b.keeper.Learn(o.GetRosterDocument()); err != nil {
+		b.keeper.log.Warn().Err(err).Str("step", "beat").Str("peer", a.entry).Msg("roster unreadable")
+	}
+}
+
+func (b *Beater) request(a Address) *BeatRequest {
+	k := b.keeper
+	q := &BeatRequest{
+		Entry: k.self.Entry, DataCentre: k.dataCentre, Incarnation: k.self.Incarnation, Addr: k.self.Addr,
+		Applied: b.carrier.Applied(), Roster: k.Roster(k.dataCentre).Number(), Holding: k.Holding(),
+		PeerRoster: k.Roster(a.dataCentre).Number(), Stopping: k.stopping(),
+	}
+	if a.dataCentre != k.dataCentre {
+		return q
+	}
+	r := b.carrier.Report()
+	q.Loads, q.Drained, q.Leaving, q.Failing, q.Members = r.Loads, r.Drained, r.Leaving, r.Failing, r.Members
+	q.Unheard = k.unheard()
+	return q
+}
+
+// note remembers what a peer said; word of an earlier life than the newest known is dropped.
+func (b *Beater) note(a Address, incarnation int64, f func(*Peer)) Peer {
+	k := b.keeper
+	now := k.now()
+	b.mu.Lock()
+	p := b.heard[a.entry]
+	if p.incarnation > incarnation || a.entry == "" || a.entry == k.self.Entry {
+		b.mu.Unlock()
+		return p
+	}
+	if p.incarnation != incarnation {
+		p = Peer{}
+	}
+	p.address, p.incarnation, p.at = a, incarnation, now
+	f(&p)
+	b.heard[a.entry] = p
+	b.mu.Unlock()
+	if a.dataCentre == k.dataCentre {
+		k.hear(p.beatMsg())
+	}
+	return p
+}
+
+// near returns every other entry of the own data centre.
+func (b *Beater) near() []Address {
+	k := b.keeper
+	all := map[string]Address{}
+	r := k.Roster(k.dataCentre)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.known {
+		if a.dataCentre == k.dataCentre {
+			all[a.entry] = a
+		}
+	}
+	for _, m := range r.Members() {
+		all[m.Entry] = NewAddress(m.Entry, m.Addr, k.dataCentre)
+	}
+	now := k.now()
+	for e, p := range b.heard {
+		if now.Sub(p.at) > heardFor {
+			delete(b.heard, e)
+		} else if p.address.dataCentre == k.dataCentre {
+			all[e] = p.address
+		}
+	}
+	delete(all, k.self.Entry)
+	return ordered(all)
+}
+
+func ordered(m map[string]Address) []Address {
+	l := make([]Address, 0, len(m))
+	for _, a := range m {
+		l = append(l, a)
+	}
+	slices.SortFunc(l, func(x, y Address) int { return strings.Compare(x.entry, y.entry) })
+	return l
+}
+
+// targets returns whom the next round beats.
+func (b *Beater) targets() []Address {
+	near := b.near()
+	b.mu.Lock()
+	b.round++
+	n := b.round
+	far := map[string][]Address{}
+	for _, a := range b.known {
+		if a.dataCentre != b.keeper.dataCentre {
+			far[a.dataCentre] = append(far[a.dataCentre], a)
+		}
+	}
+	b.mu.Unlock()
+	l := turn(near, n, beatFan)
+	if n%farRounds == 0 {
+		for _, d := range far {
+			l = append(l, turn(d, n/farRounds, beatFar)...)
+		}
+	}
+	return slices.DeleteFunc(l, func(a Address) bool { return n%openRounds != 0 && b.client.Open(a.addr) })
+}
+
+// turn returns the n-th group of k of l.
+func turn(l []Address, n, k int) []Address {
+	if len(l) <= k {
+		return slices.Clone(l)
+	}
+	o := make([]Address, 0, k)
+	for i := range k {
+		o = append(o, l[(n*k+i)%len(l)])
+	}
+	return o
+}
--- /dev/null
+++ b/node/relay/keeper.go
@@ -0,0 +1,253 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/flow/ledger"
+	"burdockreach.dev/plat/keyval"
+)
+
+const (
+	tickEvery   = 200 * time.Millisecond
+	settleTasks = 8
+)
+
+// Keeper runs the ledger for one entry: it holds records for its data centre and claims keys for the entry's requests.
+type Keeper struct {
+	self        ledger.Member
+	dataCentre  string
+	dataCentres []string
+	store       keyval.Store
+	client      *Client
+	log         zerolog.Logger
+	now         func() time.Time
+	bookOptions []ledger.BookOption
+
+	mu         sync.Mutex
+	book       *ledger.Book
+	membership *ledger.Membership
+	rosters    map[string]ledger.Roster
+	written    keyval.Revision // of the own roster's key as last read
+	stored     int64           // number of the roster that the service holds
+	read       bool            // whether the service's roster has been read
+	changed    func()          // told after a new roster or state
+
+	adopted chan struct{}
+	asks    chan string // data centres whose roster is to be read
+	settles *outbox
+	lease   storeLease
+}
+
+// KeeperOption changes a new Keeper.
+type KeeperOption func(*Keeper)
+
+// WithLog sets the log.
+func WithLog(l zerolog.Logger) KeeperOption { return func(k *Keeper) { k.log = l } }
+
+// WithBook passes options on to the entry's records.
+func WithBook(o ...ledger.BookOption) KeeperOption {
+	return func(k *Keeper) { k.bookOptions = append(k.bookOptions, o...) }
+}
+
+// NewKeeper returns the keeper of one life of an entry; dataCentres are all that the fleet has.
+func NewKeeper(self ledger.Member, dataCentre string, dataCentres []string, s keyval.Store, c *Client, o ...KeeperOption) *Keeper {
+	k := &Keeper{
+		self: self, dataCentre: dataCentre, dataCentres: dataCentres, store: s, client: c, log: zerolog.Nop(), now: time.Now,
+		membership: ledger.NewMembership(self, dataCentre), rosters: map[string]ledger.Roster{},
+		adopted: make(chan struct{}, 1), asks: make(chan string, len(dataCentres)), changed: func() {},
+	}
+	for _, f := range o {
+		f(k)
+	}
+	k.book = ledger.NewBook(self, k.bookOptions...)
+	k.settles = newOutbox(k)
+	return k
+}
+
+// Run keeps rosters and records until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	g, c := errgroup.WithContext(ctx)
+	g.Go(func() error { return k.watch(c) })
+	g.Go(func() error { return k.readOthers(c) })
+	g.Go(func() error { return k.tick(c) })
+	g.Go(func() error { return k.pull(c) })
+	g.Go(func() error { return k.settles.run(c) })
+	return g.Wait()
+}
+
+// Roster returns the newest roster known of a data centre; its number is zero if none is.
+func (k *Keeper) Roster(dataCentre string) ledger.Roster {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rosters[dataCentre]
+}
+
+// Holding returns the number of the newest roster in force at this entry.
+func (k *Keeper) Holding() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Holding()
+}
+
+// Len returns the number of records held and the bytes of kept answers.
+func (k *Keeper) Len() (records, answerBytes int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Len(), k.book.AnswerBytes()
+}
+
+// Gone tells which entries the platform's list says are gone for good.
+func (k *Keeper) Gone(entries []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.membership.VMs(ledger.VMsMsg{Now: k.now(), Gone: entries})
+}
+
+// Learn takes up a roster document if it is newer than the one known of its data centre.
+func (k *Keeper) Learn(doc []byte) error {
+	if len(doc) == 0 {
+		return nil
+	}
+	r, err := ledger.ParseRoster(doc)
+	if err != nil {
+		return fail("roster", "", err)
+	}
+	k.adopt(r)
+	return nil
+}
+
+func (k *Keeper) adopt(r ledger.Roster) {
+	k.mu.Lock()
+	if r.Number() <= k.rosters[r.DataCentre()].Number() {
+		k.mu.Unlock()
+		return
+	}
+	k.rosters[r.DataCentre()] = r
+	own := r.DataCentre() == k.dataCentre
+	if own {
+		m := ledger.RosterMsg{Now: k.now(), Roster: r}
+		k.membership.Adopt(m)
+		k.book.Adopt(m)
+	}
+	f := k.changed
+	k.mu.Unlock()
+	if !own {
+		return
+	}
+	k.log.Info().Str("step", "roster").Int64("number", r.Number()).Int("members", len(r.Members())).Msg("adopted")
+	select {
+	case k.adopted <- struct{}{}:
+	default:
+	}
+	f()
+}
+
+// Claim implements Relay.
+func (k *Keeper) Claim(_ context.Context, r *ClaimRequest) (*ClaimReply, error) {
+	o := toReply(k.claimHere(ledger.ClaimMsg{
+		ID: ledger.NewID(r.GetKey()), Roster: r.GetRoster(), Attempt: ledger.NewAttempt(r.GetAttempt()), Digest: ledger.NewDigest(r.GetDigest()),
+	}))
+	own := k.Roster(k.dataCentre)
+	o.Roster = own.Number()
+	switch {
+	case own.Number() > r.GetRoster():
+		o.RosterDocument = own.Marshal()
+	case own.Number() < r.GetRoster():
+		k.ask(k.dataCentre)
+	}
+	return o, nil
+}
+
+func (k *Keeper) claimHere(m ledger.ClaimMsg) ledger.ClaimReply {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m.Now = k.now()
+	return k.book.Claim(m)
+}
+
+// Settle implements Relay.
+func (k *Keeper) Settle(_ context.Context, r *SettleRequest) (*SettleReply, error) {
+	k.settleHere(ledger.Record{
+		ID: ledger.NewID(r.GetKey()), Attempt: ledger.NewAttempt(r.GetAttempt()), Phase: fromPhase(r.GetPhase()),
+		Status: int(r.GetStatus()), ContentType: r.GetContentType(), Answer: r.GetAnswer(), Kept: r.GetKept(),
+	})
+	return &SettleReply{Roster: k.Roster(k.dataCentre).Number()}, nil
+}
+
+func (k *Keeper) settleHere(r ledger.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.book.Settle(ledger.SettleMsg{Now: k.now(), Record: r})
+}
+
+// Records implements Relay.
+func (k *Keeper) Records(_ context.Context, r *RecordsRequest) (*RecordsReply, error) {
+	if err := k.Learn(r.GetRosterDocument()); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	p := k.book.Handover(ledger.HandoverMsg{
+		Now: now, Entry: r.GetEntry(), Roster: r.GetRoster(), Newcomer: r.GetNewcomer(), After: r.GetAfter(),
+	})
+	o := toPage(p, now)
+	o.Roster = k.rosters[k.dataCentre].Number()
+	return o, nil
+}
+
+// Leave takes this entry out of the roster and returns when the others hold its records, or with ctx's error.
+func (k *Keeper) Leave(ctx context.Context) error {
+	k.mu.Lock()
+	k.membership.Stop()
+	f := k.changed
+	k.mu.Unlock()
+	f()
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for !k.left() {
+		select {
+		case <-ctx.Done():
+			return fail("leave", k.self.Entry, ctx.Err())
+		case <-t.C:
+		}
+	}
+	return k.settles.drain(ctx)
+}
+
+// left reports whether no other entry needs this one's records any more.
+func (k *Keeper) left() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r := k.rosters[k.dataCentre]
+	m := r.Members()
+	if r.Number() == 0 || len(m) == 1 && m[0].Is(k.self) {
+		return true
+	}
+	_, in := r.Member(k.self.Entry)
+	return !in && k.membership.Complete()
+}
+
+// hear notes what another entry of the data centre said.
+func (k *Keeper) hear(m ledger.BeatMsg) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.membership.Beat(m)
+}
+
+func (k *Keeper) unheard() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.membership.Unheard(k.now())
+}
+
+func (k *Keeper) stopping() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.membership.Stopping()
+}
--- /dev/null
+++ b/node/relay/peer.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"time"
+
+	"burdockreach.dev/flow/ledger"
+)
+
+// Address tells where an entry listens to its peers.
+type Address struct{ entry, addr, dataCentre string }
+
+// NewAddress returns the address of an entry, as host:port.
+func NewAddress(entry, addr, dataCentre string) Address {
+	return Address{entry: entry, addr: addr, dataCentre: dataCentre}
+}
+
+// Entry returns the entry's id.
+func (a Address) Entry() string { return a.entry }
+
+// Addr returns host:port.
+func (a Address) Addr() string { return a.addr }
+
+// DataCentre returns the entry's data centre.
+func (a Address) DataCentre() string { return a.dataCentre }
+
+// Peer is what another entry last said of itself.
+type Peer struct {
+	address                   Address
+	incarnation               int64
+	at                        time.Time
+	applied, roster, holding  int64
+	stopping                  bool
+	loads                     []*ServiceLoad
+	drained, leaving, failing []string
+	unheard                   []string
+	reported                  time.Time
+}
+
+// Address returns who and where the peer is.
+func (p Peer) Address() Address { return p.address }
+
+// Incarnation returns the number of the peer's life; a restarted entry has a higher one.
+func (p Peer) Incarnation() int64 { return p.incarnation }
+
+// At returns when the peer was last heard.
+func (p Peer) At() time.Time { return p.at }
+
+// Reported returns when the peer last reported loads and VMs.
+func (p Peer) Reported() time.Time { return p.reported }
+
+// Applied returns the newest configuration change in force at the peer.
+func (p Peer) Applied() int64 { return p.applied }
+
+// Roster returns the number of the roster that the peer uses.
+func (p Peer) Roster() int64 { return p.roster }
+
+// Holding returns the number of the newest roster in force at the peer.
+func (p Peer) Holding() int64 { return p.holding }
+
+// Stopping reports whether the peer is about to leave.
+func (p Peer) Stopping() bool { return p.stopping }
+
+// Loads returns the use of each service's slots at the peer; the caller must not change it.
+func (p Peer) Loads() []*ServiceLoad { return p.loads }
+
+// Drained returns the VMs that the peer sends nothing to, with nothing in flight; the caller must not change it.
+func (p Peer) Drained() []string { return p.drained }
+
+// Leaving returns the VMs that the peer knows to be leaving; the caller must not change it.
+func (p Peer) Leaving() []string { return p.leaving }
+
+// Failing returns the VMs that fail everything the peer sends; the caller must not change it.
+func (p Peer) Failing() []string { return p.failing }
+
+func (p Peer) member() ledger.Member {
+	return ledger.Member{Entry: p.address.entry, Addr: p.address.addr, Incarnation: p.incarnation}
+}
+
+func (p Peer) beatMsg() ledger.BeatMsg {
+	return ledger.BeatMsg{Now: p.at, Member: p.member(), Holding: p.holding, Stopping: p.stopping, Unheard: p.unheard}
+}
+
+func (p *Peer) fromRequest(r *BeatRequest) {
+	p.applied, p.roster, p.holding, p.stopping = r.GetApplied(), r.GetRoster(), r.GetHolding(), r.GetStopping()
+	p.unheard, p.leaving = r.GetUnheard(), r.GetLeaving()
+	p.loads, p.drained, p.failing, p.reported = r.GetLoads(), r.GetDrained(), r.GetFailing(), p.at
+}
+
+func (p *Peer) fromReply(r *BeatReply) {
+	p.applied, p.roster, p.holding, p.stopping = r.GetApplied(), r.GetRoster(), r.GetHolding(), r.GetStopping()
+	p.leaving = r.GetLeaving()
+}
--- /dev/null
+++ b/node/relay/server.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+var _ Relay = Service{}
+
+const (
+	headerWithin = 5 * time.Second
+	stopWithin   = 5 * time.Second
+	requestMax   = 4 << 20 // bytes
+)
+
+// Lender is the entry's side of slot loans.
+type Lender interface {
+	Borrow(context.Context, *BorrowRequest) (*BorrowReply, error)
+	Return(context.Context, *ReturnRequest) (*ReturnReply, error)
+}
+
+// Service joins what an entry offers to the other entries.
+type Service struct {
+	*Keeper
+	*Beater
+	Lender
+}
+
+// Server answers other entries.
+type Server struct {
+	http *http.Server
+	stop time.Duration
+}
+
+// ServerOption changes a new Server.
+type ServerOption func(*Server)
+
+// WithStopWithin bounds the time that requests in flight have when the server stops.
+func WithStopWithin(d time.Duration) ServerOption { return func(s *Server) { s.stop = d } }
+
+// NewServer returns a server of h.
+func NewServer(h Relay, o ...ServerOption) *Server {
+	s := &Server{stop: stopWithin, http: &http.Server{
+		Handler:           http.MaxBytesHandler(NewRelayServer(h), requestMax),
+		ReadHeaderTimeout: headerWithin,
+		IdleTimeout:       2 * idleFor,
+	}}
+	for _, f := range o {
+		f(s)
+	}
+	return s
+}
+
+// Serve answers on l until ctx ends, then lets the requests in flight finish.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	g, c := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return fail("serve", l.Addr().String(), err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-c.Done()
+		t, end := context.WithTimeout(context.WithoutCancel(ctx), s.stop)
+		defer end()
+		if err := s.http.Shutdown(t); err != nil {
+			return eris.Wrap(errors.Join(err, s.http.Close()), "relay stop")
+		}
+		return nil
+	})
+	return g.Wait()
+}
--- /dev/null
+++ b/node/relay/ticket.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"burdockreach.dev/flow/ledger"
+)
+
+// sendWithin is how long after the claim a send may begin.
+const sendWithin = 5 * time.Second
+
+// Ticket allows one copy of a keyed request to be sent, and tells the holders what became of it.
+type Ticket struct {
+	job   *job
+	until time.Time
+}
+
+// Until returns the time after which the copy must not be sent any more.
+func (t *Ticket) Until() time.Time { return t.until }
+
+// Settle tells the holders, in the background, what became of the copy; it copies answer and may be called once.
+//
+// The phase is Answered, Unknown or NotRun; a whole answer of up to ledger.MaxAnswer bytes is kept for repeats.
+func (t *Ticket) Settle(p ledger.Phase, status int, contentType string, answer []byte) {
+	j := t.job
+	j.record.Phase, j.record.Status = p, status
+	if p == ledger.Answered && len(answer) <= ledger.MaxAnswer {
+		j.record.Kept, j.record.ContentType, j.record.Answer = true, contentType, bytes.Clone(answer)
+	}
+	j.send()
+}
+
+// attempt is one copy on its way through its claim.
+type attempt struct {
+	k       *Keeper
+	home    string
+	request *ClaimRequest
+	id      ledger.ID
+	digest  ledger.Digest
+	attempt ledger.Attempt
+	claim   *ledger.Claim
+}
+
+// Take claims key for one copy of a request; the attempt's id must be unique and digest tells the request's contents.
+//
+// The error is a *RepeatError when another copy was claimed before, or a *RefusedError; the copy must then not be sent.
+func (k *Keeper) Take(ctx context.Context, key string, digest []byte, attemptID string) (*Ticket, error) {
+	a := &attempt{
+		k: k, home: ledger.Home(key, k.dataCentres), id: ledger.NewID(key),
+		digest: ledger.NewDigest(digest), attempt: ledger.NewAttempt(attemptID),
+		request: &ClaimRequest{Key: key, Entry: k.self.Entry, Attempt: attemptID, Digest: digest},
+	}
+	a.claim = ledger.NewClaim(a.id)
+	start := k.now()
+	cmds := a.claim.Update(ledger.StartMsg{Now: start, Roster: k.Roster(a.home)})
+	for {
+		var m ledger.Msg
+		for _, c := range cmds {
+			switch c := c.(type) {
+			case ledger.GoCmd:
+				return &Ticket{job: a.job(c.Holders, c.Store), until: start.Add(sendWithin)}, nil
+			case ledger.RefuseCmd:
+				return nil, a.refused(c)
+			case ledger.RepeatCmd:
+				return nil, &RepeatError{record: c.Record}
+			case ledger.ReleaseCmd:
+				a.release(c)
+			default:
+				m = a.perform(ctx, c)
+			}
+		}
+		if ctx.Err() != nil {
+			m = ledger.EndMsg{}
+		}
+		cmds = a.claim.Update(m)
+	}
+}
+
+func (a *attempt) refused(c ledger.RefuseCmd) error {
+	if c.Reason != ledger.OtherRequest {
+		a.k.ask(a.home)
+	}
+	return &RefusedError{reason: c.Reason, notRun: c.NotRun, retry: c.RetryAfter, peer: c.Holder}
+}
+
+// perform does what takes time and returns its outcome.
+func (a *attempt) perform(ctx context.Context, c ledger.Cmd) ledger.Msg {
+	switch c := c.(type) {
+	case ledger.AskCmd:
+		return a.ask(ctx, c)
+	case ledger.WaitCmd:
+		t := time.NewTimer(c.For)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		return ledger.FailMsg{Now: a.k.now(), Roster: a.k.Roster(a.home)}
+	default:
+		return a.k.storeKey(ctx, a)
+	}
+}
+
+func (a *attempt) ask(ctx context.Context, c ledger.AskCmd) ledger.Msg {
+	if c.Holder.Is(a.k.self) {
+		r := a.k.claimHere(ledger.ClaimMsg{ID: a.id, Roster: c.Roster, Attempt: a.attempt, Digest: a.digest})
+		return ledger.ReplyMsg{Now: a.k.now(), Holder: c.Holder.Entry, Reply: r, Roster: a.k.Roster(a.home)}
+	}
+	a.request.Roster = c.Roster
+	w, err := a.k.client.Claim(ctx, c.Holder.Addr, a.request)
+	if err == nil {
+		err = a.k.Learn(w.GetRosterDocument())
+	}
+	var r ledger.ClaimReply
+	if err == nil {
+		r, err = fromReply(w)
+	}
+	if err != nil {
+		return ledger.FailMsg{Now: a.k.now(), Holder: c.Holder.Entry, Roster: a.k.Roster(a.home)}
+	}
+	return ledger.ReplyMsg{Now: a.k.now(), Holder: c.Holder.Entry, Reply: r, Roster: a.k.Roster(a.home)}
+}
+
+func (a *attempt) release(c ledger.ReleaseCmd) {
+	j := a.job(c.Holders, c.Store)
+	j.record.Phase = ledger.NotRun
+	j.send()
+}
+
+func (a *attempt) job(holders []ledger.Member, store bool) *job {
+	return &job{
+		out: a.k.settles, home: a.home, key: a.request.Key, attempt: a.request.Attempt, holders: holders, store: store,
+		record: ledger.Record{ID: a.id, Attempt: a.attempt, Digest: a.digest},
+	}
+}
