Decide by quota, deadline, target health and retry budget

Cause: the first scheduler queued without estimates, and knew neither quotas nor failing targets. Ruled out: a heap per class, which knows no rank and so no wait; token buckets, which lend nothing.

--- /dev/null
+++ b/flow/queue/learn.go
@@ -0,0 +1,47 @@
+package queue
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	learnGain = 1.0 / 64 // of a sample, once there are that many
+	rateTime  = 2.0      // seconds over which arrivals are averaged
+)
+
+// times learns the mean and the mean deviation of service times.
+type times struct {
+	mean, dev float64 // seconds
+	n         int
+}
+
+func (t *times) learn(d time.Duration) {
+	x := d.Seconds()
+	t.n++
+	g := max(learnGain, 1/float64(t.n))
+	if t.n == 1 {
+		t.mean, t.dev = x, x/2
+		return
+	}
+	t.dev += g * (math.Abs(x-t.mean) - t.dev)
+	t.mean += g * (x - t.mean)
+}
+
+// rate learns how many events a second come.
+type rate struct {
+	perSecond float64
+	at        time.Duration
+}
+
+func (r *rate) add(now time.Duration) {
+	r.settle(now)
+	r.perSecond += 1 / rateTime
+}
+
+func (r *rate) settle(now time.Duration) {
+	if d := (now - r.at).Seconds(); d > 0 {
+		r.perSecond *= math.Exp(-d / rateTime)
+		r.at = now
+	}
+}
--- /dev/null
+++ b/flow/sched/bench_test.go
@@ -0,0 +1,78 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"burdockreach.dev/flow/sched"
+)
+
+func names(kind string, n int) []string {
+	l := make([]string, n)
+	for i := range l {
+		l[i] = fmt.Sprintf("%s-%03d", kind, i)
+	}
+	return l
+}
+
+// ready returns a scheduler with targets of 8 slots, four to a rack, and teams that may use all of them.
+func ready(now time.Time, targets, teams int) *sched.Scheduler {
+	s := sched.New("orders")
+	var l []sched.Target
+	for i, n := range names("vm", targets) {
+		l = append(l, sched.NewTarget(n, fmt.Sprint("rack-", i/4), 8))
+	}
+	rates := map[string]float64{}
+	for _, n := range names("team", teams) {
+		rates[n] = 1e6
+	}
+	s.Update(sched.QuotasMsg{Now: now, Rates: rates})
+	s.Update(sched.TargetsMsg{Now: now, Targets: l})
+	return s
+}
+
+func BenchmarkUpdateArriveDone(b *testing.B) {
+	for _, targets := range []int{4, 40, 200} {
+		for _, teams := range []int{3, 230} {
+			b.Run(fmt.Sprintf("targets=%d/teams=%d", targets, teams), func(b *testing.B) { arriveDone(b, targets, teams) })
+		}
+	}
+}
+
+// arriveDone keeps a few requests waiting all the time.
+func arriveDone(b *testing.B, targets, teams int) {
+	now := time.Unix(0, 0)
+	s, team := ready(now, targets, teams), names("team", teams)
+	var sent []sched.SendCmd
+	keep := func(l []sched.Cmd) {
+		for _, c := range l {
+			if m, ok := c.(sched.SendCmd); ok {
+				sent = append(sent, m)
+			}
+		}
+	}
+	arrive := func(i int) {
+		now = now.Add(10 * time.Microsecond)
+		keep(s.Update(sched.ArriveMsg{
+			Now: now, ID: sched.ID(i), Team: team[i%teams], Class: sched.Class(i % 3), Deadline: now.Add(10 * time.Second),
+		}))
+	}
+	for i := range targets*8 + 20 {
+		arrive(i)
+	}
+	first := targets*8 + 20
+	b.ReportAllocs()
+	k := 0
+	for b.Loop() {
+		arrive(first)
+		first++
+		m := sent[k]
+		k++
+		if k == 1024 {
+			sent = append(sent[:0], sent[k:]...)
+			k = 0
+		}
+		keep(s.Update(sched.DoneMsg{Now: now, ID: m.ID, Target: m.Target, Result: sched.Answered}))
+	}
+}
--- a/flow/sched/sched.go
+++ b/flow/sched/sched.go
@@ -1,241 +1,267 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"burdockreach.dev/flow/admit"
+	"burdockreach.dev/flow/queue"
+	"burdockreach.dev/flow/retry"
+	"burdockreach.dev/flow/route"
+)
 
 const (
-	defaultRetryShare  = 0.1
-	defaultRetryBurst  = 10
 	defaultUrgentStart = 1500 * time.Millisecond
-	maxAttempts        = 3
+	noTargetGrace      = time.Second // in which requests wait for a target to come back
+	noTargetRetry      = time.Second
+	tightFor           = time.Second // after a request was shed the service counts as overloaded
+	minRetryAfter      = 20 * time.Millisecond
+	maxRetryAfter      = 30 * time.Second
+	setAsideAtOnce     = 4 // requests that may wait for another target while the ones behind them go
+	maxSpare           = 1024
 )
 
-// Option changes a Scheduler at its making.
-type Option func(*Scheduler)
-
-// WithRetryBudget sets the retries allowed as a share of first sends, and the burst of retries allowed at once.
-func WithRetryBudget(share float64, burst int) Option {
-	return func(s *Scheduler) { s.retryShare, s.retryBurst = share, float64(burst) }
-}
-
-// WithUrgentStart sets the time within which urgent requests are to be sent.
-func WithUrgentStart(d time.Duration) Option { return func(s *Scheduler) { s.urgentStart = d } }
-
-// WithSeed sets the seed of the choices that are random.
-func WithSeed(n uint64) Option { return func(s *Scheduler) { s.seed = n } }
-
 // Scheduler decides for the requests of one service at one entry; it is changed only by Update and is not safe for concurrent use.
 type Scheduler struct {
 	service     string
-	retryShare  float64
-	retryBurst  float64
 	urgentStart time.Duration
-	seed        uint64
-
-	budget  float64
-	queue   [3][]*request
-	reqs    map[ID]*request
-	targets []*slotter
-	shares  map[string]int
-	stats   Stats
-	cmds    []Cmd
-}
+	started     bool
+	epoch       time.Time
+	now         time.Duration
 
-type request struct {
-	id         ID
-	class      Class
-	deadline   time.Time
-	idempotent bool
-	attempts   int
-	mayHaveRun bool
-	sent       bool
-	over       bool
-	last       string
-}
+	gate   *admit.Gate
+	line   *queue.Queue[*request]
+	pool   *route.Pool
+	budget *retry.Budget
 
-type slotter struct {
-	Target
-	busy    int
-	leaving bool
+	reqs     map[ID]*request
+	spare    []*request
+	aside    []*request
+	targets  []Target
+	shares   map[string]int
+	emptied  time.Duration // when the last target went
+	shedAt   time.Duration
+	shedEver bool
+	urgentAt time.Duration
+	urgents  bool
+	meters   meters
+	cmds     []Cmd
 }
 
 // New returns a Scheduler without targets for the named service.
 func New(service string, opts ...Option) *Scheduler {
-	s := &Scheduler{
-		service: service, retryShare: defaultRetryShare, retryBurst: defaultRetryBurst,
-		urgentStart: defaultUrgentStart, reqs: map[ID]*request{}, shares: map[string]int{},
-	}
+	c := defaults()
 	for _, o := range opts {
-		o(s)
+		o(&c)
+	}
+	return &Scheduler{
+		service: service, urgentStart: c.urgentStart, emptied: -noTargetGrace,
+		gate: admit.New(), line: queue.New[*request](queue.WithBound(c.bound)),
+		pool:   route.New(route.WithMaxEjected(c.maxEjected)),
+		budget: retry.New(retry.WithShare(c.retryShare), retry.WithBurst(c.retryBurst)),
+		reqs:   map[ID]*request{}, meters: newMeters(),
 	}
-	s.budget = s.retryBurst
-	s.stats.ended = map[Reason]int64{}
-	return s
 }
 
 // Service returns the service's name.
 func (s *Scheduler) Service() string { return s.service }
 
-// Stats returns what the scheduler counts.
-func (s *Scheduler) Stats() Stats {
-	t := s.stats
-	for c := range s.queue {
-		t.queued[c] = len(s.queue[c])
-	}
-	for _, x := range s.targets {
-		t.busy += x.busy
-		t.idle += max(0, s.slots(x)-x.busy)
-	}
-	return t
-}
-
-// Update takes a message and returns what to do; the returned slice may be reused by the next Update.
+// Update takes a message and returns what to do; the returned slice is reused by the next Update.
 func (s *Scheduler) Update(m Msg) []Cmd {
 	s.cmds = s.cmds[:0]
 	switch m := m.(type) {
 	case ArriveMsg:
-		s.arrive(m)
-		s.dispatch(m.Now)
+		s.pass(m.Now)
+		s.arrive(&m)
 	case DoneMsg:
-		s.done(m)
-		s.dispatch(m.Now)
+		s.pass(m.Now)
+		s.done(&m)
 	case CancelMsg:
-		s.cancel(m)
+		s.pass(m.Now)
+		s.cancel(m.ID)
 	case TickMsg:
-		s.dispatch(m.Now)
+		s.pass(m.Now)
 	case TargetsMsg:
-		s.setTargets(m)
-		s.dispatch(m.Now)
+		s.pass(m.Now)
+		s.setTargets(m.Targets)
 	case SharesMsg:
-		s.shares = m.Shares
-		s.dispatch(m.Now)
+		s.pass(m.Now)
+		s.setShares(m.Shares)
+	case QuotasMsg:
+		s.pass(m.Now)
+		s.gate.SetRates(m.Rates)
 	}
+	s.dispatch()
 	return s.cmds
 }
 
-func (s *Scheduler) arrive(m ArriveMsg) {
+// pass lets time go on; it never goes back.
+func (s *Scheduler) pass(t time.Time) {
+	if !s.started {
+		s.started, s.epoch = true, t
+	}
+	s.now = max(s.now, t.Sub(s.epoch))
+}
+
+func (s *Scheduler) arrive(m *ArriveMsg) {
 	if _, ok := s.reqs[m.ID]; ok {
 		return
 	}
-	r := &request{id: m.ID, class: min(m.Class, Background), deadline: m.Deadline, idempotent: m.Idempotent}
-	s.reqs[m.ID] = r
-	if len(s.targets) == 0 {
-		s.end(r, ReasonNoTarget, time.Second)
+	c := queue.Class(min(m.Class, Background))
+	s.meters.arrivals.add(s.now)
+	s.line.Arrived(s.now, c)
+	if c == queue.Urgent {
+		s.urgents, s.urgentAt = true, s.now
+	}
+	r := s.take(m, c)
+	if why, after := s.refuse(m.Team, r); why != "" {
+		s.end(r, why, after)
+		return
+	}
+	if s.line.Len() == 0 && s.pool.Free() > s.held(c) && s.send(r) {
+		return
+	}
+	h, over := s.line.Push(s.now, c, r.deadline, r)
+	if h == queue.None {
+		s.shed(r, ReasonOverload, over)
 		return
 	}
-	s.queue[r.class] = append(s.queue[r.class], r)
+	r.handle = h
 }
 
-func (s *Scheduler) end(r *request, why Reason, after time.Duration) {
-	if r.over {
-		return
+// refuse returns why a request cannot be let in, and when to come back.
+func (s *Scheduler) refuse(team string, r *request) (Reason, time.Duration) {
+	if r.deadline <= s.now {
+		return ReasonDeadline, 0
+	}
+	if s.pool.Listed() == 0 && s.now >= s.emptied+noTargetGrace {
+		return ReasonNoTarget, noTargetRetry
+	}
+	spare := s.line.Len() == 0 && s.pool.Free() > s.held(r.class)
+	v, after := s.gate.Arrive(s.now, team, admit.NewLoad(spare, s.tight(), s.capacity()))
+	switch v {
+	case admit.Over:
+		return ReasonQuota, after
+	case admit.Crowded:
+		return ReasonOverload, after
+	}
+	return "", 0
+}
+
+func (s *Scheduler) tight() bool { return s.shedEver && s.now < s.shedAt+tightFor }
+
+// capacity returns the requests a second that the slots in use can answer, 0 if unknown.
+func (s *Scheduler) capacity() float64 {
+	m := s.line.Mean()
+	if m <= 0 {
+		return 0
 	}
+	return float64(s.pool.Slots()) / m.Seconds()
+}
+
+// shed ends a request that cannot be answered in time.
+func (s *Scheduler) shed(r *request, why Reason, over time.Duration) {
+	s.shedEver, s.shedAt = true, s.now
+	s.end(r, why, min(max(over, minRetryAfter), maxRetryAfter))
+}
+
+// end gives a request its final answer.
+func (s *Scheduler) end(r *request, why Reason, after time.Duration) {
+	s.meters.ended[why]++
+	s.cmds = append(s.cmds, EndCmd{ID: r.id, Reason: why, NotRun: !r.mayHaveRun && !r.sent, RetryAfter: after})
 	r.over = true
 	if !r.sent {
-		delete(s.reqs, r.id)
+		s.forget(r)
 	}
-	s.stats.ended[why]++
-	s.cmds = append(s.cmds, EndCmd{ID: r.id, Reason: why, NotRun: !r.mayHaveRun && !r.sent, RetryAfter: after})
 }
 
-func (s *Scheduler) done(m DoneMsg) {
-	for _, x := range s.targets {
-		if x.name == m.Target {
-			x.busy = max(0, x.busy-1)
-			x.leaving = x.leaving || m.Leaving
-		}
-	}
+func (s *Scheduler) done(m *DoneMsg) {
 	r, ok := s.reqs[m.ID]
-	if !ok || !r.sent || r.last != m.Target {
+	if !ok || !r.sent || r.target != m.Target {
 		return
 	}
 	r.sent = false
+	s.observe(r, m)
 	if m.Result == Answered || m.Result == Withdrawn || r.over {
-		delete(s.reqs, r.id)
+		s.forget(r)
 		return
 	}
 	r.mayHaveRun = r.mayHaveRun || m.Result != NotRun
+	s.again(r, m)
+}
+
+// observe tells the pool and the queue how a send ended.
+func (s *Scheduler) observe(r *request, m *DoneMsg) {
+	var took time.Duration
+	o := route.Bad
 	switch {
-	case r.mayHaveRun && !r.idempotent && m.Result == Failed:
-		s.end(r, ReasonFailed, 0)
-	case r.mayHaveRun && !r.idempotent:
-		s.end(r, ReasonUnknown, 0)
-	case r.attempts >= maxAttempts || s.budget < 1:
-		s.end(r, ReasonRetries, time.Second)
-	default:
-		s.budget--
-		s.queue[r.class] = append(s.queue[r.class], r)
+	case m.Result == Answered:
+		o, took = route.Good, s.now-r.sentAt
+		if !r.over && s.now <= r.deadline {
+			s.meters.goodput.add(s.now)
+		}
+	case m.Result == Withdrawn, m.Leaving, r.over:
+		o = route.Mute
+	}
+	s.line.Finished(r.class, took)
+	s.pool.Done(s.now, m.Target, o)
+	if m.Leaving {
+		s.pool.Leave(s.now, m.Target)
 	}
+	s.line.SetSlots(s.pool.Slots())
 }
 
-func (s *Scheduler) cancel(m CancelMsg) {
-	r, ok := s.reqs[m.ID]
-	if !ok {
+// again queues a request for another send, or ends it.
+func (s *Scheduler) again(r *request, m *DoneMsg) {
+	if r.deadline-s.now < s.line.Mean() || r.deadline <= s.now {
+		s.end(r, lateReason(m.Result), 0)
 		return
 	}
-	s.end(r, ReasonCancelled, 0)
+	switch s.budget.Decide(outcome(m), r.attempts, r.idempotent) {
+	case retry.Stop:
+		s.end(r, stopReason(m.Result), 0)
+	case retry.Spent:
+		s.end(r, spentReason(m.Result), minRetryAfter)
+	default:
+		r.handle = s.line.PushBack(r.class, r.deadline, r)
+	}
 }
 
-func (s *Scheduler) setTargets(m TargetsMsg) {
-	old := map[string]*slotter{}
-	for _, x := range s.targets {
-		old[x.name] = x
+func (s *Scheduler) cancel(id ID) {
+	r, ok := s.reqs[id]
+	if !ok || r.over {
+		return
 	}
-	s.targets = s.targets[:0]
-	for _, t := range m.Targets {
-		x := old[t.name]
-		if x == nil {
-			x = &slotter{}
-		}
-		x.Target = t
-		s.targets = append(s.targets, x)
+	if !r.sent {
+		s.line.Remove(r.handle)
 	}
+	s.end(r, ReasonCancelled, 0)
 }
 
-func (s *Scheduler) slots(x *slotter) int {
-	if n, ok := s.shares[x.name]; ok {
-		return n
+func (s *Scheduler) setTargets(l []Target) {
+	if len(l) == 0 && s.pool.Listed() > 0 {
+		s.emptied = s.now
 	}
-	return x.Target.slots
+	s.targets = append(s.targets[:0], l...)
+	t := make([]route.Target, 0, len(l))
+	for _, x := range l {
+		t = append(t, route.NewTarget(x.name, x.rack, s.slots(x)))
+	}
+	s.pool.Set(s.now, t)
+	s.line.SetSlots(s.pool.Slots())
 }
 
-func (s *Scheduler) pick(avoid string) *slotter {
-	var best *slotter
+func (s *Scheduler) setShares(m map[string]int) {
+	s.shares = m
 	for _, x := range s.targets {
-		if x.leaving || x.busy >= s.slots(x) {
-			continue
-		}
-		if best == nil || best.name == avoid || x.name != avoid && x.busy < best.busy {
-			best = x
-		}
-	}
-	return best
-}
-
-func (s *Scheduler) dispatch(now time.Time) {
-	for c := range s.queue {
-		for len(s.queue[c]) > 0 {
-			r := s.queue[c][0]
-			if r.over || !now.Before(r.deadline) {
-				s.end(r, ReasonDeadline, 0)
-				s.queue[c] = s.queue[c][1:]
-				continue
-			}
-			x := s.pick(r.last)
-			if x == nil {
-				return
-			}
-			s.queue[c] = s.queue[c][1:]
-			s.send(r, x)
-		}
+		s.pool.SetSlots(x.name, s.slots(x))
 	}
+	s.line.SetSlots(s.pool.Slots())
 }
 
-func (s *Scheduler) send(r *request, x *slotter) {
-	if r.attempts == 0 {
-		s.budget = min(s.retryBurst, s.budget+s.retryShare)
+// slots returns the slots that this entry may use at the target.
+func (s *Scheduler) slots(t Target) int {
+	if n, ok := s.shares[t.name]; ok {
+		return n
 	}
-	x.busy++
-	r.attempts++
-	r.sent, r.last = true, x.name
-	s.cmds = append(s.cmds, SendCmd{ID: r.id, Target: x.name, Attempt: r.attempts})
+	return t.slots
 }
--- a/flow/sched/stats.go
+++ b/flow/sched/stats.go
@@ -1,11 +1,17 @@
 package sched
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"burdockreach.dev/flow/queue"
+)
 
 // Stats is what a Scheduler counts.
 type Stats struct {
 	queued            [3]int
-	busy, idle        int
+	busy, idle, slots int
+	targets, ejected  int
 	ended             map[Reason]int64
 	arrivals, goodput float64
 	service           time.Duration
@@ -20,14 +26,75 @@
 // Idle returns the number of slots that this entry may use and leaves idle.
 func (s Stats) Idle() int { return s.idle }
 
+// Slots returns the number of slots, idle or not, at the targets in use.
+func (s Stats) Slots() int { return s.slots }
+
+// Targets returns the number of targets in use.
+func (s Stats) Targets() int { return s.targets }
+
+// Ejected returns the number of targets that get only trials.
+func (s Stats) Ejected() int { return s.ejected }
+
 // Ended returns the number of requests that ended for the reason since the start.
 func (s Stats) Ended(r Reason) int64 { return s.ended[r] }
 
 // Arrivals returns the lately arrived requests a second.
 func (s Stats) Arrivals() float64 { return s.arrivals }
 
-// Goodput returns the lately answered requests a second.
+// Goodput returns the requests a second that were lately answered in time.
 func (s Stats) Goodput() float64 { return s.goodput }
 
 // ServiceTime returns the learned mean time that a send takes.
 func (s Stats) ServiceTime() time.Duration { return s.service }
+
+// Stats returns what the scheduler counts.
+func (s *Scheduler) Stats() Stats {
+	t := Stats{
+		busy: s.pool.Busy(), idle: s.pool.Free(), slots: s.pool.Slots(),
+		targets: s.pool.Usable(), ejected: s.pool.Ejected(),
+		ended:    maps.Clone(s.meters.ended),
+		arrivals: s.meters.arrivals.rate(s.now), goodput: s.meters.goodput.rate(s.now),
+		service: s.line.Mean(),
+	}
+	for c := range t.queued {
+		t.queued[c] = s.line.Waiting(queue.Class(c))
+	}
+	return t
+}
+
+// meters counts what happens.
+type meters struct {
+	ended             map[Reason]int64
+	arrivals, goodput meter
+}
+
+func newMeters() meters { return meters{ended: map[Reason]int64{}} }
+
+const meterWindow = time.Second
+
+// meter counts events in windows of a second and keeps the last whole one.
+type meter struct {
+	from       time.Duration
+	count, was float64
+}
+
+func (m *meter) add(now time.Duration) {
+	m.turn(now)
+	m.count++
+}
+
+func (m *meter) turn(now time.Duration) {
+	switch d := now - m.from; {
+	case d < meterWindow:
+	case d < 2*meterWindow:
+		m.from, m.was, m.count = m.from+meterWindow, m.count, 0
+	default:
+		m.from, m.was, m.count = now, 0, 0
+	}
+}
+
+// rate returns the events a second of the last whole window.
+func (m *meter) rate(now time.Duration) float64 {
+	m.turn(now)
+	return m.was / meterWindow.Seconds()
+}
