Look at a connection without allocating, and at a caller only after it waited

Cause: the profile showed a peek at both connections of each request, 55 of 100 allocations. Ruled out: dropping the peek before a send, which a target's close of an idle connection needs.

--- a/node/conns/conns.go
+++ b/node/conns/conns.go
@@ -75,6 +75,7 @@
 	w       *bufio.Writer
 	written int64
 	last    time.Time
+	probe   *probe
 }
 
 // Write counts the bytes that have left.
@@ -153,7 +154,7 @@
 		if c == nil {
 			break
 		}
-		if now.Sub(c.last) < p.idle && quiet(c.Conn) {
+		if now.Sub(c.last) < p.idle && c.quiet() {
 			return c, true, nil
 		}
 		p.drop(c)
@@ -189,7 +190,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "step=connect peer=%s: %v", p.addr, err)
 	}
-	c := &conn{Conn: n}
+	c := &conn{Conn: n, probe: newProbe(n)}
 	c.r = bufio.NewReaderSize(n, bufferSize)
 	c.w = bufio.NewWriterSize(c, bufferSize)
 	p.mu.Lock()
--- a/node/conns/conns_test.go
+++ b/node/conns/conns_test.go
@@ -149,7 +149,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.free {
-		for quiet(c.Conn) {
+		for c.quiet() {
 			time.Sleep(time.Millisecond)
 		}
 	}
--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -88,7 +88,7 @@
 
 // try makes one attempt and reports whether the caller has its final answer.
 func (c *call) try(ctx context.Context, m sched.SendCmd) bool {
-	if m.Attempt == 1 && conns.Gone(c.x.Conn()) {
+	if m.Attempt == 1 && time.Since(c.start) > goneAfter && conns.Gone(c.x.Conn()) {
 		c.done(m, sched.Withdrawn, false)
 		c.e.count.cancelled.Add(1)
 		c.x.Response.Reset()
@@ -149,6 +149,9 @@
 	return c.deadline.Add(-left / 2)
 }
 
+// goneAfter is the least wait after which a caller may have gone away.
+const goneAfter = 5 * time.Millisecond
+
 // minSplit is the least time left that is worth two attempts.
 const minSplit = 200 * time.Millisecond
 
