Give operators their commands

One program with subcommands for entries and operators. A change that is put by flags is read, changed and written on condition that nobody changed the object meanwhile, so racing edits are refused instead of lost. A lost answer is settled at every entry given; when none knows, the command says so and how to ask again. A change is sent to a second entry only if the first certainly was not reached.

--- /dev/null
+++ b/cmd/burdockreach/link.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/node/oper"
+)
+
+const (
+	entriesVar     = "BURDOCKREACH_ENTRIES"
+	tokenVar       = "BURDOCKREACH_TOKEN_FILE"
+	maxTokenBytes  = 4 << 10
+	maxReplyBytes  = 64 << 20
+	dialTimeout    = 2 * time.Second
+	defaultTimeout = 10 * time.Second
+	maxEntries     = 64 // entries asked at once
+)
+
+var (
+	// errNotSent reports a request that never reached the entry.
+	errNotSent = eris.New("entry cannot be reached")
+	// errLost reports a request whose answer did not come.
+	errLost = eris.New("no answer from the entry")
+)
+
+// link reaches the entries' operators' API.
+type link struct {
+	app       *app
+	entries   string
+	tokenFile string
+	timeout   time.Duration
+	asJSON    bool
+	token     string
+	client    *fasthttp.Client
+}
+
+func (a *app) newLink() *link { return &link{app: a} }
+
+// flags defines the flags by which a command finds the entries.
+func (l *link) flags(f *flag.FlagSet) {
+	f.StringVar(&l.entries, "entries", os.Getenv(entriesVar), "operator addresses of entries, IP:port, separated by commas; default from "+entriesVar)
+	f.StringVar(&l.tokenFile, "operator-token-file", os.Getenv(tokenVar), "file with the operator's token; default from "+tokenVar)
+	f.DurationVar(&l.timeout, "timeout", defaultTimeout, "longest wait for an answer")
+	f.BoolVar(&l.asJSON, "json", false, "write JSON")
+}
+
+// open reads the token and returns the addresses of the entries.
+func (l *link) open() ([]string, error) {
+	var as []string
+	for _, s := range strings.Split(l.entries, ",") {
+		s = strings.TrimSpace(s)
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			return nil, eris.Wrapf(errUsage, "-entries: %q is not allowed; allowed: IP:port, separated by commas", s)
+		}
+		as = append(as, s)
+	}
+	if l.tokenFile == "" {
+		return nil, eris.Wrapf(errUsage, "-operator-token-file is missing; it may also come from %s", tokenVar)
+	}
+	b, err := os.ReadFile(l.tokenFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the operator's token")
+	}
+	l.token = strings.TrimSpace(string(b))
+	if l.token == "" || len(l.token) > maxTokenBytes || strings.ContainsAny(l.token, "\r\n") {
+		return nil, eris.Errorf("%s: a token is one line of 1 to %d bytes", l.tokenFile, maxTokenBytes)
+	}
+	l.client = &fasthttp.Client{
+		Dial: dial, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize: maxReplyBytes, NoDefaultUserAgentHeader: true,
+	}
+	return as, nil
+}
+
+// dial marks a failure to connect, after which nothing was sent.
+func dial(addr string) (net.Conn, error) {
+	c, err := fasthttp.DialTimeout(addr, dialTimeout)
+	if err != nil {
+		return nil, errors.Join(errNotSent, err)
+	}
+	return c, nil
+}
+
+// call sends one request to one entry and reads the answer into v when the status is one of ok, and as a refusal otherwise.
+func (l *link) call(c context.Context, addr, method, path string, body []byte, v any, ok ...int) error {
+	q, r := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(r)
+	q.SetRequestURI("http://" + addr + path)
+	q.Header.SetMethod(method)
+	q.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+l.token)
+	q.SetBody(body)
+	t := time.Now().Add(l.timeout)
+	if d, set := c.Deadline(); set && d.Before(t) {
+		t = d
+	}
+	if err := l.client.DoDeadline(q, r, t); err != nil {
+		if errors.Is(err, errNotSent) {
+			return eris.Wrapf(errNotSent, "%s", addr)
+		}
+		return eris.Wrapf(errLost, "%s: %v", addr, err)
+	}
+	for _, s := range append(ok, fasthttp.StatusOK) {
+		if r.StatusCode() == s {
+			return eris.Wrapf(json.Unmarshal(r.Body(), v), "%s: read answer", addr)
+		}
+	}
+	return refusal(addr, r)
+}
+
+// refusal returns what the entry said instead of serving the request.
+func refusal(addr string, r *fasthttp.Response) error {
+	var f oper.Refusal
+	if json.Unmarshal(r.Body(), &f) != nil || f.Reason == "" {
+		return eris.Errorf("%s: status %d", addr, r.StatusCode())
+	}
+	if f.Field != "" {
+		return eris.Errorf("%s: %s: %s: %s is not allowed; allowed: %s", addr, f.Reason, f.Field, f.Value, f.Allowed)
+	}
+	return eris.Errorf("%s: %s", addr, f.Reason)
+}
+
+// get asks the entries in turn until one answers.
+func (l *link) get(c context.Context, path string, v any) error {
+	as, err := l.open()
+	if err != nil {
+		return err
+	}
+	for _, a := range as {
+		err = l.call(c, a, fasthttp.MethodGet, path, nil, v)
+		if !errors.Is(err, errNotSent) && !errors.Is(err, errLost) {
+			return err
+		}
+	}
+	return err
+}
+
+// reply is what one entry answered.
+type reply[T any] struct {
+	addr  string
+	value T
+	err   error
+}
+
+// askAll asks every entry at once.
+func askAll[T any](c context.Context, l *link, path string) ([]reply[T], error) {
+	as, err := l.open()
+	if err != nil {
+		return nil, err
+	}
+	return askEach[T](c, l, as, path), nil
+}
+
+// askEach asks the entries at as at once.
+func askEach[T any](c context.Context, l *link, as []string, path string) []reply[T] {
+	rs := make([]reply[T], len(as))
+	var g errgroup.Group
+	g.SetLimit(maxEntries)
+	for i, a := range as {
+		g.Go(func() error {
+			rs[i].addr = a
+			rs[i].err = l.call(c, a, fasthttp.MethodGet, path, nil, &rs[i].value)
+			return nil
+		})
+	}
+	_ = g.Wait() // each reply holds its own error.
+	return rs
+}
--- a/cmd/burdockreach/main_test.go
+++ b/cmd/burdockreach/main_test.go
@@ -1,5 +1,290 @@
 package main
 
-import "testing"
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
 
-func TestMainReturns(t *testing.T) { t.Helper(); main() }
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/node/burn"
+	"burdockreach.dev/node/oper"
+	"burdockreach.dev/plat/conf"
+)
+
+const (
+	operatorToken = "operators-token"
+	teamToken     = "a-token-of-the-desk-team"
+)
+
+// fake is an entry's needs of the operators' API; its configuration is shared with the other fakes.
+type fake struct {
+	*shared
+	name  string
+	seen  func(n conf.Number) conf.Number // what of the newest number the entry has in force
+	beats []oper.Entry
+	loses bool // answers to changes
+}
+
+// shared is the configuration that all fakes see.
+type shared struct {
+	mu  sync.Mutex
+	doc *conf.Document
+	log []conf.Change
+}
+
+func (s *fake) Document() *conf.Document {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen == nil {
+		return s.doc
+	}
+	d := conf.NewDocument()
+	for _, g := range s.log[:s.seen(s.doc.Number())] {
+		d, _ = d.Apply(g)
+	}
+	return d
+}
+
+func (s *fake) At(n conf.Number) (conf.Change, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n < 1 || int(n) > len(s.log) {
+		return conf.Change{}, false
+	}
+	return s.log[n-1], true
+}
+
+func (s *fake) Commit(_ context.Context, g conf.Change) (conf.Number, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.Number = s.doc.Number() + 1
+	d, err := s.doc.Apply(g)
+	if err != nil {
+		return 0, eris.Wrap(err, "commit")
+	}
+	s.doc, s.log = d, append(s.log, g)
+	if s.loses {
+		return 0, eris.Wrap(conf.ErrUnsettled, "commit")
+	}
+	return g.Number, nil
+}
+
+func (s *fake) Settle(_ context.Context, op string) (conf.Number, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loses {
+		return 0, eris.Wrap(conf.ErrUnsettled, "settle")
+	}
+	for _, g := range s.log {
+		if g.Op == op {
+			return g.Number, nil
+		}
+	}
+	return 0, eris.Wrap(conf.ErrNotAccepted, "settle")
+}
+
+func (s *fake) VMs() []oper.VM {
+	return []oper.VM{{ID: "vm-1", Pool: "kitchen", State: "serving by " + s.name, DataCentre: s.name[:1]}}
+}
+
+func (s *fake) Entries() []oper.Entry {
+	self := oper.Entry{Entry: s.name, DataCentre: s.name[:1], Self: true, Heard: true, Applied: s.Document().Number()}
+	return append([]oper.Entry{self}, s.beats...)
+}
+
+func (s *fake) Report(now time.Time) burn.Report {
+	b := burn.New(s.name, s.name[:1], now)
+	b.Update(burn.ObjectiveMsg{Service: "orders", Profile: "gold", Objective: 0.9})
+	b.Update(burn.CountMsg{Now: now, Key: burn.Key{Service: "orders", Class: "urgent"}, Counts: burn.Counts{Good: 9, Late: 1}})
+	b.Update(burn.TickMsg{Now: now})
+	return b.Report()
+}
+
+// site is some fakes behind real operators' APIs on loopback.
+type site struct {
+	t     *testing.T
+	dir   string
+	addrs []string
+}
+
+func newSite(t *testing.T, fakes ...*fake) *site {
+	t.Helper()
+	s := &site{t: t, dir: t.TempDir()}
+	d := sha256.Sum256([]byte(operatorToken))
+	c, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	all := &shared{doc: conf.NewDocument()}
+	for _, f := range fakes {
+		f.shared = all
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.addrs = append(s.addrs, l.Addr().String())
+		a := oper.New(f.name, []string{hex.EncodeToString(d[:])}, f, f, f)
+		g.Go(func() error { return a.ServeListener(c, l) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	s.write("operator", operatorToken+"\n")
+	return s
+}
+
+// write makes a file and returns its path.
+func (s *site) write(name, text string) string {
+	p := filepath.Join(s.dir, name)
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return p
+}
+
+// run executes words, with the flags of the link after the command's words, and returns the status and both outputs together.
+func (s *site) run(stdin string, words ...string) (int, string) {
+	s.t.Helper()
+	i := 1
+	for i < len(words) && !strings.HasPrefix(words[i], "-") && i < 2 && !strings.Contains("approve withdraw", words[0]) {
+		i++
+	}
+	link := []string{"-entries", strings.Join(s.addrs, ","), "-operator-token-file", filepath.Join(s.dir, "operator")}
+	args := append(append(append([]string{}, words[:i]...), link...), words[i:]...)
+	var b bytes.Buffer
+	n := newApp(strings.NewReader(stdin), &b, &b).run(context.Background(), args)
+	return int(n), b.String()
+}
+
+// assertRun checks the status and a part of what was written.
+func (s *site) assertRun(want int, part string, words ...string) {
+	s.t.Helper()
+	if got, out := s.run(teamToken+"\n", words...); got != want || !strings.Contains(out, part) {
+		s.t.Fatalf("%v: status %d, want %d with %q in:\n%s", words, got, want, part, out)
+	}
+}
+
+func TestWalkThrough(t *testing.T) {
+	s := newSite(t, &fake{name: "a1"}, &fake{name: "b1"})
+	s.assertRun(0, "accepted as change 1", "profile", "put", "-max-out", "2", "-objective", "0.99", "gold")
+	s.assertRun(0, "accepted as change 2", "pool", "put", "kitchen")
+	s.assertRun(0, "accepted as change 3", "service", "put", "-profile", "gold", "-pool", "kitchen", "orders")
+	s.assertRun(0, "accepted as change 4", "team", "put", "-token-file", "-", "-quota", "50", "desk")
+	s.assertRun(0, "change 5 is in force on all 2 entries", "approve", "-wait", "5s", "desk", "orders")
+	s.assertRun(0, "change 5 is in force on all 2 entries", "wait", "-latest")
+	s.assertRun(0, "accepted as change 6", "profile", "put", "-max-out", "3", "gold")
+	s.assertRun(0, "gold     1        10000    3", "profile", "list")
+	s.assertRun(0, `"objective": 0.99`, "profile", "show", "gold") // kept from the first put
+	s.assertRun(0, "desk  orders   5", "approval", "list", "-team", "desk")
+	s.assertRun(0, "accepted as change 7", "wave", "put", "-pools", "kitchen", "week-9")
+	s.assertRun(0, "week-9  kitchen  no", "wave", "list")
+	s.assertRun(0, "accepted as change 8", "withdraw", "desk", "orders")
+	s.assertRun(1, "not accepted: not valid: approval: desk/orders is not allowed; allowed: an existing approval", "withdraw", "desk", "orders")
+	s.assertRun(1, "a profile that no service uses", "profile", "drop", "gold")
+	s.assertRun(0, "accepted as change 9", "service", "drop", "orders")
+	s.assertRun(0, "serving by a1", "vm", "list", "-pool", "kitchen")
+	s.assertRun(0, "a1     a            yes", "status")
+	s.assertRun(0, "orders   urgent  gold     90%        20        2     0       0        100.0%", "report")
+}
+
+func TestTokensStayHere(t *testing.T) {
+	i := is.New(t)
+	s := newSite(t, &fake{name: "a1"})
+	_, out := s.run(teamToken, "team", "put", "-token-file", "-", "desk")
+	_, list := s.run("", "team", "show", "-json", "desk")
+	d := sha256.Sum256([]byte(teamToken))
+	i.True(strings.Contains(list, hex.EncodeToString(d[:])))
+	i.True(!strings.Contains(out+list, teamToken))
+	s.assertRun(2, "a new team needs -token-file", "team", "put", "till")
+	s.assertRun(0, "accepted as change 2", "team", "put", "-quota", "7", "desk") // keeps the token
+	i.True(!strings.Contains(list, operatorToken))
+}
+
+func TestRacingEditsAreRefused(t *testing.T) {
+	s := newSite(t, &fake{name: "a1", seen: func(n conf.Number) conf.Number { return min(n, 1) }}, &fake{name: "b1"})
+	s.assertRun(0, "accepted as change 1", "pool", "put", "kitchen")
+	s.assertRun(0, "accepted as change 2", "pool", "put", "-spare", "kitchen")
+	s.assertRun(1, "not accepted: not valid: expect: 1 is not allowed; allowed: 2, the object's last change", "pool", "put", "-spare=false", "kitchen")
+}
+
+func TestUnknownOutcomes(t *testing.T) {
+	a, b := &fake{name: "a1", loses: true}, &fake{name: "b1", loses: true}
+	s := newSite(t, a, b)
+	s.assertRun(1, "ask again with: burdockreach change -op op-7", "pool", "put", "-op", "op-7", "kitchen")
+	b.loses = false
+	s.assertRun(0, "accepted as change 1", "change", "-op", "op-7")
+	s.assertRun(0, "accepted as change 2", "pool", "put", "oven") // the other entry settles it
+	s.assertRun(1, "not accepted", "change", "-op", "never")
+}
+
+func TestWaitNamesWhoLacksTheChange(t *testing.T) {
+	behind := &fake{name: "b1", seen: func(conf.Number) conf.Number { return 0 }}
+	s := newSite(t, &fake{name: "a1", beats: []oper.Entry{{Entry: "b1"}, {Entry: "c1", Heard: false}}}, behind)
+	s.assertRun(0, "accepted as change 1", "pool", "put", "kitchen")
+	s.assertRun(1, "is not in force everywhere after 200ms: b1 has 0; c1 is not heard by a1", "wait", "-change", "1", "-longest", "200ms")
+}
+
+func TestUnreachableEntries(t *testing.T) {
+	s := newSite(t, &fake{name: "a1"})
+	up := s.addrs[0]
+	s.addrs = []string{"127.0.0.1:1", up}
+	s.assertRun(0, "accepted as change 1", "pool", "put", "kitchen")
+	s.assertRun(0, "not heard: 127.0.0.1:1: entry cannot be reached", "report")
+	s.addrs = []string{"127.0.0.1:1"}
+	s.assertRun(1, "not accepted: no entry was reached: 127.0.0.1:1", "pool", "drop", "kitchen")
+}
+
+func TestWrongCommandLines(t *testing.T) {
+	s := newSite(t, &fake{name: "a1"})
+	good := map[string]any{"name": "a1", "dataCentre": "a", "dataCentres": []string{"a"}, "callerAddr": "127.0.0.1:1",
+		"peerAddr": "127.0.0.1:2", "operatorAddr": "127.0.0.1:3", "platformAddr": "127.0.0.1:4"}
+	b, _ := json.Marshal(good)
+	allowed := s.write("good.json", string(b))
+	good["tickMs"] = 1
+	b, _ = json.Marshal(good)
+	bad := s.write("bad.json", string(b))
+	for _, c := range []struct {
+		status int
+		part   string
+		words  []string
+	}{
+		{0, "allowed, for entry a1 of data centre a", []string{"check", allowed}},
+		{2, "bad.json: tickMs: 1 is not allowed; allowed: a whole number from 50 to 10000", []string{"check", bad}},
+		{2, "no such file", []string{"check", "none.json"}},
+		{2, "tickMs", []string{"entry", "-settings", bad}},
+		{2, "-settings is missing", []string{"entry"}},
+		{2, "Usage: burdockreach", []string{"none"}},
+		{2, `profile "none" is not a command`, []string{"profile", "none"}},
+		{2, "flag provided but not defined: -none", []string{"profile", "put", "-none", "x"}},
+		{2, "invalid value", []string{"profile", "put", "-max-out", "x", "gold"}},
+		{2, `-entries: "host:1" is not allowed`, []string{"status", "-entries", "host:1"}},
+		{0, "burdockreach ", []string{"version"}},
+	} {
+		t.Run(strings.Join(c.words, " "), func(t *testing.T) {
+			var o bytes.Buffer
+			n := newApp(strings.NewReader(""), &o, &o).run(context.Background(), c.words)
+			i := is.New(t)
+			i.Equal(int(n), c.status)
+			i.True(strings.Contains(o.String(), c.part))
+			i.True(!strings.Contains(o.String(), ".go:")) // no stack
+		})
+	}
+	s.assertRun(0, "accepted as change 1", "pool", "put", "-file", s.write("pool.json", `{"name":"oven","spare":true}`))
+	s.assertRun(1, "unknown field", "pool", "put", "-file", s.write("pool2.json", `{"name":"oven","size":1}`))
+	s.write("operator", "wrong")
+	s.assertRun(1, "no operator's token, or one that this entry does not know", "pool", "list")
+}
--- /dev/null
+++ b/cmd/burdockreach/report.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/node/burn"
+)
+
+// reportCommand merges the service-level burn of all entries.
+func (a *app) reportCommand() *command {
+	l, svg := a.newLink(), ""
+	return &command{
+		app: a, name: "report", synopsis: "report the service-level burn of all entries together", usage: program + " report [flags]",
+		flags: func(f *flag.FlagSet) {
+			l.flags(f)
+			f.StringVar(&svg, "svg", "", "file that gets the picture")
+		},
+		run: func(c context.Context, _ *flag.FlagSet) error {
+			r, err := l.burn(c)
+			if err != nil {
+				return err
+			}
+			if svg != "" {
+				if err := writeSVG(r, svg); err != nil {
+					return err
+				}
+			}
+			if l.asJSON {
+				return a.writeJSON(r)
+			}
+			return r.WriteText(a.out)
+		},
+	}
+}
+
+// burn asks every entry and merges the answers; entries that gave none are named in the report.
+func (l *link) burn(c context.Context) (burn.Report, error) {
+	rs, err := askAll[burn.Report](c, l, "/op/burn")
+	if err != nil {
+		return burn.Report{}, err
+	}
+	var all []burn.Report
+	heard := false
+	for _, r := range rs {
+		if r.err != nil {
+			all = append(all, burn.Report{Entries: []burn.EntryReport{{Entry: r.addr, Unheard: eris.ToString(r.err, false)}}})
+			continue
+		}
+		heard = true
+		all = append(all, r.value)
+	}
+	if !heard {
+		return burn.Report{}, eris.Wrap(rs[0].err, "no entry answered")
+	}
+	return burn.Merge(all...), nil
+}
+
+func writeSVG(r burn.Report, path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "create picture")
+	}
+	if err := r.WriteSVG(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return eris.Wrap(f.Close(), "write picture")
+}
+
+// waveProgress tells how far a wave has come in each data centre.
+func (l *link) waveProgress(c context.Context, id string) error {
+	r, err := l.burn(c)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, w := range r.Waves {
+		if w.ID != id {
+			continue
+		}
+		took := "running"
+		if !w.Ended.IsZero() {
+			took = fmt.Sprint(w.Ended.Sub(w.Started).Round(time.Second / 10))
+		}
+		rows = append(rows, texts(w.DataCentre, w.Done, w.Total, took))
+	}
+	return l.app.table([]string{"DATA CENTRE", "DONE", "OF", "TOOK"}, rows)
+}
--- /dev/null
+++ b/cmd/burdockreach/settings.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/node/setup"
+)
+
+// errSettings marks settings or flags whose faults were told; the status is 2.
+var errSettings = eris.New("settings are not allowed")
+
+// load reads settings and tells every fault.
+func (a *app) load(path string) (setup.Settings, error) {
+	s, err := setup.Load(path)
+	var e *setup.Error
+	if errors.As(err, &e) {
+		for _, f := range e.Faults() {
+			a.complain("%s: %s\n", path, f)
+		}
+		return s, errSettings
+	}
+	if err != nil {
+		a.complain("%s: %s\n", path, eris.ToString(err, false))
+		return s, errSettings
+	}
+	return s, nil
+}
+
+// checkCommand checks a settings file.
+func (a *app) checkCommand() *command {
+	return &command{
+		app: a, name: "check", synopsis: "check a settings file; status 2 if it is not allowed", usage: program + " check FILE",
+		run: func(_ context.Context, f *flag.FlagSet) error {
+			path, err := oneArg(f)
+			if err != nil {
+				return err
+			}
+			s, err := a.load(path)
+			if err != nil {
+				return err
+			}
+			return a.say("%s: allowed, for entry %s of data centre %s\n", path, s.Name(), s.DataCentre())
+		},
+	}
+}
+
+// versionCommand tells which program this is.
+func (a *app) versionCommand() *command {
+	return &command{
+		app: a, name: "version", synopsis: "tell the program's version", usage: program + " version",
+		run: func(context.Context, *flag.FlagSet) error {
+			v := "unknown"
+			if b, ok := debug.ReadBuildInfo(); ok {
+				v = b.Main.Version
+			}
+			return a.say("%s %s, %s\n", program, v, runtime.Version())
+		},
+	}
+}
--- /dev/null
+++ b/cmd/burdockreach/state.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/node/oper"
+)
+
+// vmCommand lists and shows VMs.
+func (a *app) vmCommand() *command {
+	l, pool, state, dc := a.newLink(), "", "", ""
+	s := a.newLink()
+	return a.group("vm", "list or show VMs",
+		&command{
+			app: a, name: "list", synopsis: "list VMs", usage: program + " vm list [flags]",
+			flags: func(f *flag.FlagSet) {
+				l.flags(f)
+				f.StringVar(&pool, "pool", "", "only of this pool")
+				f.StringVar(&state, "state", "", "only in this state")
+				f.StringVar(&dc, "data-centre", "", "only in this data centre")
+			},
+			run: func(c context.Context, _ *flag.FlagSet) error {
+				vs, err := l.vms(c, "?pool="+escape(pool)+"&state="+escape(state)+"&dataCentre="+escape(dc))
+				if err != nil {
+					return err
+				}
+				return l.writeVMs(vs)
+			},
+		},
+		&command{
+			app: a, name: "show", synopsis: "show one VM", usage: program + " vm show [flags] NAME", flags: s.flags,
+			run: func(c context.Context, f *flag.FlagSet) error {
+				name, err := oneArg(f)
+				if err != nil {
+					return err
+				}
+				vs, err := s.vms(c, "?name="+escape(name))
+				if err != nil {
+					return err
+				}
+				return s.writeVMs(vs)
+			},
+		})
+}
+
+// vms asks every entry for VMs; of a VM, the word of an entry in its own data centre counts first.
+func (l *link) vms(c context.Context, query string) ([]oper.VM, error) {
+	rs, err := askAll[oper.VMs](c, l, "/op/vms"+query)
+	if err != nil {
+		return nil, err
+	}
+	homes := l.homes(c)
+	vms, near := make(map[string]oper.VM), make(map[string]bool)
+	heard := false
+	for _, r := range rs {
+		heard = heard || r.err == nil
+		for _, v := range r.value.Items {
+			at := homes[r.addr] == v.DataCentre
+			if _, known := vms[v.ID]; !known || at && !near[v.ID] {
+				vms[v.ID], near[v.ID] = v, at
+			}
+		}
+	}
+	if !heard {
+		return nil, eris.Wrap(rs[0].err, "no entry answered")
+	}
+	vs := make([]oper.VM, 0, len(vms))
+	for _, v := range vms {
+		vs = append(vs, v)
+	}
+	slices.SortFunc(vs, func(a, b oper.VM) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.ID, b.ID))
+	})
+	return vs, nil
+}
+
+// homes returns the data centre of each entry that answers, by its operator address.
+func (l *link) homes(c context.Context) map[string]string {
+	m := make(map[string]string)
+	rs, err := askAll[oper.Entries](c, l, "/op/entries")
+	if err != nil {
+		return m
+	}
+	for _, r := range rs {
+		for _, e := range r.value.Items {
+			if e.Self {
+				m[r.addr] = e.DataCentre
+			}
+		}
+	}
+	return m
+}
+
+func (l *link) writeVMs(vs []oper.VM) error {
+	if l.asJSON {
+		return l.app.writeJSON(oper.VMs{Items: vs})
+	}
+	var rows [][]string
+	for _, v := range vs {
+		rows = append(rows, texts(v.ID, v.Pool, v.State, v.Platform, v.DataCentre, v.Rack, v.Addr, v.Wave, v.Boot))
+	}
+	return l.app.table([]string{"VM", "POOL", "STATE", "PLATFORM", "DATA CENTRE", "RACK", "ADDRESS", "WAVE", "BOOT"}, rows)
+}
+
+// statusCommand tells of entries and pools.
+func (a *app) statusCommand() *command {
+	l := a.newLink()
+	return &command{
+		app: a, name: "status", synopsis: "tell the state of entries and pools", usage: program + " status [flags]", flags: l.flags,
+		run: func(c context.Context, _ *flag.FlagSet) error {
+			es, lost, err := l.status(c)
+			if err != nil {
+				return err
+			}
+			vs, err := l.vms(c, "")
+			if err != nil {
+				return err
+			}
+			if l.asJSON {
+				return a.writeJSON(statusReport{Entries: es, NoAnswer: lost, VMs: vs})
+			}
+			return a.writeStatus(es, lost, vs)
+		},
+	}
+}
+
+// statusReport is the answer of status in JSON.
+type statusReport struct {
+	Entries  []oper.Entry `json:"entries"`
+	NoAnswer []string     `json:"noAnswer"`
+	VMs      []oper.VM    `json:"vms"`
+}
+
+// status returns the entries, and the addresses that gave no answer. What an entry says of itself goes before what others say of it.
+func (l *link) status(c context.Context) ([]oper.Entry, []string, error) {
+	rs, err := askAll[oper.Entries](c, l, "/op/entries")
+	if err != nil {
+		return nil, nil, err
+	}
+	es, lost := make(map[string]oper.Entry), []string{}
+	for _, r := range rs {
+		if r.err != nil {
+			lost = append(lost, eris.ToString(r.err, false))
+		}
+		for _, e := range r.value.Items {
+			if o, known := es[e.Entry]; !known || e.Self || !o.Self && !o.Heard {
+				es[e.Entry] = e
+			}
+		}
+	}
+	l2 := make([]oper.Entry, 0, len(es))
+	for _, e := range es {
+		l2 = append(l2, e)
+	}
+	slices.SortFunc(l2, func(a, b oper.Entry) int { return cmp.Compare(a.Entry, b.Entry) })
+	return l2, lost, nil
+}
+
+func (a *app) writeStatus(es []oper.Entry, lost []string, vs []oper.VM) error {
+	var rows [][]string
+	for _, e := range es {
+		rows = append(rows, texts(e.Entry, e.DataCentre, e.Heard, e.Leader, e.Leaving, e.Applied, e.Roster, e.PeerAddr))
+	}
+	if err := a.table([]string{"ENTRY", "DATA CENTRE", "HEARD", "LEADER", "LEAVING", "APPLIED", "ROSTER", "PEER ADDRESS"}, rows); err != nil {
+		return err
+	}
+	for _, s := range lost {
+		if err := a.say("no answer: %s\n", s); err != nil {
+			return err
+		}
+	}
+	if err := a.say("\n"); err != nil {
+		return err
+	}
+	return a.table([]string{"POOL", "DATA CENTRE", "STATE", "VMS"}, poolRows(vs))
+}
+
+// poolRows counts VMs by pool, data centre and state.
+func poolRows(vs []oper.VM) [][]string {
+	type group struct{ pool, dc, state string }
+	n := make(map[group]int)
+	for _, v := range vs {
+		n[group{v.Pool, v.DataCentre, v.State}]++
+	}
+	var rows [][]string
+	for g, c := range n {
+		rows = append(rows, []string{g.pool, g.dc, g.state, fmt.Sprint(c)})
+	}
+	slices.SortFunc(rows, slices.Compare)
+	return rows
+}
--- /dev/null
+++ b/cmd/burdockreach/submit.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"os/user"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"burdockreach.dev/node/oper"
+	"burdockreach.dev/plat/conf"
+)
+
+// submitter sends changes and tells what became of them.
+type submitter struct {
+	*link
+	op, by  string
+	expect  int64
+	inForce time.Duration
+}
+
+func (a *app) newSubmitter() *submitter { return &submitter{link: a.newLink()} }
+
+// flags defines the flags of commands that change the configuration.
+func (s *submitter) flags(f *flag.FlagSet) {
+	s.link.flags(f)
+	f.StringVar(&s.op, "op", "", "id of the operation, by which a lost answer is settled; default a new one")
+	f.StringVar(&s.by, "by", userName(), "name of the operator, for the log")
+	f.Int64Var(&s.expect, "expect", 0, "number of the change that must be the object's latest; -1 demands that it does not exist, 0 is any")
+	f.DurationVar(&s.inForce, "wait", 0, "longest wait until the change is in force on every entry; 0 does not wait")
+}
+
+// userName returns who runs the command.
+func userName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+// submit sends the change, says what became of it and waits until it is in force if that is asked for.
+func (s *submitter) submit(c context.Context, g conf.Change) error {
+	as, err := s.open()
+	if err != nil {
+		return err
+	}
+	if s.op == "" {
+		s.op = uuid.NewString()
+	}
+	g.Op, g.By = s.op, s.by
+	if s.expect != 0 {
+		g.Expect = conf.Number(s.expect)
+	}
+	began := time.Now()
+	r, err := s.send(c, as, g)
+	if err != nil {
+		return err
+	}
+	if err := s.tell(r); err != nil || s.inForce == 0 {
+		return err
+	}
+	return s.link.untilInForce(c, as, r.Number, began, s.inForce)
+}
+
+// send gives the change to the first entry that can be reached; an answer that is lost is settled at every entry.
+func (s *submitter) send(c context.Context, as []string, g conf.Change) (oper.ChangeReply, error) {
+	var r oper.ChangeReply
+	b, err := json.Marshal(g)
+	if err != nil {
+		return r, eris.Wrap(err, "encode change")
+	}
+	for _, a := range as {
+		err = s.call(c, a, fasthttp.MethodPost, "/op/change", b, &r,
+			fasthttp.StatusConflict, fasthttp.StatusUnprocessableEntity, fasthttp.StatusGatewayTimeout)
+		if errors.Is(err, errNotSent) {
+			continue
+		}
+		if errors.Is(err, errLost) || err == nil && r.Outcome == oper.Unknown {
+			return s.settle(c, as, g.Op), nil
+		}
+		return r, err
+	}
+	return r, eris.Wrap(err, "not accepted: no entry was reached")
+}
+
+// settle asks the entries what became of the operation.
+func (l *link) settle(c context.Context, as []string, op string) oper.ChangeReply {
+	r := oper.ChangeReply{Outcome: oper.Unknown, Op: op}
+	for _, a := range as {
+		var v oper.ChangeReply
+		err := l.call(c, a, fasthttp.MethodGet, "/op/change?op="+escape(op), nil, &v, fasthttp.StatusConflict, fasthttp.StatusGatewayTimeout)
+		if err == nil && v.Outcome != oper.Unknown {
+			return v
+		}
+		if err != nil {
+			v.Reason = eris.ToString(err, false)
+		}
+		r.Reason = v.Reason
+	}
+	return r
+}
+
+// tell says what became of a change; only an accepted one is a success.
+func (l *link) tell(r oper.ChangeReply) error {
+	if l.asJSON {
+		if err := l.app.writeJSON(r); err != nil {
+			return err
+		}
+	}
+	switch r.Outcome {
+	case oper.Accepted:
+		if l.asJSON {
+			return nil
+		}
+		return l.app.say("accepted as change %d\n", r.Number)
+	case oper.NotAccepted:
+		l.app.complain("not accepted: %s\n", why(r))
+	default:
+		l.app.complain("unknown whether accepted: %s\nask again with: %s change -op %s\n", r.Reason, program, r.Op)
+	}
+	return errTold
+}
+
+// why returns the reason of a change that was not accepted.
+func why(r oper.ChangeReply) string {
+	if r.Field == "" {
+		return r.Reason
+	}
+	return r.Reason + ": " + r.Field + ": " + r.Value + " is not allowed; allowed: " + r.Allowed
+}
+
+// escape returns s as a value in a query.
+func escape(s string) string { return string(fasthttp.AppendQuotedArg(nil, []byte(s))) }
+
+// changeCommand settles an operation whose outcome was unknown.
+func (a *app) changeCommand() *command {
+	l, op := a.newLink(), ""
+	return &command{
+		app: a, name: "change", synopsis: "tell what became of the operation with that id", usage: program + " change -op ID",
+		flags: func(f *flag.FlagSet) {
+			l.flags(f)
+			f.StringVar(&op, "op", "", "id of the operation")
+		},
+		run: func(c context.Context, _ *flag.FlagSet) error {
+			if op == "" {
+				return eris.Wrap(errUsage, "-op is missing")
+			}
+			as, err := l.open()
+			if err != nil {
+				return err
+			}
+			return l.tell(l.settle(c, as, op))
+		},
+	}
+}
--- /dev/null
+++ b/cmd/burdockreach/wait.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/node/oper"
+	"burdockreach.dev/plat/conf"
+)
+
+const (
+	pollInterval   = 50 * time.Millisecond
+	defaultInForce = 30 * time.Second
+)
+
+// waitCommand waits until a change is in force on every entry.
+func (a *app) waitCommand() *command {
+	l, n, latest, longest := a.newLink(), int64(0), false, time.Duration(0)
+	return &command{
+		app: a, name: "wait", synopsis: "wait until a change is in force on every entry", usage: program + " wait -change N | -latest [flags]",
+		flags: func(f *flag.FlagSet) {
+			l.flags(f)
+			f.Int64Var(&n, "change", 0, "number of the change")
+			f.BoolVar(&latest, "latest", false, "wait for the newest change that any of the entries has")
+			f.DurationVar(&longest, "longest", defaultInForce, "longest wait")
+		},
+		run: func(c context.Context, _ *flag.FlagSet) error {
+			if latest == (n > 0) {
+				return eris.Wrap(errUsage, "one of -change and -latest is needed")
+			}
+			as, err := l.open()
+			if err != nil {
+				return err
+			}
+			if latest {
+				n = int64(l.newest(c, as))
+			}
+			return l.untilInForce(c, as, conf.Number(n), time.Time{}, longest)
+		},
+	}
+}
+
+// newest returns the newest change that any of the entries has in force.
+func (l *link) newest(c context.Context, as []string) conf.Number {
+	var n conf.Number
+	for _, r := range askEach[oper.Applied](c, l, as, "/op/applied") {
+		n = max(n, r.value.Newest)
+	}
+	return n
+}
+
+// untilInForce waits until change n is in force on every entry and says how long that took since began, or since the change was made
+// when began is zero.
+func (l *link) untilInForce(c context.Context, as []string, n conf.Number, began time.Time, longest time.Duration) error {
+	t, cancel := context.WithTimeout(c, longest)
+	defer cancel()
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	var missing []string
+	for {
+		rs := askEach[oper.Applied](t, l, as, fmt.Sprintf("/op/applied?n=%d", n))
+		m := lacking(rs, n)
+		if len(m) == 0 {
+			return l.sayInForce(rs, n, began)
+		}
+		if missing == nil || t.Err() == nil { // the answers that the end of the wait cut off say nothing.
+			missing = m
+		}
+		select {
+		case <-t.Done():
+			return eris.Errorf("change %d is not in force everywhere after %v: %s", n, longest, strings.Join(missing, "; "))
+		case <-tick.C:
+		}
+	}
+}
+
+// lacking names the entries that lack the change or were not heard. What an entry says of itself goes before what others say of it.
+func lacking(rs []reply[oper.Applied], n conf.Number) []string {
+	own := make(map[string]bool)
+	var ms []string
+	for _, r := range rs {
+		switch {
+		case r.err != nil:
+			ms = append(ms, eris.ToString(r.err, false))
+		case r.value.Newest < n:
+			ms = append(ms, fmt.Sprintf("%s has %d", r.value.Entry, r.value.Newest))
+		}
+		own[r.value.Entry] = true
+	}
+	for _, r := range rs {
+		for _, e := range r.value.Entries {
+			switch {
+			case own[e.Entry]:
+				continue
+			case !e.Heard:
+				ms = append(ms, e.Entry+" is not heard by "+r.value.Entry)
+			case e.Applied < n:
+				ms = append(ms, fmt.Sprintf("%s has %d", e.Entry, e.Applied))
+			}
+		}
+	}
+	slices.Sort(ms)
+	return slices.Compact(ms)
+}
+
+// inForce is the answer of wait in JSON.
+type inForce struct {
+	Number  conf.Number `json:"n"`
+	Entries int         `json:"entries"`
+	TookMs  int64       `json:"tookMs"`
+}
+
+func (l *link) sayInForce(rs []reply[oper.Applied], n conf.Number, began time.Time) error {
+	names, took := make(map[string]bool), time.Duration(0)
+	for _, r := range rs {
+		took = max(took, time.Duration(r.value.AgeMs)*time.Millisecond)
+		names[r.value.Entry] = true
+		for _, e := range r.value.Entries {
+			names[e.Entry] = true
+		}
+	}
+	if !began.IsZero() {
+		took = time.Since(began)
+	}
+	if l.asJSON {
+		return l.app.writeJSON(inForce{Number: n, Entries: len(names), TookMs: took.Milliseconds()})
+	}
+	return l.app.say("change %d is in force on all %d entries, %.2f s after it was made\n", n, len(names), took.Seconds())
+}
