Share a target's slots among entries and lend idle ones

Cause: 8 slots of a target are shared by all entries of a data centre. Ruled out: lists of returned grants, which leak a slot when a lender misses a roster; a borrower now names all that it holds. Conclusion: larger shares wait until every member keeps to the new roster.

--- a/flow/sched/trace_test.go
+++ b/flow/sched/trace_test.go
@@ -8,8 +8,9 @@
 	"testing"
 	"time"
 
-	"burdockreach.dev/flow/sched"
 	"pgregory.net/rapid"
+
+	"burdockreach.dev/flow/sched"
 )
 
 func init() { _ = flag.Set("rapid.seed", "1") }
--- /dev/null
+++ b/flow/share/loans_test.go
@@ -0,0 +1,255 @@
+package share_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"burdockreach.dev/flow/share"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func TestStaticSumsToSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,4}"), 1, 9, rapid.ID).Draw(t, "entries")
+		n := rapid.IntRange(0, 20).Draw(t, "slots")
+		sum := 0
+		for _, e := range l {
+			s := share.Static("vm-1", n, l, e)
+			if s < n/len(l) || s > n/len(l)+1 {
+				t.Fatalf("%d of %d slots for one of %d", s, n, len(l))
+			}
+			sum += s
+		}
+		if sum != n || share.Static("vm-1", n, l, "nobody") != 0 {
+			t.Fatalf("shares sum to %d of %d", sum, n)
+		}
+	})
+}
+
+func TestStaticTurnsTheRemainder(t *testing.T) {
+	i, l := is.New(t), []string{"a", "b", "c"}
+	sum := map[string]int{}
+	for k := range 300 {
+		for _, e := range l {
+			sum[e] += share.Static(fmt.Sprint("vm-", k), 8, l, e)
+		}
+	}
+	for _, e := range l {
+		i.True(sum[e] > 760 && sum[e] < 840) // 800 each if even
+	}
+}
+
+const slotsEach = 8
+
+// world is a set of entries, the messages between them and what they use.
+type world struct {
+	*rapid.T
+	now     time.Time
+	names   []string // of the newest roster
+	number  int64
+	entries map[string]*entry
+	post    []parcel
+}
+
+type entry struct {
+	*share.Loans
+	shares map[string]int
+	busy   map[string]int
+	queued int
+	number int64
+}
+
+type parcel struct {
+	to  string
+	msg share.Msg
+}
+
+func (w *world) give(to string, m share.Msg) {
+	e := w.entries[to]
+	if e == nil {
+		return
+	}
+	for _, c := range e.Update(m) {
+		switch c := c.(type) {
+		case share.SharesCmd:
+			e.shares = c.Shares
+		case share.BorrowCmd:
+			w.post = append(w.post, parcel{c.To, share.BorrowMsg{From: to, Number: c.Number, Want: c.Want, Holding: c.Holding}})
+		case share.LentCmd:
+			w.post = append(w.post, parcel{c.To, share.LentMsg{From: to, Number: c.Number, Grants: c.Grants, Recalled: c.Recalled}})
+		}
+	}
+	w.check()
+}
+
+// check holds the sum of what is in use, or may be at once, to each target's slots.
+func (w *world) check() {
+	for _, t := range []string{"vm-0", "vm-1"} {
+		may, used := 0, 0
+		for _, e := range w.entries {
+			may += e.shares[t]
+			used += max(e.shares[t], e.busy[t])
+		}
+		if may > slotsEach || used > slotsEach {
+			w.Fatalf("%s: %d slots may be used and %d are", t, may, used)
+		}
+	}
+}
+
+func (w *world) join(e string) {
+	w.names = append(w.names, e)
+	w.entries[e] = &entry{Loans: share.New(e), busy: map[string]int{}}
+	w.give(e, share.TargetsMsg{Now: w.now, Slots: map[string]int{"vm-0": slotsEach, "vm-1": slotsEach}})
+	w.number++
+}
+
+// die ends an entry and its requests.
+func (w *world) die(e string) {
+	w.names = slices.DeleteFunc(w.names, func(x string) bool { return x == e })
+	delete(w.entries, e)
+	w.number++
+}
+
+func (w *world) some() string { return rapid.SampledFrom(w.names).Draw(w.T, "entry") }
+
+// hear tells an entry the newest roster and which peers keep to theirs.
+func (w *world) hear(e string) {
+	w.entries[e].number = w.number
+	w.give(e, share.RosterMsg{Now: w.now, Number: w.number, Entries: slices.Clone(w.names)})
+	for _, p := range w.names {
+		if n := w.entries[p].Settled(); n > 0 && p != e {
+			w.give(e, share.SettledMsg{Now: w.now, From: p, Number: n})
+		}
+	}
+}
+
+func (w *world) load(e string) {
+	x := w.entries[e]
+	w.give(e, share.LoadMsg{Now: w.now, Queued: x.queued, Busy: x.busy})
+}
+
+// work starts what may be started or ends some of what runs.
+func (w *world) work(e string) {
+	x := w.entries[e]
+	x.queued = rapid.IntRange(0, 8).Draw(w.T, "queued")
+	for _, t := range []string{"vm-0", "vm-1"} {
+		n := rapid.IntRange(0, slotsEach).Draw(w.T, "busy")
+		x.busy[t] = max(min(x.busy[t], n), min(n, x.shares[t]))
+	}
+	w.check()
+	w.load(e)
+}
+
+// carry delivers one message, loses it, or delivers it and keeps it for once more.
+func (w *world) carry() {
+	if len(w.post) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.post)-1).Draw(w.T, "parcel")
+	p := w.post[i]
+	if rapid.IntRange(0, 3).Draw(w.T, "copies") > 0 {
+		w.post = slices.Delete(w.post, i, i+1)
+	}
+	if rapid.IntRange(0, 3).Draw(w.T, "fate") == 0 || w.entries[p.to] == nil {
+		return
+	}
+	switch m := p.msg.(type) {
+	case share.BorrowMsg:
+		m.Now = w.now
+		w.load(p.to)
+		w.give(p.to, m)
+	case share.LentMsg:
+		m.Now = w.now
+		w.give(p.to, m)
+	}
+}
+
+func (w *world) change() {
+	switch rapid.IntRange(0, 12).Draw(w.T, "change") {
+	case 0:
+		if len(w.names) > 1 {
+			w.die(w.some())
+		}
+	case 1:
+		if len(w.names) < 4 {
+			w.join(fmt.Sprint("entry-", w.number))
+		}
+	}
+}
+
+func TestNoMoreSlotsInUseThanATargetHas(t *testing.T) {
+	most := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{T: t, now: time.Unix(1000, 0), entries: map[string]*entry{}}
+		for i := range 3 {
+			w.join(fmt.Sprint("first-", i))
+		}
+		acts := []func(){
+			func() { w.hear(w.some()) }, func() { w.hear(w.some()) }, func() { w.work(w.some()) },
+			func() { w.work(w.some()) }, func() { w.load(w.some()) }, w.carry, w.carry, w.carry, w.carry, w.change,
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "pass")) * time.Millisecond)
+			acts[rapid.IntRange(0, len(acts)-1).Draw(t, "act")]()
+			for _, e := range w.entries {
+				most = max(most, e.Borrowed())
+			}
+		}
+	})
+	is.New(t).True(most > 0) // the traces do borrow
+}
+
+func TestLoans(t *testing.T) {
+	now := time.Unix(1000, 0)
+	start := func(t *testing.T) (a, b *share.Loans) {
+		a, b = share.New("a"), share.New("b")
+		for _, l := range []*share.Loans{a, b} {
+			l.Update(share.TargetsMsg{Now: now, Slots: map[string]int{"vm": 8}})
+			l.Update(share.RosterMsg{Now: now, Number: 1, Entries: []string{"a", "b"}})
+		}
+		a.Update(share.SettledMsg{Now: now, From: "b", Number: b.Settled()})
+		b.Update(share.SettledMsg{Now: now, From: "a", Number: a.Settled()})
+		is.New(t).Equal(a.Usable("vm")+b.Usable("vm"), 8)
+		return a, b
+	}
+	// meet lets both tell their load after d and passes the messages between them.
+	meet := func(a, b *share.Loans, d time.Duration, queuedA, busyA, queuedB, busyB int) {
+		now = now.Add(d)
+		b.Update(share.LoadMsg{Now: now, Queued: queuedB, Busy: map[string]int{"vm": busyB}})
+		for _, c := range slices.Clone(a.Update(share.LoadMsg{Now: now, Queued: queuedA, Busy: map[string]int{"vm": busyA}})) {
+			if c, ok := c.(share.BorrowCmd); ok {
+				l := b.Update(share.BorrowMsg{Now: now, From: "a", Number: c.Number, Want: c.Want, Holding: c.Holding})
+				r := l[0].(share.LentCmd)
+				a.Update(share.LentMsg{Now: now, From: "b", Number: r.Number, Grants: r.Grants, Recalled: r.Recalled})
+			}
+		}
+	}
+	t.Run("idle slots are lent and come back within a second when the lender needs them", func(t *testing.T) {
+		i := is.New(t)
+		a, b := start(t)
+		meet(a, b, 0, 5, 4, 0, 0)
+		i.Equal(a.Usable("vm"), 7) // one of four stays with the lender
+		for range 5 {
+			meet(a, b, 200*time.Millisecond, 5, min(7, a.Usable("vm")), 3, 1)
+		}
+		i.Equal(a.Usable("vm"), 4)
+		i.Equal(b.Usable("vm"), 4)
+	})
+	t.Run("what the borrower leaves idle goes back", func(t *testing.T) {
+		i := is.New(t)
+		a, b := start(t)
+		meet(a, b, 0, 5, 4, 0, 0)
+		for range 4 {
+			meet(a, b, 200*time.Millisecond, 0, 1, 0, 0)
+		}
+		i.Equal(b.Usable("vm"), 4)
+		i.Equal(a.Borrowed(), 0)
+	})
+}
--- /dev/null
+++ b/flow/share/msg.go
@@ -0,0 +1,91 @@
+package share
+
+import "time"
+
+// Msg is anything that changes Loans.
+type Msg interface{ isMsg() }
+
+// RosterMsg says which entries share the targets from now on; a lower number than the newest is ignored.
+type RosterMsg struct {
+	Now     time.Time
+	Number  int64
+	Entries []string
+}
+
+// SettledMsg says that a peer keeps to the roster with the number.
+type SettledMsg struct {
+	Now    time.Time
+	From   string
+	Number int64
+}
+
+// TargetsMsg replaces the targets and their slots.
+type TargetsMsg struct {
+	Now   time.Time
+	Slots map[string]int
+}
+
+// LoadMsg tells the requests that wait here and those at each target.
+// It comes every 50 ms, and before each BorrowMsg with nothing sent in between: what is lent must be idle.
+type LoadMsg struct {
+	Now    time.Time
+	Queued int
+	Busy   map[string]int
+}
+
+// BorrowMsg is a peer's request for slots; Holding names all grants of this entry that the peer still has, the others are returned.
+type BorrowMsg struct {
+	Now     time.Time
+	From    string
+	Number  int64
+	Want    int
+	Holding []int64
+}
+
+// LentMsg is a peer's answer to a BorrowCmd.
+type LentMsg struct {
+	Now      time.Time
+	From     string
+	Number   int64
+	Grants   []Grant
+	Recalled []int64
+}
+
+// Grant lends one slot of a target; ID is unique among the lender's grants.
+type Grant struct {
+	ID     int64  `json:"id"`
+	Target string `json:"target"`
+}
+
+func (RosterMsg) isMsg()  {}
+func (SettledMsg) isMsg() {}
+func (TargetsMsg) isMsg() {}
+func (LoadMsg) isMsg()    {}
+func (BorrowMsg) isMsg()  {}
+func (LentMsg) isMsg()    {}
+
+// Cmd is something that the runner does for Loans.
+type Cmd interface{ isCmd() }
+
+// SharesCmd asks to use no more than these slots of each target from now on.
+type SharesCmd struct{ Shares map[string]int }
+
+// BorrowCmd asks to send a BorrowMsg to a peer and to bring its answer back as LentMsg; it may be lost or doubled.
+type BorrowCmd struct {
+	To      string
+	Number  int64
+	Want    int
+	Holding []int64
+}
+
+// LentCmd is the answer to a BorrowMsg.
+type LentCmd struct {
+	To       string
+	Number   int64
+	Grants   []Grant
+	Recalled []int64
+}
+
+func (SharesCmd) isCmd() {}
+func (BorrowCmd) isCmd() {}
+func (LentCmd) isCmd()   {}
