Run the stand-ins as processes

Tests and the demo need the platform, targets and a cutting forwarder as processes of their own, ended by SIGTERM.

--- /dev/null
+++ b/fakes/standin/platform.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/fakes/cloud"
+	"burdockreach.dev/plat/hosts"
+)
+
+// PlatformSettings is the settings file of the platform's stand-in.
+type PlatformSettings struct {
+	Addr           string       `json:"addr"`
+	ControlAddr    string       `json:"controlAddr,omitempty"`
+	LagMs          int64        `json:"lagMs,omitempty"`          // age of the VM list; 0 means the stand-in's own.
+	RebootMs       int64        `json:"rebootMs,omitempty"`       // time of a reboot; 0 means the stand-in's own.
+	ReadsPerSecond int          `json:"readsPerSecond,omitempty"` // 0, with writesPerSecond 0, means no limit.
+	WritesPerSec   int          `json:"writesPerSecond,omitempty"`
+	VMs            []hosts.Wire `json:"vms"`
+}
+
+// platform parses the command of the platform's stand-in.
+func platform(f *flag.FlagSet, args []string) (runner, error) {
+	path := f.String("settings", "", "settings file in JSON")
+	if err := f.Parse(args); err != nil {
+		return nil, err
+	}
+	b, err := os.ReadFile(*path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	var s PlatformSettings
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return nil, eris.Wrapf(err, "read settings %s", *path)
+	}
+	return func(c context.Context) error { return cloud.New(s.options()...).Serve(c, s.Addr) }, nil
+}
+
+// options returns the stand-in's options for the settings.
+func (s PlatformSettings) options() []cloud.Option {
+	o := []cloud.Option{cloud.WithVMs(s.VMs...)}
+	if s.ControlAddr != "" {
+		o = append(o, cloud.WithControl(s.ControlAddr))
+	}
+	if s.LagMs > 0 {
+		o = append(o, cloud.WithLag(time.Duration(s.LagMs)*time.Millisecond))
+	}
+	if s.RebootMs > 0 {
+		o = append(o, cloud.WithReboot(time.Duration(s.RebootMs)*time.Millisecond))
+	}
+	if s.ReadsPerSecond > 0 || s.WritesPerSec > 0 {
+		o = append(o, cloud.WithLimits(s.ReadsPerSecond, s.WritesPerSec))
+	}
+	return o
+}
