--- a/cmd/burdockreach/state.go
+++ b/cmd/burdockreach/state.go
@@ -49,21 +49,27 @@
 		})
 }
 
-// vms asks every entry for VMs; of a VM, the word of an entry in its own data centre counts first.
+// Whose word on a VM counts most.
+const (
+	elsewhere = iota + 1 // an entry of another data centre
+	nearby               // an entry of the VM's data centre
+	leading              // the leader of the VM's data centre
+)
+
+// vms asks every entry for VMs; of a VM, the word of the leader of its data centre counts first, then that of its other entries.
 func (l *link) vms(c context.Context, query string) ([]oper.VM, error) {
 	rs, err := askAll[oper.VMs](c, l, "/op/vms"+query)
 	if err != nil {
 		return nil, err
 	}
 	homes := l.homes(c)
-	vms, near := make(map[string]oper.VM), make(map[string]bool)
+	vms, ranks := make(map[string]oper.VM), make(map[string]int)
 	heard := false
 	for _, r := range rs {
 		heard = heard || r.err == nil
 		for _, v := range r.value.Items {
-			at := homes[r.addr] == v.DataCentre
-			if _, known := vms[v.ID]; !known || at && !near[v.ID] {
-				vms[v.ID], near[v.ID] = v, at
+			if k := rank(homes[r.addr], v); k > ranks[v.ID] {
+				vms[v.ID], ranks[v.ID] = v, k
 			}
 		}
 	}
@@ -80,9 +86,21 @@
 	return vs, nil
 }
 
-// homes returns the data centre of each entry that answers, by its operator address.
-func (l *link) homes(c context.Context) map[string]string {
-	m := make(map[string]string)
+// rank tells how much the word of entry e on v counts.
+func rank(e oper.Entry, v oper.VM) int {
+	switch {
+	case e.DataCentre != v.DataCentre:
+		return elsewhere
+	case e.Leader:
+		return leading
+	default:
+		return nearby
+	}
+}
+
+// homes returns what each entry that answers says of itself, by its operator address.
+func (l *link) homes(c context.Context) map[string]oper.Entry {
+	m := make(map[string]oper.Entry)
 	rs, err := askAll[oper.Entries](c, l, "/op/entries")
 	if err != nil {
 		return m
@@ -90,7 +108,7 @@
 	for _, r := range rs {
 		for _, e := range r.value.Items {
 			if e.Self {
-				m[r.addr] = e.DataCentre
+				m[r.addr] = e
 			}
 		}
 	}
--- a/fakes/demo/main.go
+++ b/fakes/demo/main.go
@@ -1,4 +1,94 @@
-// Command demo is not built yet.
+// Command demo shows burdockreach at work: it starts the stand-ins of the platform and of two services' targets and four entries,
+// runs orders, refusals, a withdrawn approval and a maintenance wave through them, and stays until it is interrupted.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	defaultPort = 21000
+	lastPort    = 60000
+	maxTime     = 60 * time.Second // of the steps together
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "directory of the programs burdockreach and standin")
+	once := flag.Bool("once", false, "end after the steps; status 0 only if all was as it should be")
+	port := flag.Int("port", defaultPort, "lowest port; the demo takes ports up to 1200 above")
+	keep := flag.Bool("keep", false, "keep the directory of settings and logs")
+	flag.Parse()
+	if flag.NArg() > 0 || *port < 1024 || *port > lastPort {
+		fmt.Fprintf(os.Stderr, "demo: -port must be 1024 to %d, and no further words are known\n", lastPort)
+		os.Exit(2)
+	}
+	c, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := demo(c, *bin, *port, *once, *keep)
+	stop()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "demo: %s\n", eris.ToString(err, false))
+		os.Exit(1)
+	}
+}
+
+// demo runs all steps and ends every process that it started.
+func demo(c context.Context, bin string, port int, once, keep bool) error {
+	dir, err := os.MkdirTemp("", "burdockreach-demo-")
+	if err != nil {
+		return eris.Wrap(err, "make a directory")
+	}
+	s := newSite(dir, bin, port)
+	err = s.show(c)
+	if err != nil {
+		s.tails()
+	}
+	if err == nil && !once {
+		s.invite()
+		<-c.Done()
+	}
+	if e := s.procs.end(); err == nil {
+		err = e
+	}
+	if keep {
+		fmt.Printf("settings and logs are in %s\n", dir)
+		return err
+	}
+	if e := os.RemoveAll(dir); err == nil {
+		err = eris.Wrap(e, "remove the directory")
+	}
+	return err
+}
+
+// show performs the steps in order.
+func (s *site) show(c context.Context) error {
+	t, cancel := context.WithTimeout(c, maxTime)
+	defer cancel()
+	for _, step := range []func(context.Context) error{
+		s.start, s.configure, s.order, s.refusals, s.withdraw, s.maintain, s.report,
+	} {
+		if err := step(t); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("\nall was as it should be, after %.1f s\n", time.Since(s.began).Seconds())
+	return nil
+}
+
+// tails prints the last lines of every log.
+func (s *site) tails() {
+	logs, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
+	for _, l := range logs {
+		if b, err := os.ReadFile(l); err == nil && len(b) > 0 {
+			fmt.Fprintf(os.Stderr, "--- end of %s\n%s", filepath.Base(l), lastLines(b))
+		}
+	}
+}
