--- /dev/null
+++ b/fakes/demo/call.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+// callTimeout bounds the wait for one answer.
+const callTimeout = 12 * time.Second
+
+// request is what a caller sends.
+type request struct {
+	method, path, token, key string
+	body                     []byte
+}
+
+// answer is what came back.
+type answer struct {
+	status        int
+	outcome, step string
+	reason        string
+	target        string
+	retryAfter    time.Duration
+	took          time.Duration
+}
+
+// String returns the answer as one line.
+func (a answer) String() string {
+	s := fmt.Sprintf("%d %s", a.status, a.outcome)
+	if a.target != "" {
+		s += " by " + a.target
+	}
+	if a.step != "" {
+		s += fmt.Sprintf(", step %s: %s", a.step, a.reason)
+	}
+	return s
+}
+
+// caller sends requests; a request is sent once.
+var caller = &fasthttp.Client{
+	MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 256,
+	RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+}
+
+// call sends r to the address of an entry.
+func call(addr string, r request) (answer, error) {
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(p)
+	q.SetRequestURI("http://" + addr + r.path)
+	q.Header.SetMethod(r.method)
+	q.Header.Set("Authorization", "Bearer "+r.token)
+	if r.key != "" {
+		q.Header.Set("Idempotency-Key", r.key)
+	}
+	q.SetBody(r.body)
+	t := time.Now()
+	if err := caller.DoTimeout(q, p, callTimeout); err != nil {
+		return answer{}, eris.Wrapf(err, "call %s", addr)
+	}
+	return read(p, time.Since(t)), nil
+}
+
+// read returns the answer in p.
+func read(p *fasthttp.Response, took time.Duration) answer {
+	h := func(k string) string { return string(p.Header.Peek(k)) }
+	a := answer{status: p.StatusCode(), outcome: h("Burdock-Outcome"), step: h("Burdock-Step"), took: took}
+	var b struct {
+		Target       string `json:"target"`
+		Reason       string `json:"reason"`
+		RetryAfterMs int64  `json:"retryAfterMs"`
+	}
+	if json.Unmarshal(p.Body(), &b) == nil {
+		a.target, a.reason, a.retryAfter = b.Target, b.Reason, time.Duration(b.RetryAfterMs)*time.Millisecond
+	}
+	return a
+}
+
+// ran is what the stand-ins of targets counted together.
+type ran struct {
+	Runs            int64 `json:"runs"`
+	Cut             int64 `json:"cut"`
+	DoubledKeys     int64 `json:"doubledKeys"`
+	DoubledRequests int64 `json:"doubledRequests"`
+	Boot            int64 `json:"boot"`
+}
+
+// counted asks every target's stand-in what it has counted.
+func (s *site) counted() (ran, error) {
+	var all ran
+	for _, t := range s.targets {
+		r, err := s.countedBy(t.name)
+		if err != nil {
+			return all, err
+		}
+		all.Runs += r.Runs
+		all.Cut += r.Cut
+		all.DoubledKeys += r.DoubledKeys
+		all.DoubledRequests += r.DoubledRequests
+		all.Boot += r.Boot
+	}
+	return all, nil
+}
+
+// countedBy asks one target's stand-in what it has counted.
+func (s *site) countedBy(name string) (ran, error) {
+	var r ran
+	i := slices.IndexFunc(s.targets, func(t vm) bool { return t.name == name })
+	if i < 0 {
+		return r, eris.Errorf("no target is named %s", name)
+	}
+	code, b, err := fasthttp.GetTimeout(nil, "http://"+s.targets[i].control+"/ctl/runs?brief", callTimeout)
+	if err != nil || code != fasthttp.StatusOK {
+		return r, eris.Wrapf(err, "ask %s what it ran: status %d", name, code)
+	}
+	return r, eris.Wrapf(json.Unmarshal(b, &r), "read what %s ran", name)
+}
