Notice leaving and failing targets without the platform

Cause: with the platform's service down, refusals by the target and word between entries must each stop new work; a mark without a version would outlive the VM's return when a late beat brings it. Ruled out: a plain time limit on the mark, which would try a leaving target again while no leader is at work. Conclusion: marks carry the view's version, an entry tries again only while a leader says that the VM serves; connects show the return of a VM that could not be reached, and requests' failures count only while most of the pool is well.

--- a/node/entry/broken.go
+++ b/node/entry/broken.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"burdockreach.dev/flow/sched"
+	"burdockreach.dev/node/burn"
 )
 
 // broken answers what the server could not read as a request; nothing was run.
@@ -50,8 +51,8 @@
 // noBurner counts nothing.
 type noBurner struct{}
 
-// Count does nothing.
-func (noBurner) Count(string, string, time.Time, time.Duration, bool) {}
+// Add does nothing.
+func (noBurner) Add(burn.Key, burn.Outcome) {}
 
 func className(c sched.Class) string {
 	switch c {
@@ -63,8 +64,8 @@
 	return "normal"
 }
 
-func (e *Entry) burn(o order, now time.Time, took time.Duration, good bool) {
-	e.burner.Count(o.service, className(o.class), now, took, good)
+func (e *Entry) burn(o order, b burn.Outcome) {
+	e.burner.Add(burn.Key{Service: o.service, Class: className(o.class)}, b)
 }
 
 // spent counts a request without a target's answer.
@@ -75,10 +76,11 @@
 		return
 	case OutcomeUnknown:
 		e.count.unknown.Add(1)
+		e.burn(o, burn.Failed)
 	default:
 		e.count.ended.Add(1)
-	}
-	if r.Step == stepSchedule {
-		e.burn(o, time.Now(), 0, false)
+		if r.status >= fasthttp.StatusInternalServerError {
+			e.burn(o, burn.Refused)
+		}
 	}
 }
--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"burdockreach.dev/flow/sched"
+	"burdockreach.dev/node/burn"
 	"burdockreach.dev/node/conns"
 )
 
@@ -31,7 +32,7 @@
 func (e *Entry) serve(x *fasthttp.RequestCtx) {
 	id := e.ids.next()
 	if string(x.Request.Header.RequestURI()) == healthPath {
-		e.health(x)
+		e.showHealth(x)
 		return
 	}
 	if !e.begin() {
@@ -94,6 +95,11 @@
 		c.x.Response.Reset()
 		return true
 	}
+	if r := c.mayStart(); r != nil {
+		c.done(m, sched.Withdrawn, false)
+		c.finish(r)
+		return true
+	}
 	if r := c.claimKey(ctx); r != nil {
 		c.done(m, sched.Withdrawn, false)
 		c.finish(r)
@@ -128,13 +134,15 @@
 	_, err := t.conns.Send(ctx, &c.x.Request, &c.x.Response, limit)
 	switch {
 	case errors.Is(err, conns.ErrNotSent):
+		c.e.health.sick(m.Target, true, time.Now())
 		c.lost(m, "connect", err)
 		return sched.NotRun, false
 	case err != nil:
+		c.e.health.sick(m.Target, false, time.Now())
 		c.lost(m, "send", err)
 		return sched.Unknown, false
 	}
-	return c.judge()
+	return c.judge(m.Target)
 }
 
 // limit bounds an idempotent attempt so that time is left for one on another connection.
@@ -156,7 +164,7 @@
 const minSplit = 200 * time.Millisecond
 
 // judge tells what the target's answer means.
-func (c *call) judge() (r sched.Result, leaving bool) {
+func (c *call) judge(vm string) (r sched.Result, leaving bool) {
 	h := &c.x.Response.Header
 	status := c.x.Response.StatusCode()
 	if status == fasthttp.StatusServiceUnavailable && len(h.Peek(headerNotRun)) > 0 {
@@ -164,8 +172,10 @@
 	}
 	if status >= fasthttp.StatusInternalServerError {
 		c.held = true
+		c.e.health.sick(vm, false, time.Now())
 		return sched.Failed, false
 	}
+	c.e.health.well(vm)
 	return sched.Answered, false
 }
 
@@ -182,11 +192,21 @@
 	h.Set(headerRequest, c.request)
 	h.Set(headerOutcome, string(OutcomeAnswered))
 	h.Set(headerEntry, c.e.set.Name())
-	now := time.Now()
-	c.e.burn(c.o, now, now.Sub(c.start), now.Before(c.deadline))
+	c.e.burn(c.o, c.outcome())
 	c.e.count.answered.Add(1)
 }
 
+// outcome tells how the answer counts against the objective.
+func (c *call) outcome() burn.Outcome {
+	switch {
+	case c.held:
+		return burn.Failed
+	case time.Now().After(c.deadline):
+		return burn.Late
+	}
+	return burn.Good
+}
+
 // giveUp gives the final answer that the scheduler decided on; a failure that the target itself answered is passed on.
 func (c *call) giveUp(m sched.EndCmd) {
 	if c.held {
--- a/node/entry/claim.go
+++ b/node/entry/claim.go
@@ -36,6 +36,8 @@
 
 // Claim is the right to send one keyed request; exactly one of Settle's outcomes ends it.
 type Claim interface {
+	// Until is the time after which the request must not be sent any more.
+	Until() time.Time
 	// Answered records the target's answer.
 	Answered(k Kept)
 	// Unknown records that the request may have run.
@@ -50,6 +52,14 @@
 	Claim(ctx context.Context, key, attempt string, digest []byte) (Verdict, Claim, Kept, string)
 }
 
+// mayStart refuses a further send under a claim that has grown too old.
+func (c *call) mayStart() *Refusal {
+	if c.claim == nil || time.Now().Before(c.claim.Until()) {
+		return nil
+	}
+	return notRun(fasthttp.StatusServiceUnavailable, "claim", "the claim of the key grew too old before a target took the request").after(time.Second)
+}
+
 // claimKey claims the request's key before its first send; a refusal or a kept answer ends the request.
 func (c *call) claimKey(ctx context.Context) *Refusal {
 	if c.o.key == "" || c.claim != nil {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockreach.dev/flow/sched"
+	"burdockreach.dev/node/burn"
 	"burdockreach.dev/node/setup"
 	"burdockreach.dev/node/view"
 	"burdockreach.dev/plat/conf"
@@ -34,7 +35,7 @@
 
 // Burner counts requests against the objective of their service and class.
 type Burner interface {
-	Count(service, class string, now time.Time, took time.Duration, good bool)
+	Add(k burn.Key, o burn.Outcome)
 }
 
 // Entry serves callers; New makes one and Run runs it.
@@ -46,16 +47,21 @@
 	keys   Keys
 	share  Share
 	burner Burner
-	ids    *ids
-	ctx    context.Context
+	gate   func() bool
 
+	hasLeader func() bool
+	onLeaving func()
+	ids       *ids
+	ctx       context.Context
+
+	health   *health
 	services sync.Map // name → *service
 	table    atomic.Pointer[table]
 	count    counts
 
 	tableMu sync.Mutex
-	leaving map[string]view.Version // VMs that refused as leaving, with the view at that time
-	listed  *view.View              // the view that the services' lists were made from
+	leaving map[string]mark // VMs that refused as leaving
+	listed  *view.View      // the view that the services' lists were made from
 
 	stopMu   sync.Mutex
 	stopping bool // the health page is unhealthy
@@ -76,13 +82,25 @@
 // WithBurner sets what counts requests against objectives.
 func WithBurner(b Burner) Option { return func(e *Entry) { e.burner = b } }
 
+// WithGate sets what must hold besides before the entry is ready, such as its place among its peers.
+func WithGate(ok func() bool) Option { return func(e *Entry) { e.gate = ok } }
+
+// WithLeader sets what tells whether the data centre has a leader at work.
+func WithLeader(ok func() bool) Option { return func(e *Entry) { e.hasLeader = ok } }
+
+// WithOnLeaving sets what is called when a VM is found to be leaving.
+func WithOnLeaving(f func()) Option { return func(e *Entry) { e.onLeaving = f } }
+
+// admitted reports whether the gate is open.
+func (e *Entry) admitted() bool { return e.gate == nil || e.gate() }
+
 // New returns an entry over the configuration and the view.
 func New(s setup.Settings, l zerolog.Logger, d Documents, v *view.Shelf, opts ...Option) *Entry {
 	e := &Entry{
-		set: s, log: l, conf: d, view: v, keys: noKeys{}, burner: noBurner{}, ids: newIDs(s.Name()),
+		set: s, log: l, conf: d, view: v, keys: noKeys{}, burner: noBurner{}, ids: newIDs(s.Name()), health: newHealth(),
 		share:   func(_ string, n int) int { return n },
 		ctx:     context.Background(),
-		leaving: make(map[string]view.Version), listed: v.View(), empty: make(chan struct{}, 1),
+		leaving: make(map[string]mark), listed: v.View(), empty: make(chan struct{}, 1),
 	}
 	e.table.Store(&table{})
 	for _, o := range opts {
@@ -101,6 +119,7 @@
 	g.Go(func() error { return eris.Wrapf(s.Serve(ln), "step=serve peer=%s", ln.Addr()) })
 	g.Go(func() error { return e.loop(x) })
 	g.Go(func() error { return e.follow(x) })
+	g.Go(func() error { return e.probe(x) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -193,5 +212,5 @@
 func (e *Entry) Ready() bool {
 	e.stopMu.Lock()
 	defer e.stopMu.Unlock()
-	return !e.stopping && e.conf.Document().Number() > 0 && e.view.View().Len() > 0
+	return !e.stopping && e.admitted() && e.conf.Document().Number() > 0 && e.view.View().Len() > 0
 }
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -162,9 +162,10 @@
 	}
 	c.m.kept[c.key] = k
 }
-func (c *memoryClaim) Answered(k Kept) { c.set(&k, false) }
-func (c *memoryClaim) Unknown()        { c.set(nil, false) }
-func (c *memoryClaim) NotRun()         { c.set(nil, true) }
+func (c *memoryClaim) Until() time.Time { return time.Now().Add(time.Minute) }
+func (c *memoryClaim) Answered(k Kept)  { c.set(&k, false) }
+func (c *memoryClaim) Unknown()         { c.set(nil, false) }
+func (c *memoryClaim) NotRun()          { c.set(nil, true) }
 
 func TestRefusalsSayWhatIsWrong(t *testing.T) {
 	var runs atomic.Int64
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// health answers the balancer.
-func (e *Entry) health(x *fasthttp.RequestCtx) {
+// showHealth answers the balancer.
+func (e *Entry) showHealth(x *fasthttp.RequestCtx) {
 	if e.Ready() {
 		x.SetBodyString("ok\n")
 		return
--- a/node/entry/table.go
+++ b/node/entry/table.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sync/atomic"
 	"time"
 
 	"burdockreach.dev/flow/sched"
@@ -41,18 +40,6 @@
 	})
 }
 
-// left takes a target that refused as leaving off every list until a newer view lists it again.
-func (e *Entry) left(vm string) {
-	e.tableMu.Lock()
-	_, known := e.leaving[vm]
-	e.leaving[vm] = e.view.View().Version()
-	e.tableMu.Unlock()
-	if !known {
-		e.log.Info().Str("step", "route").Str("peer", vm).Msg("targetLeaving")
-		e.refresh(time.Now())
-	}
-}
-
 // refresh builds the table and the services' lists from the view, the configuration and the shares.
 func (e *Entry) refresh(now time.Time) {
 	e.tableMu.Lock()
@@ -63,7 +50,7 @@
 	pools := make(map[string][]view.Target)
 	for _, t := range v.Targets() {
 		next[t.VM] = e.keep(old[t.VM], t)
-		if e.open(t, v.Version()) {
+		if e.open(now, t, v.Version()) {
 			pools[t.Pool] = append(pools[t.Pool], t)
 		}
 	}
@@ -86,16 +73,6 @@
 		conns.WithIdle(e.set.IdleConn()), conns.WithConnect(e.set.ConnectTimeout()), conns.WithMaxAnswer(e.set.MaxAnswerBytes()))}
 }
 
-// open reports whether the target may get new work; e.tableMu is held.
-func (e *Entry) open(t view.Target, v view.Version) bool {
-	since, ok := e.leaving[t.VM]
-	if ok && v.After(since) && t.Serving {
-		delete(e.leaving, t.VM)
-		ok = false
-	}
-	return t.Serving && !ok
-}
-
 // list gives each service its targets; e.tableMu is held.
 func (e *Entry) list(now time.Time, pools map[string][]view.Target) {
 	d := e.conf.Document()
@@ -114,33 +91,3 @@
 		}
 	})
 }
-
-// Quit is a VM that this entry sends nothing to and has nothing in flight at.
-type Quit struct {
-	VM     string `json:"vm"`
-	Number int64  `json:"n"` // version of the membership shard that told this entry to stop sending.
-}
-
-// Quits returns the VMs that this entry has let go.
-func (e *Entry) Quits() []Quit {
-	e.tableMu.Lock()
-	defer e.tableMu.Unlock()
-	var q []Quit
-	for _, t := range e.listed.Targets() {
-		if !t.Serving && e.quit(t.VM) {
-			q = append(q, Quit{VM: t.VM, Number: t.Number})
-		}
-	}
-	return q
-}
-
-func (e *Entry) quit(vm string) bool {
-	q := true
-	e.eachService(func(v *service) { q = q && v.quitFor(vm) })
-	return q
-}
-
-// counts are the entry's own counters.
-type counts struct {
-	answered, refused, ended, lost, cancelled, unknown, repeated atomic.Int64
-}
--- a/node/steer/read.go
+++ b/node/steer/read.go
@@ -126,17 +126,22 @@
 // hostsMsg keeps the own data centre's lines.
 func (t *term) hostsMsg(at int64, vms []hosts.VM) wave.Msg {
 	m := wave.HostsMsg{At: at}
+	var gone []string
 	own := make(map[string]hosts.VM, len(vms))
 	for _, v := range vms {
 		if v.DataCentre() != t.dataCentre {
 			continue
 		}
 		own[v.ID()] = v
+		if v.Kind() == hosts.Entry && v.State() == hosts.Gone {
+			gone = append(gone, v.ID())
+		}
 		m.Hosts = append(m.Hosts, wave.Host{
 			Name: v.ID(), Pool: v.Pool(), Rack: v.Rack(), State: hostState(v.State()), Entry: v.Kind() == hosts.Entry, Boot: v.Boot(),
 		})
 	}
 	t.hostsNow.Store(&own)
+	t.gone(gone)
 	return m
 }
 
--- a/node/steer/steer.go
+++ b/node/steer/steer.go
@@ -79,6 +79,8 @@
 	tick       time.Duration
 	entry      string
 
+	gone func(entries []string)
+
 	wake  chan struct{}
 	stats atomic.Pointer[Stats]
 }
@@ -92,6 +94,9 @@
 // WithLogger sets where events are logged.
 func WithLogger(z zerolog.Logger) Option { return func(l *Loop) { l.log = z } }
 
+// WithGone sets what is told of the entries whose VMs are gone, at each look at the platform's list.
+func WithGone(f func(entries []string)) Option { return func(l *Loop) { l.gone = f } }
+
 // WithOthers names the other data centres, whose leaders' keys tell whether they are heard.
 func WithOthers(names []string) Option { return func(l *Loop) { l.others = names } }
 
@@ -99,7 +104,7 @@
 func New(dataCentre, entry string, s keyval.Store, p hosts.Platform, a Leadership, d Documents, w Peers, v *view.Shelf, opts ...Option) *Loop {
 	l := &Loop{
 		dataCentre: dataCentre, entry: entry, store: s, platform: p, lead: a, docs: d, peers: w, shelf: v,
-		log: zerolog.Nop(), tick: defaultTick, wake: make(chan struct{}, 1),
+		log: zerolog.Nop(), tick: defaultTick, gone: func([]string) {}, wake: make(chan struct{}, 1),
 	}
 	l.stats.Store(&Stats{})
 	for _, o := range opts {
