Log times with milliseconds and keep seed peers to one data centre

zerolog's global time form cut times to seconds; a hook writes them with milliseconds without touching the global. Seed peers of another data centre were taken for members of the own one in a trial of the demo (rosters of 4 entries instead of 2), so the settings page says what a seed is.

--- a/cmd/burdockreach/wait.go
+++ b/cmd/burdockreach/wait.go
@@ -131,5 +131,5 @@
 	if l.asJSON {
 		return l.app.writeJSON(inForce{Number: n, Entries: len(names), TookMs: took.Milliseconds()})
 	}
-	return l.app.say("change %d is in force on all %d entries, %.2f s after it was made\n", n, len(names), took.Seconds())
+	return l.app.say("change %d is in force on all %d entries, %.3f s after it was made\n", n, len(names), took.Seconds())
 }
--- a/fakes/demo/site.go
+++ b/fakes/demo/site.go
@@ -142,7 +142,7 @@
 		MaxBodyBytes: maxBodyBytes, TickMs: 200, BeatMs: 100, LeaderLeaseMs: 2000, EntryUnheardSeconds: 3, DrainWaitMs: 3000,
 	}
 	for _, o := range s.nodes {
-		if o.name != n.name {
+		if o.name != n.name && o.dataCentre == n.dataCentre {
 			f.PeerAddrs = append(f.PeerAddrs, o.peers)
 		}
 	}
--- a/node/setup/fields.go
+++ b/node/setup/fields.go
@@ -32,7 +32,7 @@
 		{"peerAddr", "", "Where the other entries reach this one.", addrRule(), func(d *Document) any { return &d.PeerAddr }},
 		{"operatorAddr", "", "Where operators reach this entry.", addrRule(), func(d *Document) any { return &d.OperatorAddr }},
 		{"platformAddr", "", "The platform's service.", addrRule(), func(d *Document) any { return &d.PlatformAddr }},
-		{"peerAddrs", "", "Peer addresses of other entries, used when the platform cannot be reached at start.", addrsRule(), func(d *Document) any { return &d.PeerAddrs }},
+		{"peerAddrs", "", "Peer addresses of other entries of the same data centre, used when the platform cannot be reached at start.", addrsRule(), func(d *Document) any { return &d.PeerAddrs }},
 		{"operatorTokenDigests", "", "SHA-256 digests of the tokens that operators may use; none closes the operators' API.", digestsRule(), func(d *Document) any { return &d.OperatorTokenDigests }},
 		{"logLevel", "", "Least level that is logged.", levelRule(), func(d *Document) any { return &d.LogLevel }},
 	}
--- a/node/setup/logger.go
+++ b/node/setup/logger.go
@@ -15,7 +15,7 @@
 		return zerolog.Nop(), &Error{faults: []Fault{{"logLevel", fmt.Sprintf("%q", level), levelRule().allowed}}}
 	}
 	c := zerolog.ConsoleWriter{
-		Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		Out: w, NoColor: true,
 		FormatTimestamp:    pair("time"),
 		FormatLevel:        pair("level"),
 		FormatMessage:      pair("event"),
@@ -23,7 +23,15 @@
 		FormatErrFieldName: func(v any) string { return fmt.Sprintf("%s=", v) },
 		FieldsOrder:        []string{"entry", "request", "step", "peer"},
 	}
-	return zerolog.New(c).Level(l).With().Timestamp().Str("entry", name).Logger(), nil
+	return zerolog.New(c).Level(l).Hook(zerolog.HookFunc(stamp)).With().Str("entry", name).Logger(), nil
+}
+
+// timeForm is the form of an event's time: UTC with milliseconds.
+const timeForm = "2006-01-02T15:04:05.000Z"
+
+// stamp adds the time to an event that is logged.
+func stamp(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeForm))
 }
 
 // pair returns a formatter that writes key=value and quotes the value when needed.
--- a/node/setup/setup_test.go
+++ b/node/setup/setup_test.go
@@ -89,7 +89,10 @@
 	l.Info().Str("peer", "10.0.0.1:9").Str("why", "two words").Str("step", "send").Int("n", 4).Msg("refused")
 	i.Equal(strings.Count(b.String(), "\n"), 1)
 	i.True(strings.HasSuffix(b.String(), "level=info event=refused entry=entry-a-1 step=send peer=10.0.0.1:9 n=4 why=\"two words\"\n"))
-	i.True(strings.HasPrefix(b.String(), "time="))
+	at, _, _ := strings.Cut(strings.TrimPrefix(b.String(), "time="), " ")
+	_, err = time.Parse(time.RFC3339, at)
+	i.NoErr(err)
+	i.Equal(len(at), len("2026-03-02T06:00:00.000Z"))
 	_, err = setup.NewLogger(&b, "loud", "x")
 	assertFault(t, err, "logLevel")
 }
