Commit, follow, heal, merge and compact the configuration log

Cause: accepted changes must stay in force through lost answers, races, outages and a service that comes back older. Ruled out: comparing operations alone to tell histories apart; two histories can agree on the operations of a number and not on what came before, so each change carries a digest of the history before it.

--- a/plat/conf/apply.go
+++ b/plat/conf/apply.go
@@ -3,8 +3,10 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -48,8 +50,8 @@
 	if c.Number != d.n+1 {
 		return nil, eris.Wrapf(ErrGap, "apply change %d to document %d", c.Number, d.n)
 	}
-	if c.Prev != "" && c.Prev != d.op {
-		return nil, &DivergedError{number: d.n, have: d.op, offered: c.Prev}
+	if c.Prev != "" && c.Prev != d.chain {
+		return nil, &DivergedError{number: c.Number, have: "after " + d.chain, offered: c.Op + " after " + c.Prev}
 	}
 	c = c.WithDefaults()
 	if err := d.Validate(c); err != nil {
@@ -63,10 +65,25 @@
 // next returns d with c's number and none of its effect.
 func (d *Document) next(c Change) *Document {
 	e := *d
-	e.n, e.op = c.Number, c.Op
+	e.n, e.op, e.chain = c.Number, c.Op, link(d.chain, c.Op)
 	return &e
 }
 
+// link returns the digest of a history that op extends.
+func link(chain, op string) string {
+	return strconv.FormatUint(xxhash.Sum64String(chain+"\x00"+op), 36)
+}
+
+// isLast reports whether c is the document's last change, in the same history.
+func (d *Document) isLast(c Change) bool {
+	return c.Number == d.n && c.Op == d.op && (c.Prev == "" || link(c.Prev, c.Op) == d.chain)
+}
+
+// same reports whether both are one change of one history; a change that is not bound to a history matches by its operation.
+func (c Change) same(o Change) bool {
+	return c.Number == o.Number && c.Op == o.Op && (c.Prev == o.Prev || c.Prev == "" || o.Prev == "")
+}
+
 func (d *Document) perform(c Change) {
 	switch c.Kind {
 	case PutProfile:
--- a/plat/conf/codec.go
+++ b/plat/conf/codec.go
@@ -16,6 +16,7 @@
 type documentWire struct {
 	N         Number               `json:"n"`
 	Op        string               `json:"op"`
+	Chain     string               `json:"chain"`
 	Profiles  []entry[ProfileSpec] `json:"profiles"`
 	Services  []entry[ServiceSpec] `json:"services"`
 	Pools     []entry[PoolSpec]    `json:"pools"`
@@ -27,7 +28,7 @@
 // Marshal returns the document in JSON, the same bytes for equal documents.
 func (d *Document) Marshal() ([]byte, error) {
 	w := documentWire{
-		N: d.n, Op: d.op,
+		N: d.n, Op: d.op, Chain: d.chain,
 		Profiles: d.profiles.entries(), Services: d.services.entries(), Pools: d.pools.entries(),
 		Teams: d.teams.entries(), Waves: d.waves.entries(),
 		Approvals: make([]approvalWire, 0, len(d.approvals)),
@@ -46,7 +47,7 @@
 		return nil, eris.Wrap(err, "parse document")
 	}
 	d := NewDocument()
-	d.n, d.op = w.N, w.Op
+	d.n, d.op, d.chain = w.N, w.Op, w.Chain
 	load(d.profiles, w.Profiles, func(p ProfileSpec) string { return p.Name })
 	load(d.services, w.Services, func(s ServiceSpec) string { return s.Name })
 	load(d.pools, w.Pools, func(p PoolSpec) string { return p.Name })
--- /dev/null
+++ b/plat/conf/commit.go
@@ -0,0 +1,220 @@
+package conf
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+const (
+	firstRetry = 20 * time.Millisecond
+	lastRetry  = time.Second
+)
+
+// Committer brings operators' changes into the log, one at a time.
+type Committer struct {
+	source  source
+	catchUp func(context.Context) error
+	now     func() time.Time
+	turn    chan struct{} // holds one value while a commit runs.
+}
+
+// CommitOption adjusts a committer.
+type CommitOption func(*Committer)
+
+// WithCatchUp sets a call that offers the peers' newest changes to the holder before each commit, so that an entry that
+// has just started does not build on a service that came back older; its error is passed over.
+func WithCatchUp(f func(context.Context) error) CommitOption {
+	return func(c *Committer) { c.catchUp = f }
+}
+
+// WithNow sets the clock that dates changes.
+func WithNow(f func() time.Time) CommitOption { return func(c *Committer) { c.now = f } }
+
+// NewCommitter returns a committer that writes to store and keeps holder up to date.
+func NewCommitter(store keyval.Store, holder *Holder, opts ...CommitOption) *Committer {
+	c := &Committer{
+		source:  source{store: store, holder: holder},
+		catchUp: func(context.Context) error { return nil },
+		now:     time.Now,
+		turn:    make(chan struct{}, 1),
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Commit writes the change into the log and returns its number, once the service has it; the same Op is committed once.
+// It tries until ctx ends. A FieldError and ErrNotAccepted mean that the change is not and will not be in the
+// log; ErrUnsettled means that this is not known: commit it again with the same Op.
+func (c *Committer) Commit(ctx context.Context, change Change) (Number, error) {
+	select {
+	case c.turn <- struct{}{}:
+		defer func() { <-c.turn }()
+	case <-ctx.Done():
+		return 0, eris.Wrapf(ErrNotAccepted, "commit %s: wait for its turn", change.Op)
+	}
+	_ = c.catchUp(ctx)
+	if change.At.IsZero() {
+		change.At = c.now().UTC()
+	}
+	a := &attempt{source: c.source, change: change.WithDefaults()}
+	b := retryWaits()
+	for {
+		n, done, err := a.step(ctx)
+		if done {
+			return n, err
+		}
+		if err == nil {
+			b.Reset()
+			continue
+		}
+		if pause(ctx, b.NextBackOff()) != nil {
+			return 0, a.end(err)
+		}
+	}
+}
+
+func retryWaits() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstRetry, lastRetry
+	return b
+}
+
+// pause waits for d or for the end of ctx.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// attempt is one change on its way into the log.
+type attempt struct {
+	source source
+	change Change
+	sent   *Change // the change under the number at which it is tried.
+	blind  bool    // it may be in the log under that number.
+	wrote  bool    // it was in the log under some number.
+}
+
+// step makes one try; done with no error when the change is in the log. Not done and no error means to go on at once.
+func (a *attempt) step(ctx context.Context) (n Number, done bool, err error) {
+	if a.sent == nil {
+		if n, done, err = a.prepare(ctx); a.sent == nil {
+			return n, done, err
+		}
+	}
+	c := *a.sent
+	err = a.source.putChange(ctx, c, keyval.Absent)
+	switch {
+	case err == nil:
+		return a.keep(c)
+	case errors.Is(err, keyval.ErrConflict):
+		return a.lost(ctx, c)
+	case errors.Is(err, keyval.ErrTooLarge):
+		return 0, true, err
+	case errors.Is(err, keyval.ErrDown):
+		a.clear()
+		return 0, false, err
+	}
+	a.blind = true
+	return 0, false, err
+}
+
+// prepare validates the change against the newest document and gives it the next number.
+func (a *attempt) prepare(ctx context.Context) (Number, bool, error) {
+	v, err := a.source.pull(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	if n, ok := a.source.holder.FindOp(a.change.Op); ok {
+		return n, true, nil
+	}
+	if errors.Is(v.report, ErrDiverged) {
+		_, err := a.source.merge(ctx)
+		return 0, false, err
+	}
+	if !v.anchored {
+		return a.heal(ctx)
+	}
+	d := a.source.holder.Document()
+	c := a.change
+	c.Number, c.Prev = d.n+1, d.chain
+	if err := d.Validate(c); err != nil {
+		return 0, !a.wrote, err
+	}
+	a.sent = &c
+	return 0, false, nil
+}
+
+// heal writes the changes that the service lacks before the next one is written.
+func (a *attempt) heal(ctx context.Context) (Number, bool, error) {
+	wrote, err := a.source.heal(ctx, DefaultTail)
+	if errors.Is(err, ErrDiverged) {
+		wrote, err = a.source.merge(ctx)
+	}
+	if err == nil && wrote == 0 {
+		err = eris.Wrap(ErrGap, "the service lacks changes that are not known here")
+	}
+	return 0, false, err
+}
+
+// clear gives the number up, unless the change may be in the log under it.
+func (a *attempt) clear() {
+	if !a.blind {
+		a.sent = nil
+	}
+}
+
+// lost reads whose change stands under c's number.
+func (a *attempt) lost(ctx context.Context, c Change) (Number, bool, error) {
+	i, err := a.source.store.Get(ctx, LogKey(c.Number))
+	if err != nil {
+		a.clear()
+		return 0, false, err
+	}
+	if !i.Found() {
+		a.clear()
+		return 0, false, eris.Wrapf(ErrUnsettled, "change %d is gone again", c.Number)
+	}
+	w, err := parseChange(i)
+	if err != nil {
+		return 0, false, err
+	}
+	if w.Op == c.Op {
+		return a.keep(w)
+	}
+	_, _ = a.source.holder.Offer(w) // what does not fit shows at the next pull.
+	a.sent, a.blind = nil, false
+	return 0, false, nil
+}
+
+// keep hands the holder a change that the service has. It is accepted only once the holder has it too, as that is what
+// brings it back should the service forget it.
+func (a *attempt) keep(c Change) (Number, bool, error) {
+	_, _ = a.source.holder.Offer(c) // what does not fit shows at the next pull.
+	if n, ok := a.source.holder.FindOp(c.Op); ok {
+		return n, true, nil
+	}
+	a.sent, a.blind, a.wrote = nil, false, true
+	return 0, false, nil
+}
+
+// end returns the error for a change whose time ran out.
+func (a *attempt) end(last error) error {
+	if a.blind || a.wrote {
+		return eris.Wrapf(ErrUnsettled, "commit %s: %v", a.change.Op, last)
+	}
+	return eris.Wrapf(ErrNotAccepted, "commit %s: %v", a.change.Op, last)
+}
--- /dev/null
+++ b/plat/conf/compact.go
@@ -0,0 +1,101 @@
+package conf
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+const (
+	// SnapEvery is the number of changes between two snapshots.
+	SnapEvery = 500
+	// PruneStep is the number of changes that one step prunes at most.
+	PruneStep = 100
+)
+
+// Compactor bounds what a newcomer reads and what the service keeps; one entry of the fleet runs it.
+type Compactor struct {
+	source source
+	snap   Number // number of the newest snapshot that was seen.
+	pruned Number // changes up to this one are gone.
+}
+
+// NewCompactor returns a compactor of store's log as far as holder knows it.
+func NewCompactor(store keyval.Store, holder *Holder) *Compactor {
+	return &Compactor{source: source{store: store, holder: holder}}
+}
+
+// Step writes a snapshot when SnapEvery changes have passed since the last, or else prunes up to PruneStep changes that are more
+// than PruneBehind behind it; it is called every few seconds and makes no call while there is nothing to do.
+func (c *Compactor) Step(ctx context.Context) error {
+	d := c.source.holder.Document()
+	if d.n-c.snap >= SnapEvery {
+		return c.snapshot(ctx, d)
+	}
+	if c.snap-PruneBehind > c.pruned {
+		return c.prune(ctx, c.snap-PruneBehind)
+	}
+	return nil
+}
+
+func (c *Compactor) snapshot(ctx context.Context, d *Document) error {
+	old, rev, err := c.source.snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	if old != nil && old.n > d.n-SnapEvery {
+		c.snap = old.n
+		return nil
+	}
+	if err := c.confirm(ctx, d); err != nil {
+		return err
+	}
+	err = c.source.putSnapshot(ctx, d, rev)
+	if errors.Is(err, keyval.ErrConflict) {
+		return nil
+	}
+	if err == nil {
+		c.snap = d.n
+	}
+	return err
+}
+
+// confirm returns an error unless the service's log holds d's last change, so that no snapshot is made of another history.
+func (c *Compactor) confirm(ctx context.Context, d *Document) error {
+	i, err := c.source.store.Get(ctx, LogKey(d.n))
+	if err != nil {
+		return eris.Wrapf(err, "get change %d", d.n)
+	}
+	w, err := parseChange(i)
+	if !i.Found() || err != nil {
+		return eris.Wrapf(ErrGap, "snapshot: the service lacks change %d", d.n)
+	}
+	if !d.isLast(w) {
+		return &DivergedError{number: d.n, have: d.op, offered: w.Op}
+	}
+	return nil
+}
+
+func (c *Compactor) prune(ctx context.Context, upTo Number) error {
+	l, _, err := c.source.store.List(ctx, LogPrefix, "", PruneStep)
+	if err != nil {
+		return eris.Wrap(err, "list changes to prune")
+	}
+	for _, i := range l {
+		n, ok := parseLogKey(i.Key())
+		if !ok || n > upTo {
+			c.pruned = upTo
+			return nil
+		}
+		if err := c.source.store.Delete(ctx, i.Key(), i.Rev()); err != nil && !errors.Is(err, keyval.ErrConflict) {
+			return eris.Wrapf(err, "prune change %d", n)
+		}
+	}
+	if len(l) < PruneStep {
+		c.pruned = upTo
+	}
+	return nil
+}
--- a/plat/conf/document.go
+++ b/plat/conf/document.go
@@ -107,7 +107,7 @@
 type Change struct {
 	Number   Number        `json:"n"`
 	Op       string        `json:"op"`             // the operation's id, by which a lost answer is settled.
-	Prev     string        `json:"prev,omitempty"` // Op of the change before; binds the change to its history.
+	Prev     string        `json:"prev,omitempty"` // Document.Chain before the change; binds it to its history.
 	By       string        `json:"by"`             // the operator.
 	At       time.Time     `json:"at"`
 	Kind     Kind          `json:"kind"`
--- /dev/null
+++ b/plat/conf/flaky_test.go
@@ -0,0 +1,108 @@
+package conf_test
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"time"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+// flaky is a store whose calls are slow, fail and lose their answers by chance.
+type flaky struct {
+	keyval.Store
+	chance *chance
+	late   bool // a write whose answer was lost may take effect later.
+	calls  int
+}
+
+// chance draws for several stores.
+type chance struct {
+	mu   sync.Mutex
+	r    *rand.Rand
+	down bool
+	calm bool
+}
+
+func (c *chance) n(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.r.Intn(n)
+}
+
+func (c *chance) set(down, calm bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down, c.calm = down, calm
+}
+
+func (c *chance) state() (down, calm bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down, c.calm
+}
+
+// do performs call under a fault; the caller of a write cannot tell the last three apart.
+func (f *flaky) do(call func(context.Context) error, ctx context.Context, write bool) error {
+	f.chance.mu.Lock()
+	f.calls++
+	f.chance.mu.Unlock()
+	time.Sleep(time.Duration(1+f.chance.n(20)) * time.Millisecond)
+	down, calm := f.chance.state()
+	if down || ctx.Err() != nil {
+		return keyval.ErrDown
+	}
+	if calm {
+		return call(ctx)
+	}
+	switch k := f.chance.n(10); {
+	case k == 0:
+		return keyval.ErrDown
+	case k == 1:
+		return keyval.ErrUnknown
+	case k <= 3 && write:
+		_ = call(ctx)
+		return keyval.ErrUnknown
+	case k == 4 && write && f.late:
+		time.AfterFunc(time.Duration(f.chance.n(400))*time.Millisecond, func() { _ = call(context.Background()) })
+		return keyval.ErrUnknown
+	}
+	return call(ctx)
+}
+
+func (f *flaky) Get(ctx context.Context, key string) (i keyval.Item, err error) {
+	err = f.do(func(c context.Context) error {
+		i, err = f.Store.Get(c, key)
+		return err
+	}, ctx, false)
+	return i, err
+}
+
+func (f *flaky) List(ctx context.Context, p, after string, n int) (l []keyval.Item, rev keyval.Revision, err error) {
+	err = f.do(func(c context.Context) error {
+		l, rev, err = f.Store.List(c, p, after, n)
+		return err
+	}, ctx, false)
+	return l, rev, err
+}
+
+func (f *flaky) Put(ctx context.Context, key string, v []byte, cond keyval.Revision, l keyval.LeaseID) (keyval.Revision, error) {
+	var rev keyval.Revision
+	err := f.do(func(c context.Context) error {
+		n, err := f.Store.Put(c, key, v, cond, l)
+		if err == nil && c.Err() == nil {
+			rev = n
+		}
+		return err
+	}, ctx, true)
+	return rev, err
+}
+
+func (f *flaky) Watch(ctx context.Context, p string, rev keyval.Revision, wait time.Duration) (l []keyval.Event, to keyval.Revision, err error) {
+	err = f.do(func(c context.Context) error {
+		l, to, err = f.Store.Watch(c, p, rev, wait)
+		return err
+	}, ctx, false)
+	return l, to, err
+}
--- /dev/null
+++ b/plat/conf/follow.go
@@ -0,0 +1,200 @@
+package conf
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+const (
+	// DefaultWait is the longest wait of one watch.
+	DefaultWait = 3 * time.Second
+	// DefaultAudit is the time between looks whether the service still holds the newest change.
+	DefaultAudit = 20 * time.Second
+	// DefaultPace is the least time between two watches, so that a burst of changes costs few calls.
+	DefaultPace = 50 * time.Millisecond
+	// DefaultSpread is the time over which entries spread the healing of a service that came back older.
+	DefaultSpread = time.Second
+)
+
+// auditDepth is the number of recent changes that an audit looks for.
+const auditDepth = 64
+
+const (
+	firstOutageWait = 100 * time.Millisecond
+	lastOutageWait  = 4 * time.Second
+)
+
+// Follower keeps a holder up to date from the service, and the service from the holder when it came back older.
+type Follower struct {
+	source              source
+	log                 zerolog.Logger
+	wait, audit, spread time.Duration
+	pace                time.Duration
+	audited             time.Time
+}
+
+// FollowOption adjusts a follower.
+type FollowOption func(*Follower)
+
+// WithLogger sets the log.
+func WithLogger(l zerolog.Logger) FollowOption { return func(f *Follower) { f.log = l } }
+
+// WithWait sets the longest wait of one watch.
+func WithWait(d time.Duration) FollowOption { return func(f *Follower) { f.wait = d } }
+
+// WithAudit sets the time between looks whether the service still holds the newest change.
+func WithAudit(d time.Duration) FollowOption { return func(f *Follower) { f.audit = d } }
+
+// WithPace sets the least time between two watches.
+func WithPace(d time.Duration) FollowOption { return func(f *Follower) { f.pace = d } }
+
+// WithSpread sets the time over which entries spread the healing of a service that came back older.
+func WithSpread(d time.Duration) FollowOption { return func(f *Follower) { f.spread = d } }
+
+// NewFollower returns a follower of store for holder.
+func NewFollower(store keyval.Store, holder *Holder, opts ...FollowOption) *Follower {
+	f := &Follower{
+		source: source{store: store, holder: holder}, log: zerolog.Nop(),
+		wait: DefaultWait, audit: DefaultAudit, pace: DefaultPace, spread: DefaultSpread,
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
+
+// Run follows the service until ctx ends; in an outage it makes one call per wait, and the waits grow to seconds with jitter.
+func (f *Follower) Run(ctx context.Context) error {
+	b := outageWaits()
+	rev, synced := keyval.Revision(0), false
+	for ctx.Err() == nil {
+		var err error
+		if !synced {
+			rev, err = f.sync(ctx, DefaultTail)
+		}
+		if err == nil {
+			synced = true
+			rev, err = f.follow(ctx, rev, b.Reset)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		f.log.Warn().Str("event", "configBehind").Int64("number", int64(f.source.holder.Document().Number())).Err(err).Send()
+		synced = synced && !needsSync(err)
+		if pause(ctx, b.NextBackOff()) != nil {
+			break
+		}
+	}
+	return nil
+}
+
+func outageWaits() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstOutageWait, lastOutageWait
+	return b
+}
+
+// needsSync reports whether the watch cannot go on from its revision.
+func needsSync(err error) bool {
+	return errors.Is(err, keyval.ErrReset) || errors.Is(err, ErrGap) || errors.Is(err, ErrDiverged)
+}
+
+// sync pulls, mends the service if it lacks one of the last depth changes, and returns the revision to watch from.
+func (f *Follower) sync(ctx context.Context, depth int) (keyval.Revision, error) {
+	v, err := f.source.pull(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.reportOffer(v.report)
+	lacks := !v.anchored || errors.Is(v.report, ErrDiverged)
+	if !lacks {
+		lacks, err = f.source.lacks(ctx, depth)
+	}
+	if err == nil && lacks {
+		err = f.mend(ctx)
+	}
+	if err == nil {
+		f.audited = time.Now()
+	}
+	return v.rev, err
+}
+
+// mend waits for its turn within the spread, looks again, and writes what the service lacks.
+func (f *Follower) mend(ctx context.Context) error {
+	if err := pause(ctx, rand.N(f.spread+1)); err != nil { //nolint:gosec // jitter
+		return err
+	}
+	v, err := f.source.pull(ctx)
+	if err != nil {
+		return err
+	}
+	n := 0
+	if err = v.report; !errors.Is(err, ErrDiverged) {
+		n, err = f.source.heal(ctx, DefaultTail)
+	}
+	if errors.Is(err, ErrDiverged) {
+		f.reportOffer(err)
+		n, err = f.source.merge(ctx)
+	}
+	f.log.Warn().Str("event", "configHealed").Int("changes", n).Err(err).Send()
+	return err
+}
+
+// follow watches from rev until an error, and returns the revision that it came to; alive is called at each answer.
+func (f *Follower) follow(ctx context.Context, rev keyval.Revision, alive func()) (keyval.Revision, error) {
+	for {
+		l, to, err := f.source.store.Watch(ctx, LogPrefix, rev, f.wait)
+		if err != nil {
+			f.audited = time.Time{} // the service may have come back older.
+			return rev, err
+		}
+		alive()
+		if err := f.take(l); err != nil {
+			return rev, err
+		}
+		rev = to
+		if time.Since(f.audited) >= f.audit {
+			if _, err := f.sync(ctx, auditDepth); err != nil {
+				return rev, err
+			}
+		}
+		if err := pause(ctx, f.pace); err != nil {
+			return rev, err
+		}
+	}
+}
+
+// take offers the changes that the events hold.
+func (f *Follower) take(l []keyval.Event) error {
+	items := make([]keyval.Item, 0, len(l))
+	for _, e := range l {
+		if !e.Deleted() {
+			items = append(items, e.Item())
+		}
+	}
+	err := f.source.offerItems(items)
+	f.reportOffer(err)
+	if errors.Is(err, ErrGap) || errors.Is(err, ErrDiverged) {
+		return eris.Wrap(err, "watch changes")
+	}
+	return nil
+}
+
+// reportOffer logs histories that part and changes without effect.
+func (f *Follower) reportOffer(err error) {
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrDiverged):
+		f.log.Error().Str("event", "configDiverged").Err(err).Send()
+	case errors.Is(err, ErrInvalid):
+		f.log.Error().Str("event", "configInvalid").Err(err).Send()
+	}
+}
--- /dev/null
+++ b/plat/conf/heal.go
@@ -0,0 +1,120 @@
+package conf
+
+import (
+	"context"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+// lacks reports whether the service is without one of the holder's last depth changes, or has another in its place.
+func (s source) lacks(ctx context.Context, depth int) (bool, error) {
+	recent := s.recent(depth)
+	if len(recent) == 0 {
+		return false, nil
+	}
+	have, err := s.changes(ctx, recent[0].Number-1)
+	if err != nil {
+		return false, err
+	}
+	for _, c := range recent {
+		if w, ok := have[c.Number]; !ok || !w.change.same(c) {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// heal writes those of the holder's last depth changes that the service lacks, upward, so that each change in the service follows
+// on its predecessor; ErrDiverged when the service has another one. It returns the number of changes that it wrote.
+func (s source) heal(ctx context.Context, depth int) (int, error) {
+	recent := s.recent(depth)
+	if len(recent) == 0 {
+		return 0, s.healSnapshot(ctx, s.holder.Document().n+1)
+	}
+	have, err := s.changes(ctx, recent[0].Number-1)
+	if err != nil {
+		return 0, err
+	}
+	if _, ok := have[recent[0].Number]; !ok {
+		if err := s.healSnapshot(ctx, recent[0].Number); err != nil {
+			return 0, err
+		}
+	}
+	return s.putMissing(ctx, recent, have)
+}
+
+// putMissing writes those of the recent changes that are not in have.
+func (s source) putMissing(ctx context.Context, recent []Change, have map[Number]placed) (int, error) {
+	wrote := 0
+	for _, c := range recent {
+		w, ok := have[c.Number]
+		if ok && !w.change.same(c) {
+			return wrote, &DivergedError{number: c.Number, have: c.Op, offered: w.change.Op}
+		}
+		if ok {
+			continue
+		}
+		if err := s.putChange(ctx, c, keyval.Absent); err != nil {
+			return wrote, err
+		}
+		wrote++
+	}
+	return wrote, nil
+}
+
+// recent returns the holder's last changes, up to depth of them.
+func (s source) recent(depth int) []Change {
+	l := s.tail(s.holder.Document().n)
+	return l[max(0, len(l)-depth):]
+}
+
+// tail returns the changes up to n that the holder still keeps.
+func (s source) tail(n Number) []Change {
+	var l []Change
+	for c, ok := s.holder.At(n); ok; c, ok = s.holder.At(c.Number - 1) {
+		l = append(l, c)
+	}
+	slices.Reverse(l)
+	return l
+}
+
+// healSnapshot writes the holder's document as the snapshot when the service's does not reach the change before first.
+func (s source) healSnapshot(ctx context.Context, first Number) error {
+	if first <= 1 {
+		return nil
+	}
+	d, rev, err := s.snapshot(ctx)
+	if err != nil || d != nil && d.Number() >= first-1 {
+		return err
+	}
+	return s.putSnapshot(ctx, s.holder.Document(), rev)
+}
+
+// placed is a change and the revision of its key.
+type placed struct {
+	change Change
+	rev    keyval.Revision
+}
+
+// changes returns the changes after n that the service has.
+func (s source) changes(ctx context.Context, n Number) (map[Number]placed, error) {
+	have, after := map[Number]placed{}, LogKey(max(n, 0))
+	for {
+		l, _, err := s.store.List(ctx, LogPrefix, after, pageItems)
+		if err != nil {
+			return nil, eris.Wrapf(err, "list changes after %s", after)
+		}
+		for _, i := range l {
+			if c, err := parseChange(i); err == nil {
+				have[c.Number] = placed{change: c, rev: i.Rev()}
+			}
+		}
+		if len(l) < pageItems {
+			return have, nil
+		}
+		after = l[len(l)-1].Key()
+	}
+}
--- a/plat/conf/log.go
+++ b/plat/conf/log.go
@@ -69,6 +69,7 @@
 	if d == nil {
 		return false, err
 	}
+	c.Prev = l.doc.chain
 	l.doc = d
 	l.push(c)
 	return true, err
@@ -76,19 +77,16 @@
 
 // compare returns a DivergedError when c is not the change that was applied under its number.
 func (l *Log) compare(c Change) error {
-	have, ok := l.opAt(c.Number)
-	if ok && have != c.Op {
-		return &DivergedError{number: c.Number, have: have, offered: c.Op}
+	if c.Number == l.doc.n {
+		if l.doc.isLast(c) {
+			return nil
+		}
+		return &DivergedError{number: c.Number, have: l.doc.op, offered: c.Op}
 	}
-	return nil
-}
-
-func (l *Log) opAt(n Number) (string, bool) {
-	if n == l.doc.n {
-		return l.doc.op, true
+	if have, ok := l.At(c.Number); ok && !have.same(c) {
+		return &DivergedError{number: c.Number, have: have.Op, offered: c.Op}
 	}
-	c, ok := l.At(n)
-	return c.Op, ok
+	return nil
 }
 
 // At returns the change with that number if the log still keeps it.
--- a/plat/conf/log_test.go
+++ b/plat/conf/log_test.go
@@ -30,7 +30,7 @@
 
 func drawChange(t *rapid.T, label string, d *conf.Document) conf.Change {
 	n := d.Number() + 1
-	c := conf.Change{Number: n, Op: fmt.Sprint(label, n), Prev: d.Op()}
+	c := conf.Change{Number: n, Op: fmt.Sprint(label, n), Prev: d.Chain()}
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 	kinds := []conf.Kind{conf.PutPool, conf.DropPool, conf.PutTeam, conf.DropTeam, conf.PutProfile}
 	switch c.Kind = rapid.SampledFrom(kinds).Draw(t, "kind"); c.Kind {
--- /dev/null
+++ b/plat/conf/merge.go
@@ -0,0 +1,95 @@
+package conf
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+// maxMerges bounds the rounds of a merge that other entries' writes interrupt.
+const maxMerges = 20
+
+// merge joins the histories that are left after the service came back older and took other changes: the service's history stays,
+// the changes that do not follow on it, its own and the holder's, are added behind it under new numbers, and the holder goes
+// forward to the result. A change that no longer fits has no effect there. Several entries may merge at once, as an operation
+// is added once. It returns the number of changes that it added.
+func (s source) merge(ctx context.Context) (int, error) {
+	added := 0
+	for range maxMerges {
+		own := s.holder.Document()
+		t := source{store: s.store, holder: NewHolder()}
+		if _, err := t.pull(ctx); err != nil {
+			return added, err
+		}
+		n, err := s.addStray(ctx, t, own.n)
+		added += n
+		if errors.Is(err, keyval.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return added, err
+		}
+		if s.holder.replace(own, t.holder) {
+			return added, nil
+		}
+	}
+	return added, eris.Wrap(keyval.ErrConflict, "merge histories")
+}
+
+// addStray writes each stray change behind t's newest one, and offers it to t.
+func (s source) addStray(ctx context.Context, t source, upTo Number) (int, error) {
+	have, err := s.changes(ctx, 0)
+	if err != nil {
+		return 0, err
+	}
+	added := 0
+	for _, c := range stray(s.tail(upTo), have, t.holder.Document().n) {
+		d := t.holder.Document()
+		c.Number, c.Prev, c.Expect = d.n+1, d.chain, 0
+		if err := t.putChange(ctx, c, have[c.Number].rev); err != nil {
+			return added, err
+		}
+		_, _ = t.holder.Offer(c) // one that does not fit any more has no effect.
+		added++
+	}
+	return added, nil
+}
+
+// stray returns, by their numbers, the changes of own and those behind end in the service that are not part of its history up to
+// end, each operation once.
+func stray(own []Change, have map[Number]placed, end Number) []Change {
+	known := map[string]bool{}
+	for n, p := range have {
+		if n <= end {
+			known[p.change.Op] = true
+		} else {
+			own = append(own, p.change)
+		}
+	}
+	slices.SortStableFunc(own, func(a, b Change) int { return cmp.Compare(a.Number, b.Number) })
+	return slices.DeleteFunc(own, func(c Change) bool {
+		seen := known[c.Op]
+		known[c.Op] = true
+		return seen
+	})
+}
+
+// replace takes o's log, which has every change of the own one, in place of it, unless the own one is not at old any more. The
+// number never goes down.
+func (h *Holder) replace(old *Document, o *Holder) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.log.doc != old {
+		return false
+	}
+	if o.log.doc.n >= old.n && o.log.doc.chain != old.chain {
+		h.log.doc, h.log.tail = o.log.doc, o.log.tail
+		h.publish()
+	}
+	return true
+}
--- /dev/null
+++ b/plat/conf/source.go
@@ -0,0 +1,198 @@
+package conf
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+const (
+	// LogPrefix begins the key of each change in the service.
+	LogPrefix = "conf/log/"
+	// SnapKey holds the snapshot.
+	SnapKey = "conf/snap"
+)
+
+// pageItems is the number of changes that one list asks for.
+const pageItems = 500
+
+// LogKey returns the key of the change with that number.
+func LogKey(n Number) string { return fmt.Sprintf("%s%012d", LogPrefix, n) }
+
+func parseLogKey(key string) (Number, bool) {
+	n, err := strconv.ParseInt(strings.TrimPrefix(key, LogPrefix), 10, 64)
+	return Number(n), err == nil && n > 0
+}
+
+// Snapshot is the value under SnapKey.
+type Snapshot struct {
+	N        Number          `json:"n"`
+	Document json.RawMessage `json:"document"`
+}
+
+// source reads and writes the log in the service on behalf of a holder.
+type source struct {
+	store  keyval.Store
+	holder *Holder
+}
+
+// view is what a pull found.
+type view struct {
+	rev      keyval.Revision
+	anchored bool  // the service holds the holder's newest change, in its log or its snapshot.
+	report   error // what Offer had to say; ErrDiverged when the service holds another change under the holder's number.
+}
+
+// maxPulls bounds the rounds of a pull in which the snapshot moved on.
+const maxPulls = 3
+
+// pull brings the holder up to the service's newest change: one list, or a snapshot and lists for a holder that is far behind.
+func (s source) pull(ctx context.Context) (view, error) {
+	if s.holder.Document().Number() == 0 {
+		if _, err := s.pullSnapshot(ctx); err != nil {
+			return view{}, err
+		}
+	}
+	var v view
+	for range maxPulls {
+		var err error
+		if v, err = s.pullLog(ctx, false); err != nil || v.anchored || v.report != nil {
+			return v, err
+		}
+		before := s.holder.Document()
+		d, err := s.pullSnapshot(ctx)
+		if err != nil || d == nil || d.n < before.n {
+			return v, err
+		}
+		if d.n == before.n {
+			if d.chain != before.chain {
+				v.report = &DivergedError{number: d.n, have: before.op, offered: d.op}
+				return v, nil
+			}
+			return s.pullLog(ctx, true)
+		}
+	}
+	return v, nil
+}
+
+// pullLog offers the changes from the holder's newest on, if the service has that one or is known to be anchored otherwise.
+func (s source) pullLog(ctx context.Context, anchored bool) (view, error) {
+	d := s.holder.Document()
+	v := view{anchored: anchored}
+	after := LogKey(max(d.n-1, 0))
+	for first := true; ; first = false {
+		l, rev, err := s.store.List(ctx, LogPrefix, after, pageItems)
+		if err != nil {
+			return v, eris.Wrapf(err, "list changes after %s", after)
+		}
+		v.rev = rev
+		if first {
+			v.anchor(d, l)
+		}
+		if !v.anchored {
+			return v, nil
+		}
+		if v.report = errors.Join(v.report, s.offerItems(l)); len(l) < pageItems {
+			return v, nil
+		}
+		after = l[len(l)-1].Key()
+	}
+}
+
+// anchor looks for d's last change at the head of the list.
+func (v *view) anchor(d *Document, l []keyval.Item) {
+	if len(l) == 0 {
+		v.anchored = v.anchored || d.n == 0
+		return
+	}
+	c, err := parseChange(l[0])
+	switch {
+	case err != nil:
+	case c.Number == d.n && d.n > 0 && !d.isLast(c):
+		v.anchored, v.report = false, &DivergedError{number: d.n, have: d.op, offered: c.Op}
+	case c.Number == d.n, d.n == 0 && c.Number == 1:
+		v.anchored = true
+	}
+}
+
+// offerItems offers the changes that the items hold and returns what Offer reports.
+func (s source) offerItems(l []keyval.Item) error {
+	c := make([]Change, 0, len(l))
+	for _, i := range l {
+		if d, err := parseChange(i); err == nil {
+			c = append(c, d)
+		}
+	}
+	_, err := s.holder.Offer(c...)
+	return err
+}
+
+// unreadableOp stands for the operation of a change that cannot be read.
+const unreadableOp = "unreadable"
+
+// parseChange returns the change that the item holds; one that cannot be read has its key's number and no effect.
+func parseChange(i keyval.Item) (Change, error) {
+	n, ok := parseLogKey(i.Key())
+	if !ok {
+		return Change{}, eris.Errorf("conf: key %q is not a change's", i.Key())
+	}
+	var c Change
+	if err := json.Unmarshal(i.Value(), &c); err != nil || c.Number != n {
+		c = Change{Number: n, Op: unreadableOp}
+	}
+	return c, nil
+}
+
+// pullSnapshot offers the snapshot's document and returns it, nil if there is none.
+func (s source) pullSnapshot(ctx context.Context) (*Document, error) {
+	d, _, err := s.snapshot(ctx)
+	if err == nil {
+		s.holder.OfferDocument(d)
+	}
+	return d, err
+}
+
+// snapshot returns the snapshot's document, nil if there is none, and the revision of its key.
+func (s source) snapshot(ctx context.Context) (*Document, keyval.Revision, error) {
+	i, err := s.store.Get(ctx, SnapKey)
+	if err != nil || !i.Found() {
+		return nil, keyval.Absent, eris.Wrap(err, "get snapshot")
+	}
+	var w Snapshot
+	if err := json.Unmarshal(i.Value(), &w); err != nil {
+		return nil, i.Rev(), eris.Wrap(err, "parse snapshot")
+	}
+	d, err := ParseDocument(w.Document)
+	return d, i.Rev(), err
+}
+
+// putSnapshot writes d as the snapshot in place of the one of that revision.
+func (s source) putSnapshot(ctx context.Context, d *Document, rev keyval.Revision) error {
+	b, err := d.Marshal()
+	if err != nil {
+		return err
+	}
+	v, err := json.Marshal(Snapshot{N: d.Number(), Document: b})
+	if err != nil {
+		return eris.Wrap(err, "marshal snapshot")
+	}
+	_, err = s.store.Put(ctx, SnapKey, v, rev, 0)
+	return eris.Wrapf(err, "put snapshot %d", d.Number())
+}
+
+// putChange writes c under its number, if the key's revision is cond.
+func (s source) putChange(ctx context.Context, c Change, cond keyval.Revision) error {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return eris.Wrapf(err, "marshal change %d", c.Number)
+	}
+	_, err = s.store.Put(ctx, LogKey(c.Number), b, cond, 0)
+	return eris.Wrapf(err, "put change %d", c.Number)
+}
--- a/plat/conf/table.go
+++ b/plat/conf/table.go
@@ -59,6 +59,7 @@
 type Document struct {
 	n         Number
 	op        string
+	chain     string // digest of the whole history.
 	profiles  table[ProfileSpec]
 	services  table[ServiceSpec]
 	pools     table[PoolSpec]
@@ -87,6 +88,9 @@
 // Op returns the operation's id of the last change in the document.
 func (d *Document) Op() string { return d.op }
 
+// Chain returns a digest of the history, which two documents share only if the same changes led to them.
+func (d *Document) Chain() string { return d.chain }
+
 // Profile returns the profile of that name.
 func (d *Document) Profile(name string) (ProfileSpec, bool) { return d.profiles.get(name) }
 
