Wait until each entry sees its targets, and judge a wait by its end

A trial with two demos at once failed: one entry did not yet have its first view of the targets and refused an order as not run, while the leader's word said that all serve. The demo asks each entry alone now.

--- a/cmd/burdockreach/wait.go
+++ b/cmd/burdockreach/wait.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	pollInterval   = 50 * time.Millisecond
+	pollInterval   = 20 * time.Millisecond
 	defaultInForce = 30 * time.Second
 )
 
@@ -69,7 +69,7 @@
 		if len(m) == 0 {
 			return l.sayInForce(rs, n, began)
 		}
-		if missing == nil || t.Err() == nil { // the answers that the end of the wait cut off say nothing.
+		if end, _ := t.Deadline(); missing == nil || time.Now().Before(end) { // answers that the end of the wait cut off say nothing.
 			missing = m
 		}
 		select {
--- a/fakes/demo/cli.go
+++ b/fakes/demo/cli.go
@@ -45,11 +45,13 @@
 		{strangersToken, "team put -token-file - strangers"},
 		{"", "approve desk orders"},
 		{"", "approve -wait 10s desk ledger"},
-		{"", "status"},
 	} {
 		if err := s.operate(c, w[0], strings.Fields(w[1])...); err != nil {
 			return err
 		}
 	}
-	return nil
+	if err := s.ready(c); err != nil {
+		return err
+	}
+	return s.operate(c, "", "status")
 }
--- a/fakes/demo/steps.go
+++ b/fakes/demo/steps.go
@@ -9,8 +9,51 @@
 	"github.com/rotisserie/eris"
 )
 
-// readyWait bounds the wait until a new service answers.
-const readyWait = 10 * time.Second
+const (
+	readyWait  = 10 * time.Second // until targets and entries serve
+	repeatWait = 3 * time.Second  // until a copy gets the kept answer
+)
+
+// ready waits until every entry sees all targets of its data centre serve and takes new work.
+func (s *site) ready(c context.Context) error {
+	for _, n := range s.nodes {
+		if err := until(c, readyWait, n.name+" sees its targets serve", func() error { return s.sees(c, n) }); err != nil {
+			return err
+		}
+	}
+	return until(c, readyWait, "all entries take work", s.healthy)
+}
+
+// sees reports whether the entry alone knows that all targets of its data centre serve.
+func (s *site) sees(c context.Context, n node) error {
+	vs, err := s.vms(c, "-entries", n.operators, "-data-centre", n.dataCentre)
+	if err != nil {
+		return err
+	}
+	for _, v := range vs {
+		if v.State != servingAs {
+			return eris.Errorf("%s is %s", v.ID, v.State)
+		}
+	}
+	if due := len(s.targets) / len(dataCentres()); len(vs) != due {
+		return eris.Errorf("it knows %d of %d VMs", len(vs), due)
+	}
+	return nil
+}
+
+// healthy asks every entry's health page.
+func (s *site) healthy() error {
+	for _, n := range s.nodes {
+		a, err := call(n.callers, request{"GET", "/health", "", "", nil})
+		if err != nil {
+			return err
+		}
+		if a.status != 200 {
+			return eris.Errorf("%s answers %d", n.name, a.status)
+		}
+	}
+	return nil
+}
 
 // first returns the first entry of each data centre.
 func (s *site) first() []node {
@@ -30,31 +73,36 @@
 	say("send one order to one entry of each data centre, then the same order again")
 	for _, n := range s.first() {
 		r := request{"POST", "/call/orders/basket", deskToken, n.dataCentre + "/order-1", []byte(`{"trays": 12}`)}
-		var a answer
-		err := until(c, readyWait, "an order is answered by "+n.name, func() error {
-			var err error
-			a, err = call(n.callers, r)
-			if err != nil || a.status == 200 {
-				return err
-			}
-			return eris.Errorf("%v", a)
-		})
+		a, err := call(n.callers, r)
 		if err != nil {
 			return err
 		}
 		tell("%s: %v", n.name, a)
-		again, err := call(n.callers, r)
-		if err != nil {
-			return err
+		if a.status != 200 || a.outcome != "answered" {
+			return eris.Errorf("an order was not answered: %v", a)
 		}
-		tell("%s, the copy: %v", n.name, again)
-		if again.outcome != "repeat" {
-			return eris.Errorf("a copy of an answered order was answered %v, not from the kept answer", again)
+		if err := s.repeat(c, n, r); err != nil {
+			return err
 		}
 	}
 	return s.runsAre(int64(len(s.first())))
 }
 
+// repeat sends a copy of an answered order until its kept answer comes; until the record is settled, a copy is told to come back.
+func (s *site) repeat(c context.Context, n node, r request) error {
+	return until(c, repeatWait, "a copy gets the kept answer", func() error {
+		a, err := call(n.callers, r)
+		if err != nil {
+			return err
+		}
+		tell("%s, the copy: %v", n.name, a)
+		if a.outcome != "repeat" {
+			return eris.Errorf("the copy of an answered order: %v", a)
+		}
+		return nil
+	})
+}
+
 // runsAre checks how many requests the targets ran since the demo began.
 func (s *site) runsAre(want int64) error {
 	r, err := s.counted()
--- a/fakes/demo/wave.go
+++ b/fakes/demo/wave.go
@@ -113,9 +113,9 @@
 	return s.operate(c, "", "wave", "drop", waveID)
 }
 
-// vms asks for the VMs of the pool orders.
-func (s *site) vms(c context.Context) ([]oper.VM, error) {
-	out, err := s.cli(c, "", "vm", "list", "-json", "-pool", "orders")
+// vms asks for the VMs that the flags name.
+func (s *site) vms(c context.Context, flags ...string) ([]oper.VM, error) {
+	out, err := s.cli(c, "", append([]string{"vm", "list", "-json"}, flags...)...)
 	if err != nil {
 		return nil, err
 	}
@@ -128,7 +128,7 @@
 
 // outVM returns a VM of the pool that does not serve.
 func (s *site) outVM(c context.Context) (oper.VM, error) {
-	vs, err := s.vms(c)
+	vs, err := s.vms(c, "-pool", "orders")
 	if err != nil {
 		return oper.VM{}, err
 	}
@@ -149,7 +149,7 @@
 	if r.Boot <= firstBoot {
 		return eris.Errorf("%s has not rebooted", out.ID)
 	}
-	vs, err := s.vms(c)
+	vs, err := s.vms(c, "-pool", "orders")
 	if err != nil {
 		return err
 	}
