Hold a data centre's leader lease with a fence

Cause: one leader a data centre, also through pauses, lost answers and a service that forgets leases.

--- a/plat/conf/flaky_test.go
+++ b/plat/conf/flaky_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdockreach.dev/plat/keyval"
@@ -44,7 +45,7 @@
 }
 
 // do performs call under a fault; the caller of a write cannot tell the last three apart.
-func (f *flaky) do(call func(context.Context) error, ctx context.Context, write bool) error {
+func (f *flaky) do(ctx context.Context, write bool, call func(context.Context) error) error {
 	f.chance.mu.Lock()
 	f.calls++
 	f.chance.mu.Unlock()
@@ -72,37 +73,35 @@
 }
 
 func (f *flaky) Get(ctx context.Context, key string) (i keyval.Item, err error) {
-	err = f.do(func(c context.Context) error {
+	err = f.do(ctx, false, func(c context.Context) error {
 		i, err = f.Store.Get(c, key)
 		return err
-	}, ctx, false)
+	})
 	return i, err
 }
 
 func (f *flaky) List(ctx context.Context, p, after string, n int) (l []keyval.Item, rev keyval.Revision, err error) {
-	err = f.do(func(c context.Context) error {
+	err = f.do(ctx, false, func(c context.Context) error {
 		l, rev, err = f.Store.List(c, p, after, n)
 		return err
-	}, ctx, false)
+	})
 	return l, rev, err
 }
 
 func (f *flaky) Put(ctx context.Context, key string, v []byte, cond keyval.Revision, l keyval.LeaseID) (keyval.Revision, error) {
-	var rev keyval.Revision
-	err := f.do(func(c context.Context) error {
+	var rev atomic.Int64 // a late write ends after the call.
+	err := f.do(ctx, true, func(c context.Context) error {
 		n, err := f.Store.Put(c, key, v, cond, l)
-		if err == nil && c.Err() == nil {
-			rev = n
-		}
+		rev.Store(int64(n))
 		return err
-	}, ctx, true)
-	return rev, err
+	})
+	return keyval.Revision(rev.Load()), err
 }
 
 func (f *flaky) Watch(ctx context.Context, p string, rev keyval.Revision, wait time.Duration) (l []keyval.Event, to keyval.Revision, err error) {
-	err = f.do(func(c context.Context) error {
+	err = f.do(ctx, false, func(c context.Context) error {
 		l, to, err = f.Store.Watch(c, p, rev, wait)
 		return err
-	}, ctx, false)
+	})
 	return l, to, err
 }
--- /dev/null
+++ b/plat/lease/lease_test.go
@@ -0,0 +1,198 @@
+package lease_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/lease"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+const ttl = 6 * time.Second
+
+// rough is a store whose calls are slow, hang for longer than a lease, fail and lose their answers by chance.
+type rough struct {
+	keyval.Store
+	mu *sync.Mutex
+	r  *rand.Rand
+}
+
+func (s *rough) n(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.r.Intn(n)
+}
+
+// fault sleeps and returns whether the call takes effect and whether its answer arrives.
+func (s *rough) fault(ctx context.Context) (applied, answered bool) {
+	d := time.Duration(s.n(100)) * time.Millisecond
+	if s.n(20) == 0 {
+		d = time.Duration(s.n(20)) * time.Second // the process or the call was paused.
+	}
+	time.Sleep(d)
+	k := s.n(12)
+	return k != 0 && ctx.Err() == nil || k == 1, k > 2 && ctx.Err() == nil
+}
+
+func (s *rough) Put(ctx context.Context, key string, v []byte, cond keyval.Revision, l keyval.LeaseID) (keyval.Revision, error) {
+	applied, answered := s.fault(ctx)
+	var rev keyval.Revision
+	var err error
+	if applied {
+		rev, err = s.Store.Put(context.WithoutCancel(ctx), key, v, cond, l)
+	}
+	if !answered {
+		return 0, keyval.ErrUnknown
+	}
+	return rev, err
+}
+
+func (s *rough) Renew(ctx context.Context, l keyval.LeaseID) error {
+	applied, answered := s.fault(ctx)
+	var err error
+	if applied {
+		err = s.Store.Renew(context.WithoutCancel(ctx), l)
+	}
+	if !answered {
+		return keyval.ErrUnknown
+	}
+	return err
+}
+
+// act is what a holder does: it takes the document over under its fence, then writes under the revision that it read.
+func act(ctx context.Context, s *rough, l *lease.Lease) error {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(1+s.n(500)) * time.Millisecond)
+		f, ok := l.Held()
+		if !ok {
+			continue
+		}
+		i, err := s.Store.Get(ctx, "doc")
+		if err != nil {
+			continue
+		}
+		if at, _ := strconv.ParseInt(string(i.Value()), 10, 64); at > int64(f) {
+			continue // a later holder has been here.
+		}
+		if s.n(10) == 0 {
+			time.Sleep(time.Duration(s.n(20)) * time.Second) // paused between the look and the act.
+		}
+		_, _ = s.Store.Put(ctx, "doc", []byte(fmt.Sprint(int64(f))), i.Rev(), 0)
+	}
+	return nil
+}
+
+// watch returns an error when two believe at one moment that they hold the key; the number of moments with a holder goes to seen.
+func watch(ctx context.Context, leases []*lease.Lease, seen *int) error {
+	for ctx.Err() == nil {
+		time.Sleep(37 * time.Millisecond)
+		held := 0
+		for _, l := range leases {
+			if _, ok := l.Held(); ok {
+				held++
+			}
+		}
+		if held > 1 {
+			return fmt.Errorf("%d holders at once", held)
+		}
+		*seen += held
+	}
+	return nil
+}
+
+// fences returns an error when the document was written under an older fence after a newer one.
+func fences(m *keyval.Memory) error {
+	l, _, err := m.Watch(context.Background(), "doc", 0, 0)
+	if err != nil {
+		return err
+	}
+	last := int64(0)
+	for _, e := range l {
+		f, _ := strconv.ParseInt(string(e.Item().Value()), 10, 64)
+		if f < last {
+			return fmt.Errorf("a write under fence %d after %d", f, last)
+		}
+		last = f
+	}
+	return nil
+}
+
+func run(t *testing.T, seed int64, n int) (seen int, err error) {
+	synctest.Test(t, func(t *testing.T) {
+		m := keyval.NewMemory()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+		defer cancel()
+		var g errgroup.Group
+		s := &rough{Store: m, mu: &sync.Mutex{}, r: rand.New(rand.NewSource(seed))}
+		var leases []*lease.Lease
+		for i := range n {
+			l := lease.New(s, "dc/north/leader", fmt.Sprint("e", i), lease.WithTTL(ttl))
+			leases = append(leases, l)
+			g.Go(func() error { return l.Run(ctx) })
+			g.Go(func() error { return act(ctx, s, l) })
+		}
+		g.Go(func() error { return watch(ctx, leases, &seen) })
+		if err = g.Wait(); err == nil {
+			err = fences(m)
+		}
+	})
+	return seen, err
+}
+
+func TestNeverTwoHolders(t *testing.T) {
+	total := 0
+	rapid.Check(t, func(r *rapid.T) {
+		seen, err := run(t, rapid.Int64().Draw(r, "seed"), rapid.IntRange(1, 4).Draw(r, "holders"))
+		total += seen
+		if err != nil {
+			r.Fatal(err)
+		}
+	})
+	if total == 0 {
+		t.Fatal("nobody ever held the key")
+	}
+}
+
+func TestHandOverAtShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := keyval.NewMemory()
+		var g errgroup.Group
+		ctx, cancel := context.WithCancel(t.Context())
+		a, b := lease.New(m, "k", "a"), lease.New(m, "k", "b")
+		first, stop := context.WithCancel(ctx)
+		g.Go(func() error { return a.Run(first) })
+		time.Sleep(time.Second)
+		g.Go(func() error { return b.Run(ctx) })
+		time.Sleep(10 * lease.DefaultTTL)
+		fa, ok := a.Held()
+		is.True(ok)               // renewed all the time
+		is.Equal(b.Leader(), "a") // the candidate knows who leads
+		stop()
+		time.Sleep(lease.DefaultTTL / 2)
+		_, ok = a.Held()
+		is.True(!ok)
+		fb, ok := b.Held()
+		is.True(ok) // sooner than the lease would have lapsed
+		is.True(fb > fa)
+		cancel()
+		is.NoErr(g.Wait())
+	})
+}
--- /dev/null
+++ b/plat/lease/model.go
@@ -0,0 +1,165 @@
+package lease
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+// Parts of the time to live.
+const (
+	renewParts = 3  // a renewal each ttl/3.
+	retryParts = 12 // after a failure the next try comes ttl/12 later.
+	trustParts = 3  // a holder believes in its lease for 2/3 of ttl.
+)
+
+// Value is what the key holds.
+type Value struct {
+	Holder string         `json:"holder"`
+	Lease  keyval.LeaseID `json:"lease"`
+}
+
+// ParseValue returns the value that the key holds.
+func ParseValue(b []byte) (Value, error) {
+	var v Value
+	err := json.Unmarshal(b, &v)
+	return v, err
+}
+
+// Model decides how to get and keep the key; it has one command under way at a time.
+type Model struct {
+	holder string
+	ttl    time.Duration
+	id     keyval.LeaseID // the lease that is open, 0 for none.
+	until  time.Time      // end of the trust in it.
+	fence  keyval.Revision
+	leader string
+}
+
+// NewModel returns a model of a holder that has nothing yet.
+func NewModel(holder string, ttl time.Duration) *Model {
+	return &Model{holder: holder, ttl: ttl}
+}
+
+// Start returns the first commands.
+func (m *Model) Start() []Cmd { return []Cmd{ReadCmd{}} }
+
+// Fence returns the revision of the key's write and the end of the trust in the lease; 0 when it is not held.
+func (m *Model) Fence() (keyval.Revision, time.Time) { return m.fence, m.until }
+
+// Leader returns the holder that the key last named, empty when there was none.
+func (m *Model) Leader() string { return m.leader }
+
+// Update takes the message in and returns the next command.
+func (m *Model) Update(msg Msg) []Cmd {
+	switch g := msg.(type) {
+	case WakeMsg:
+		return m.wake(g.Now)
+	case ReadMsg:
+		return m.read(g)
+	case GrantMsg:
+		return m.granted(g)
+	case PutMsg:
+		return m.put(g)
+	case RenewMsg:
+		return m.renewed(g)
+	case RevokeMsg:
+		m.id = 0
+		return m.wait(renewParts)
+	}
+	return nil
+}
+
+func (m *Model) wait(parts int) []Cmd { return []Cmd{WaitCmd{For: m.ttl / time.Duration(parts)}} }
+
+// wake goes on after a wait: renew what is held, settle what is open, look at the key else.
+func (m *Model) wake(now time.Time) []Cmd {
+	switch {
+	case m.id != 0 && !now.Before(m.until):
+		return m.giveUp()
+	case m.fence != 0:
+		return []Cmd{RenewCmd{Lease: m.id}}
+	}
+	return []Cmd{ReadCmd{}}
+}
+
+// giveUp ends the lease, so that nobody has to wait for it to lapse.
+func (m *Model) giveUp() []Cmd {
+	m.fence = 0
+	return []Cmd{RevokeCmd{Lease: m.id}}
+}
+
+// read looks whose the key is, also after a write whose answer was lost.
+func (m *Model) read(g ReadMsg) []Cmd {
+	if m.id != 0 && !g.Now.Before(m.until) {
+		return m.giveUp()
+	}
+	if g.Err != nil {
+		return m.wait(retryParts)
+	}
+	v, err := ParseValue(g.Item.Value())
+	m.leader = ""
+	if g.Item.Found() && err == nil {
+		m.leader = v.Holder
+	}
+	switch {
+	case !g.Item.Found() && m.id == 0:
+		return []Cmd{GrantCmd{TTL: m.ttl}}
+	case !g.Item.Found():
+		return m.claim()
+	case m.id != 0 && v == m.value():
+		m.fence = g.Item.Rev()
+		return m.wait(renewParts)
+	case m.id != 0:
+		return m.giveUp()
+	}
+	return m.wait(renewParts)
+}
+
+func (m *Model) value() Value { return Value{Holder: m.holder, Lease: m.id} }
+
+func (m *Model) claim() []Cmd {
+	b, err := json.Marshal(m.value())
+	if err != nil {
+		return m.giveUp()
+	}
+	return []Cmd{PutCmd{Value: b, Lease: m.id}}
+}
+
+func (m *Model) granted(g GrantMsg) []Cmd {
+	if g.Err != nil {
+		return m.wait(retryParts)
+	}
+	m.id, m.until = g.Lease, m.trust(g.Sent)
+	return m.claim()
+}
+
+// trust returns the end of the trust in a lease whose grant or renewal was begun at sent.
+func (m *Model) trust(sent time.Time) time.Time {
+	return sent.Add(m.ttl - m.ttl/trustParts)
+}
+
+func (m *Model) put(g PutMsg) []Cmd {
+	switch {
+	case !g.Now.Before(m.until):
+		return m.giveUp()
+	case g.Err != nil: // also a conflict, as an earlier write of this lease may have come late.
+		return []Cmd{ReadCmd{}}
+	}
+	m.fence, m.leader = g.Rev, m.holder
+	return m.wait(renewParts)
+}
+
+func (m *Model) renewed(g RenewMsg) []Cmd {
+	switch {
+	case errors.Is(g.Err, keyval.ErrConflict):
+		m.id, m.fence = 0, 0
+		return []Cmd{ReadCmd{}}
+	case g.Err != nil:
+		return m.wait(retryParts)
+	}
+	m.until = m.trust(g.Sent)
+	return m.wait(renewParts)
+}
