Join the parts into one process and prove the path with processes

Cause: the parts stood side by side; an order has to go through them end to end, also when entries die. Slots: shares follow the roster and are lent through the peers' calls; a larger share is used only after all keep to the smaller ones, and what is lent is looked at under the same lock that sends. Ruled out: a share by whoever is heard (oversends in a cut); the first settings file with "peerAddrs": null was refused, as it should.

--- a/cmd/burdockreach/serve.go
+++ b/cmd/burdockreach/serve.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"expvar"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"burdockreach.dev/node/daemon"
 	"burdockreach.dev/node/setup"
 )
 
 // serve runs the entry until c ends and it is drained.
-func serve(context.Context, setup.Settings, zerolog.Logger) error {
-	return eris.New("this build has no entry process yet")
+func serve(c context.Context, s setup.Settings, l zerolog.Logger) error {
+	d := daemon.New(s, l)
+	expvar.Publish("burdockreach", expvar.Func(func() any { return d.Vars() }))
+	return d.Run(c)
 }
--- /dev/null
+++ b/node/daemon/daemon.go
@@ -0,0 +1,266 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/flow/ledger"
+	"burdockreach.dev/node/burn"
+	"burdockreach.dev/node/entry"
+	"burdockreach.dev/node/oper"
+	"burdockreach.dev/node/relay"
+	"burdockreach.dev/node/setup"
+	"burdockreach.dev/node/steer"
+	"burdockreach.dev/node/view"
+	"burdockreach.dev/plat/conf"
+	"burdockreach.dev/plat/hosts"
+	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/lease"
+)
+
+const (
+	leaveWithin   = 5 * time.Second // for handing the records over at the end
+	compactEvery  = 5 * time.Second
+	flushEvery    = time.Second
+	addressEvery  = 2 * time.Second
+	electionEvery = time.Second
+)
+
+// Daemon is one entry process.
+type Daemon struct {
+	set      setup.Settings
+	log      zerolog.Logger
+	store    *keyval.Client
+	platform *hosts.Client
+	conf     *conf.Holder
+	commit   *conf.Committer
+	lease    *lease.Lease
+	client   *relay.Client
+	keeper   *relay.Keeper
+	beater   *relay.Beater
+	shelf    *view.Shelf
+	news     *news
+	entry    *entry.Entry
+	loop     *steer.Loop
+	burn     *burn.Meter
+	shares   *shares
+	self     ledger.Member
+}
+
+// New returns the process that the settings describe; nothing is started.
+func New(s setup.Settings, l zerolog.Logger) *Daemon {
+	d := &Daemon{set: s, log: l, shelf: view.NewShelf(), conf: conf.NewHolder()}
+	d.store = keyval.New(s.PlatformAddr(), keyval.WithName(s.Name()), keyval.WithTimeout(s.PlatformTimeout()))
+	d.platform = hosts.New(s.PlatformAddr(), hosts.WithName(s.Name()), hosts.WithTimeout(s.PlatformTimeout()))
+	d.commit = conf.NewCommitter(d.store, d.conf)
+	d.burn = burn.NewMeter(s.Name(), s.DataCentre(), time.Now())
+	d.lease = lease.New(d.store, steer.LeaderKey(s.DataCentre()), s.Name(), lease.WithTTL(s.LeaderLease()))
+	d.relay()
+	d.serving()
+	return d
+}
+
+// relay makes what talks with the other entries.
+func (d *Daemon) relay() {
+	s := d.set
+	d.client = relay.NewClient(relay.WithCallWithin(s.PeerTimeout()))
+	d.self = ledger.Member{Entry: s.Name(), Addr: s.PeerAddr(), Incarnation: time.Now().UnixNano()}
+	d.keeper = relay.NewKeeper(d.self, s.DataCentre(), s.DataCentres(), d.store, d.client, relay.WithLog(d.log),
+		relay.WithBook(ledger.WithRecords(s.MaxKeys()), ledger.WithAnswerBytes(s.MaxKeys()*s.MaxKeyedAnswerBytes()/answerShare)))
+	d.news = newNews(d)
+	d.beater = relay.NewBeater(d.keeper, d.client, d.news, relay.WithEvery(s.Beat()), relay.OnBeat(d.news.heard))
+}
+
+// answerShare is the part of the keys for which the longest answer may be kept at once.
+const answerShare = 16
+
+// serving makes what serves callers and leads.
+func (d *Daemon) serving() {
+	s := d.set
+	d.shares = &shares{d: d}
+	d.entry = entry.New(s, d.log, d.conf, d.shelf,
+		entry.WithKeys(keys{d.keeper}), entry.WithSelf(life(d.self)), entry.WithBurner(d.burn), entry.WithGate(d.joined),
+		entry.WithLeader(d.news.led), entry.WithOnLeaving(d.beater.Kick))
+	d.loop = steer.New(s.DataCentre(), s.Name(), d.store, d.platform, d.lease, d.conf, d.news, d.shelf,
+		steer.WithTick(s.Tick()), steer.WithLogger(d.log), steer.WithOthers(without(s.DataCentres(), s.DataCentre())),
+		steer.WithGone(d.keeper.Gone))
+}
+
+func without(l []string, x string) []string {
+	var r []string
+	for _, v := range l {
+		if v != x {
+			r = append(r, v)
+		}
+	}
+	return r
+}
+
+// joined reports whether the entry is in its data centre's roster.
+func (d *Daemon) joined() bool {
+	_, ok := d.keeper.Roster(d.set.DataCentre()).Member(d.set.Name())
+	return ok
+}
+
+// Run serves until ctx ends, then finishes accepted work, hands its records over and gives the lease up.
+func (d *Daemon) Run(ctx context.Context) error {
+	ls, err := d.listen(ctx)
+	if err != nil {
+		return err
+	}
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, x := errgroup.WithContext(inner)
+	d.background(x, g, ls)
+	g.Go(func() error {
+		defer cancel()
+		stop, end := context.WithCancel(ctx)
+		defer end()
+		defer context.AfterFunc(x, end)()
+		err := d.entry.Run(stop, ls.callers)
+		return errors.Join(err, d.leave(inner))
+	})
+	err = g.Wait()
+	d.store.Close()
+	d.platform.Close()
+	d.client.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// leave hands the records over and gives the lease up.
+func (d *Daemon) leave(ctx context.Context) error {
+	x, cancel := context.WithTimeout(ctx, leaveWithin)
+	defer cancel()
+	if err := d.keeper.Leave(x); err != nil {
+		d.log.Warn().Str("step", "leave").Err(err).Msg("recordsNotHandedOver")
+	}
+	return nil
+}
+
+type listeners struct{ callers, peers, operators net.Listener }
+
+// listen opens all addresses before anything starts.
+func (d *Daemon) listen(ctx context.Context) (l listeners, err error) {
+	for _, o := range []struct {
+		at  *net.Listener
+		set string
+	}{{&l.callers, d.set.CallerAddr()}, {&l.peers, d.set.PeerAddr()}, {&l.operators, d.set.OperatorAddr()}} {
+		var c net.ListenConfig
+		if *o.at, err = c.Listen(ctx, "tcp", o.set); err != nil {
+			return l, eris.Wrapf(err, "step=listen peer=%s", o.set)
+		}
+	}
+	return l, nil
+}
+
+// background starts all that is not the callers' requests.
+func (d *Daemon) background(ctx context.Context, g *errgroup.Group, l listeners) {
+	follower := conf.NewFollower(d.store, d.conf, conf.WithLogger(d.log), conf.WithWait(d.set.WatchWait()))
+	server := relay.NewServer(relay.Service{Keeper: d.keeper, Beater: d.beater, Lender: d.shares})
+	api := oper.New(d.set.Name(), d.set.OperatorTokenDigests(), configAPI{d}, fleetAPI{d}, d.burn, oper.WithLogger(d.log))
+	for _, f := range []func(context.Context) error{
+		follower.Run, d.lease.Run, d.keeper.Run, d.beater.Run, d.loop.Run, d.addresses, d.compact, d.flush, d.kick, d.shares.run,
+		func(x context.Context) error { return server.Serve(x, l.peers) },
+		func(x context.Context) error { return api.ServeListener(x, l.operators) },
+	} {
+		g.Go(func() error { return f(ctx) })
+	}
+}
+
+// every calls f at each interval until ctx ends.
+func every(ctx context.Context, d time.Duration, f func(now time.Time)) error {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			f(now)
+		}
+	}
+}
+
+// addresses keeps the beater's list of entries: the rosters' members and the settings' seeds.
+func (d *Daemon) addresses(ctx context.Context) error {
+	d.know()
+	return every(ctx, addressEvery, func(time.Time) { d.know() })
+}
+
+func (d *Daemon) know() {
+	var l []relay.Address
+	for _, n := range d.set.DataCentres() {
+		for _, m := range d.keeper.Roster(n).Members() {
+			l = append(l, relay.NewAddress(m.Entry, m.Addr, n))
+		}
+	}
+	for _, a := range d.set.PeerAddrs() {
+		l = append(l, relay.NewAddress(a, a, d.set.DataCentre()))
+	}
+	d.beater.Know(l)
+}
+
+// compact writes snapshots while this entry leads the first data centre.
+func (d *Daemon) compact(ctx context.Context) error {
+	c := conf.NewCompactor(d.store, d.conf)
+	return every(ctx, compactEvery, func(time.Time) {
+		if _, ok := d.lease.Held(); !ok || d.set.DataCentre() != d.set.DataCentres()[0] {
+			return
+		}
+		if err := c.Step(ctx); err != nil {
+			d.log.Warn().Str("step", "compact").Err(err).Msg("notCompacted")
+		}
+	})
+}
+
+// flush passes the request path's counts on and logs alerts.
+func (d *Daemon) flush(ctx context.Context) error {
+	return every(ctx, flushEvery, func(now time.Time) {
+		doc := d.conf.Document()
+		for _, s := range doc.Services() {
+			if p, ok := doc.Profile(s.Profile); ok {
+				d.burn.Update(burn.ObjectiveMsg{Service: s.Name, Profile: p.Name, Objective: p.Objective})
+			}
+		}
+		for _, c := range d.burn.Flush(now) {
+			if a, ok := c.(burn.AlertCmd); ok {
+				d.log.Warn().Str("step", "burn").Interface("alert", a).Msg("budgetBurning")
+			}
+		}
+	})
+}
+
+// kick tells the other entries at once of a new change or view.
+func (d *Daemon) kick(ctx context.Context) error {
+	g, x := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		s := d.conf.Subscribe(x)
+		for {
+			select {
+			case <-x.Done():
+				return nil
+			case <-s:
+				d.beater.Kick()
+			}
+		}
+	})
+	g.Go(func() error {
+		for {
+			v := d.shelf.View().Version()
+			if d.shelf.Wait(x, v) != nil {
+				return nil
+			}
+			d.beater.Kick()
+		}
+	})
+	return g.Wait()
+}
--- /dev/null
+++ b/node/daemon/news.go
@@ -0,0 +1,234 @@
+package daemon
+
+import (
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"burdockreach.dev/flow/sched"
+	"burdockreach.dev/node/entry"
+	"burdockreach.dev/node/relay"
+	"burdockreach.dev/node/steer"
+	"burdockreach.dev/node/view"
+	"burdockreach.dev/plat/conf"
+)
+
+const (
+	changesPerBeat = 200
+	// quietFor is how long an entry that does not lead waits for the leader to bring others up to date.
+	quietFor = time.Second
+	// newsFor is how long word of another entry counts.
+	newsFor = 3 * time.Second
+)
+
+// bulletin is what an entry tells the others of its data centre about targets.
+type bulletin struct {
+	Version view.Version    `json:"v"`
+	Leading bool            `json:"lead,omitempty"`
+	Quits   []entry.Quit    `json:"quits,omitempty"`
+	Leaving []entry.Leaving `json:"leaving,omitempty"`
+	Delta   *view.Delta     `json:"delta,omitempty"`
+	Shares  int64           `json:"shares,omitempty"` // number of the roster whose shares the entry keeps to
+}
+
+// news carries what entries tell each other; mu guards what the others said.
+type news struct {
+	d *Daemon
+
+	mu     sync.Mutex
+	others map[string]heardNews
+	risen  time.Time // when the own view last changed
+	own    view.Version
+}
+
+type heardNews struct {
+	bulletin
+	at time.Time
+}
+
+func newNews(d *Daemon) *news { return &news{d: d, others: make(map[string]heardNews)} }
+
+// Applied implements relay.Carrier.
+func (n *news) Applied() int64 { return int64(n.d.conf.Document().Number()) }
+
+// Since implements relay.Carrier.
+func (n *news) Since(after int64) (changes [][]byte, snapshot []byte) {
+	l, doc := n.d.conf.Since(conf.Number(after), changesPerBeat)
+	if doc != nil {
+		b, err := doc.Marshal()
+		if err != nil {
+			n.d.log.Error().Str("step", "relay").Err(err).Msg("cannotEncode")
+		}
+		return nil, b
+	}
+	for _, c := range l {
+		if b, err := json.Marshal(c); err == nil {
+			changes = append(changes, b)
+		}
+	}
+	return changes, nil
+}
+
+// Offer implements relay.Carrier.
+func (n *news) Offer(changes [][]byte, snapshot []byte) {
+	if len(snapshot) > 0 {
+		doc, err := conf.ParseDocument(snapshot)
+		if err != nil {
+			n.d.log.Warn().Str("step", "relay").Err(err).Msg("malformed")
+			return
+		}
+		n.d.conf.OfferDocument(doc)
+	}
+	l := make([]conf.Change, 0, len(changes))
+	for _, b := range changes {
+		var c conf.Change
+		if err := json.Unmarshal(b, &c); err != nil {
+			n.d.log.Warn().Str("step", "relay").Err(err).Msg("malformed")
+			return
+		}
+		l = append(l, c)
+	}
+	if _, err := n.d.conf.Offer(l...); err != nil {
+		n.d.log.Warn().Str("step", "relay").Err(err).Msg("changesRefused")
+	}
+}
+
+// Report implements relay.Carrier.
+func (n *news) Report() relay.Report {
+	b, err := json.Marshal(n.bulletin())
+	if err != nil {
+		n.d.log.Error().Str("step", "relay").Err(err).Msg("cannotEncode")
+	}
+	r := relay.Report{Members: b, Failing: n.failing()}
+	for s, l := range n.d.entry.Loads() {
+		r.Loads = append(r.Loads, &relay.ServiceLoad{
+			Service: s, Busy: int32(l.Busy()), Queued: int32(queued(l)), Idle: int32(l.Idle()), Arrivals: l.Arrivals(),
+		})
+	}
+	return r
+}
+
+func queued(s sched.Stats) int {
+	return s.Queued(sched.Urgent) + s.Queued(sched.Normal) + s.Queued(sched.Background)
+}
+
+// failing returns the VMs that fail everything.
+func (n *news) failing() []string { return n.d.entry.Failing() }
+
+// bulletin returns the own word, with a delta for whoever is behind.
+func (n *news) bulletin() bulletin {
+	now := time.Now()
+	_, lead := n.d.lease.Held()
+	b := bulletin{Version: n.d.shelf.View().Version(), Leading: lead, Quits: n.d.entry.Quits(), Leaving: n.d.entry.Leavings(), Shares: n.d.entry.Settled()}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.own != b.Version {
+		n.own, n.risen = b.Version, now
+	}
+	if !lead && now.Sub(n.risen) < quietFor {
+		return b
+	}
+	if oldest, ok := n.oldest(now, b.Version); ok {
+		if d, ok := n.d.shelf.Since(oldest); ok {
+			b.Delta = &d
+		}
+	}
+	return b
+}
+
+// oldest returns the oldest version of an entry that is behind; n.mu is held.
+func (n *news) oldest(now time.Time, own view.Version) (v view.Version, ok bool) {
+	v = own
+	for e, h := range n.others {
+		if now.Sub(h.at) > newsFor {
+			delete(n.others, e)
+			continue
+		}
+		if v.After(h.Version) {
+			v, ok = h.Version, true
+		}
+	}
+	return v, ok
+}
+
+// heard takes in what another entry of the data centre said.
+func (n *news) heard(p relay.Peer, raw []byte) {
+	if len(raw) == 0 || p.Address().DataCentre() != n.d.set.DataCentre() {
+		return
+	}
+	var b bulletin
+	if err := json.Unmarshal(raw, &b); err != nil {
+		n.d.log.Warn().Str("step", "relay").Str("peer", p.Address().Entry()).Err(err).Msg("malformed")
+		return
+	}
+	n.mu.Lock()
+	n.others[p.Address().Entry()] = heardNews{bulletin: b, at: time.Now()}
+	n.mu.Unlock()
+	if b.Delta != nil {
+		n.take(*b.Delta)
+	}
+	n.d.entry.Learn(b.Leaving)
+	n.d.shares.settled(p, b.Shares)
+	n.d.loop.Wake()
+}
+
+func (n *news) take(d view.Delta) {
+	if err := n.d.shelf.Offer(d); err == nil {
+		n.d.log.Debug().Str("step", "view").Int64("fence", d.To.Fence).Int64("count", d.To.Count).Msg("viewTaken")
+	}
+}
+
+// led reports whether a leader of the data centre is heard.
+func (n *news) led() bool {
+	if _, ok := n.d.lease.Held(); ok {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.others {
+		if h.Leading && time.Since(h.at) < newsFor {
+			return true
+		}
+	}
+	return false
+}
+
+// Words implements steer.Peers.
+func (n *news) Words() []steer.Word {
+	now := time.Now()
+	l := []steer.Word{{Entry: n.d.set.Name(), At: now, Quits: quits(n.d.entry.Quits()), Failing: n.failing(), Loads: n.loads()}}
+	for _, p := range n.d.beater.Heard() {
+		e := p.Address().Entry()
+		n.mu.Lock()
+		h, ok := n.others[e]
+		n.mu.Unlock()
+		if !ok || now.Sub(h.at) > newsFor {
+			continue
+		}
+		w := steer.Word{Entry: e, At: h.at, Quits: quits(h.Quits), Failing: p.Failing()}
+		for _, s := range p.Loads() {
+			w.Loads = append(w.Loads, steer.Load{
+				Service: s.GetService(), Busy: float64(s.GetBusy()), Queued: float64(s.GetQueued()), Arrivals: s.GetArrivals(),
+			})
+		}
+		l = append(l, w)
+	}
+	return l
+}
+
+func (n *news) loads() []steer.Load {
+	var l []steer.Load
+	for s, o := range n.d.entry.Loads() {
+		l = append(l, steer.Load{Service: s, Busy: float64(o.Busy()), Queued: float64(queued(o)), Arrivals: o.Arrivals()})
+	}
+	return l
+}
+
+func quits(l []entry.Quit) []steer.Quit {
+	r := make([]steer.Quit, 0, len(l))
+	for _, q := range l {
+		r = append(r, steer.Quit{VM: q.VM, Number: q.Number})
+	}
+	return slices.Clip(r)
+}
--- /dev/null
+++ b/node/daemon/shares.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/flow/ledger"
+	"burdockreach.dev/flow/share"
+	"burdockreach.dev/node/entry"
+	"burdockreach.dev/node/relay"
+)
+
+const (
+	rosterEvery = 100 * time.Millisecond // between looks at the roster
+	borrowers   = 4                      // requests for slots that are under way at once
+)
+
+// shares carries slot loans between the entries of the data centre.
+type shares struct{ d *Daemon }
+
+// life names one life of an entry; a restarted one has lost its loans and is another.
+func life(m ledger.Member) string { return m.Entry + "@" + strconv.FormatInt(m.Incarnation, 36) }
+
+// run follows the roster and sends this entry's requests for slots.
+func (s *shares) run(ctx context.Context) error {
+	g, x := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		var last int64
+		return every(x, rosterEvery, func(now time.Time) { last = s.follow(now, last) })
+	})
+	for range borrowers {
+		g.Go(func() error { return s.borrow(x) })
+	}
+	return g.Wait()
+}
+
+// follow passes a new roster on and returns its number.
+func (s *shares) follow(now time.Time, last int64) int64 {
+	r := s.d.keeper.Roster(s.d.set.DataCentre())
+	if r.Number() <= last {
+		return last
+	}
+	var names []string
+	for _, m := range r.Members() {
+		names = append(names, life(m))
+	}
+	s.d.entry.SetRoster(now, r.Number(), names)
+	s.d.beater.Kick()
+	return r.Number()
+}
+
+// settled passes on that another entry keeps to a roster.
+func (s *shares) settled(p relay.Peer, number int64) {
+	if number > 0 {
+		s.d.entry.SetSettled(time.Now(), life(ledger.Member{Entry: p.Address().Entry(), Incarnation: p.Incarnation()}), number)
+	}
+}
+
+// borrow sends requests for slots one after the other.
+func (s *shares) borrow(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case a := <-s.d.entry.Asks():
+			s.ask(ctx, a)
+		}
+	}
+}
+
+func (s *shares) ask(ctx context.Context, a entry.Ask) {
+	var to ledger.Member
+	for _, m := range s.d.keeper.Roster(s.d.set.DataCentre()).Members() {
+		if life(m) == a.To {
+			to = m
+		}
+	}
+	if to.Addr == "" {
+		return
+	}
+	r, err := s.d.client.Borrow(ctx, to.Addr, &relay.BorrowRequest{
+		Entry: s.d.self.Entry, Incarnation: s.d.self.Incarnation, Service: a.Service, Slots: int32(a.Want), Number: a.Number, Holding: a.Holding,
+	})
+	if err != nil {
+		return
+	}
+	m := share.LentMsg{Now: time.Now(), From: a.To, Number: r.GetNumber(), Recalled: r.GetRecalled()}
+	for _, g := range r.GetGrants() {
+		m.Grants = append(m.Grants, share.Grant{ID: g.GetId(), Target: g.GetTarget()})
+	}
+	s.d.entry.Lent(a.Service, m)
+}
+
+// Borrow implements relay.Lender.
+func (s *shares) Borrow(_ context.Context, r *relay.BorrowRequest) (*relay.BorrowReply, error) {
+	c, ok := s.d.entry.Lend(r.GetService(), share.BorrowMsg{
+		Now: time.Now(), From: life(ledger.Member{Entry: r.GetEntry(), Incarnation: r.GetIncarnation()}),
+		Number: r.GetNumber(), Want: int(r.GetSlots()), Holding: r.GetHolding(),
+	})
+	o := &relay.BorrowReply{Number: c.Number, Recalled: c.Recalled}
+	if !ok {
+		return o, nil
+	}
+	for _, g := range c.Grants {
+		o.Grants = append(o.Grants, &relay.Grant{Target: g.Target, Id: g.ID, Slots: 1})
+	}
+	return o, nil
+}
+
+// Return implements relay.Lender; slots are given back by the next request's list of what is held.
+func (s *shares) Return(context.Context, *relay.ReturnRequest) (*relay.ReturnReply, error) {
+	return &relay.ReturnReply{}, nil
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockreach.dev/flow/sched"
+	"burdockreach.dev/flow/share"
 	"burdockreach.dev/node/burn"
 	"burdockreach.dev/node/setup"
 	"burdockreach.dev/node/view"
@@ -45,9 +46,10 @@
 	conf   Documents
 	view   *view.Shelf
 	keys   Keys
-	share  Share
 	burner Burner
 	gate   func() bool
+	self   string
+	asks   chan Ask
 
 	hasLeader func() bool
 	onLeaving func()
@@ -62,6 +64,7 @@
 	tableMu sync.Mutex
 	leaving map[string]mark // VMs that refused as leaving
 	listed  *view.View      // the view that the services' lists were made from
+	roster  share.RosterMsg // the newest one
 
 	stopMu   sync.Mutex
 	stopping bool // the health page is unhealthy
@@ -76,8 +79,9 @@
 // WithKeys sets where idempotency keys are claimed; without it, no keyed request is taken.
 func WithKeys(k Keys) Option { return func(e *Entry) { e.keys = k } }
 
-// WithShare sets how many slots of a target this entry may use; without it, all of them.
-func WithShare(s Share) Option { return func(e *Entry) { e.share = s } }
+// WithSelf sets the name of this life of the entry among those that share slots; a restarted entry needs another one.
+// Without it the entry shares with nobody.
+func WithSelf(name string) Option { return func(e *Entry) { e.self = name } }
 
 // WithBurner sets what counts requests against objectives.
 func WithBurner(b Burner) Option { return func(e *Entry) { e.burner = b } }
@@ -98,7 +102,7 @@
 func New(s setup.Settings, l zerolog.Logger, d Documents, v *view.Shelf, opts ...Option) *Entry {
 	e := &Entry{
 		set: s, log: l, conf: d, view: v, keys: noKeys{}, burner: noBurner{}, ids: newIDs(s.Name()), health: newHealth(),
-		share:   func(_ string, n int) int { return n },
+		asks:    make(chan Ask, maxAsks),
 		ctx:     context.Background(),
 		leaving: make(map[string]mark), listed: v.View(), empty: make(chan struct{}, 1),
 	}
@@ -106,6 +110,10 @@
 	for _, o := range opts {
 		o(e)
 	}
+	if e.self == "" {
+		e.self = s.Name()
+		e.roster = share.RosterMsg{Now: time.Now(), Number: 1, Entries: []string{e.self}}
+	}
 	return e
 }
 
@@ -152,13 +160,17 @@
 func (e *Entry) loop(ctx context.Context) error {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	var reaped, refreshed time.Time
+	var reaped, refreshed, looked time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
 			e.eachService(func(v *service) { v.tick(now) })
+			if now.Sub(looked) >= loadEvery {
+				e.eachService(func(v *service) { v.lendIdle(now) })
+				looked = now
+			}
 			if now.Sub(reaped) >= reapEvery {
 				e.reap(now)
 				reaped = now
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -58,7 +58,7 @@
 	for n, c := range []conf.Change{
 		{Kind: conf.PutProfile, Profile: &conf.ProfileSpec{Name: "gold", MinVMs: 1, MaxVMs: 9, DeadlineMillis: 5000}},
 		{Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: "p"}},
-		{Kind: conf.PutService, Service: &conf.ServiceSpec{Name: "orders", Profile: "gold", Pool: "p", Slots: 8, Conns: 64}},
+		{Kind: conf.PutService, Service: &conf.ServiceSpec{Name: "orders", Profile: "gold", Pool: "p", Slots: 64, Conns: 64}},
 		{Kind: conf.PutTeam, Team: &conf.TeamSpec{Name: "kitchen", TokenDigest: hex.EncodeToString(sum[:])}},
 		{Kind: conf.Approve, Approval: &conf.ApprovalSpec{Team: "kitchen", Service: "orders"}},
 	} {
--- /dev/null
+++ b/node/entry/loans.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"time"
+
+	"burdockreach.dev/flow/sched"
+	"burdockreach.dev/flow/share"
+)
+
+// loadEvery is the time between looks at what is idle and may be lent.
+const loadEvery = 50 * time.Millisecond
+
+// maxAsks is the number of requests for slots that wait to be sent; more are dropped and made again.
+const maxAsks = 64
+
+// Ask is a request for another entry's idle slots of a service.
+type Ask struct {
+	Service string
+	share.BorrowCmd
+}
+
+// Asks returns the requests for slots that are to be sent to other entries.
+func (e *Entry) Asks() <-chan Ask { return e.asks }
+
+// SetRoster tells which entries share the slots of the data centre's targets; a lower number than the newest is passed over.
+func (e *Entry) SetRoster(now time.Time, number int64, entries []string) {
+	m := share.RosterMsg{Now: now, Number: number, Entries: entries}
+	e.tableMu.Lock()
+	e.roster = m
+	e.tableMu.Unlock()
+	e.eachService(func(v *service) { v.lend(m) })
+}
+
+// Settled returns the number of the roster that every service of this entry keeps to, or 0.
+func (e *Entry) Settled() int64 {
+	e.tableMu.Lock()
+	n := e.roster.Number
+	e.tableMu.Unlock()
+	e.eachService(func(v *service) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		n = min(n, v.loans.Settled())
+	})
+	return n
+}
+
+// SetSettled tells that another entry keeps to the roster with the number.
+func (e *Entry) SetSettled(now time.Time, from string, number int64) {
+	e.eachService(func(v *service) { v.lend(share.SettledMsg{Now: now, From: from, Number: number}) })
+}
+
+// Lend answers another entry's request for slots of the service.
+func (e *Entry) Lend(name string, m share.BorrowMsg) (share.LentCmd, bool) {
+	x, ok := e.services.Load(name)
+	if !ok {
+		return share.LentCmd{}, false
+	}
+	return x.(*service).answer(m)
+}
+
+// Lent brings another entry's answer to an Ask back.
+func (e *Entry) Lent(name string, m share.LentMsg) {
+	if x, ok := e.services.Load(name); ok {
+		x.(*service).lend(m)
+	}
+}
+
+// lend takes a message of the loans in and uses the shares that follow.
+func (v *service) lend(m share.Msg) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.shareOut(m)
+}
+
+// answer lends what is idle now; nothing is sent in between, since v.mu is held.
+func (v *service) answer(m share.BorrowMsg) (c share.LentCmd, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.look(m.Now)
+	return v.shareOut(m)
+}
+
+// lendIdle looks at the loans while nothing is asked.
+func (v *service) lendIdle(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.look(now)
+}
+
+// look tells the loans what is busy and what waits; v.mu is held.
+func (v *service) look(now time.Time) {
+	s := v.s.Stats()
+	q := s.Queued(sched.Urgent) + s.Queued(sched.Normal) + s.Queued(sched.Background)
+	v.shareOut(share.LoadMsg{Now: now, Queued: q, Busy: v.out})
+}
+
+// shareOut updates the loans and performs their commands; v.mu is held.
+func (v *service) shareOut(m share.Msg) (lent share.LentCmd, ok bool) {
+	var shares map[string]int
+	for _, c := range v.loans.Update(m) {
+		switch c := c.(type) {
+		case share.SharesCmd:
+			shares = c.Shares
+		case share.LentCmd:
+			lent, ok = c, true
+		case share.BorrowCmd:
+			select {
+			case v.asks <- Ask{Service: v.name, BorrowCmd: c}:
+			default:
+			}
+		}
+	}
+	if shares != nil {
+		v.perform(v.s.Update(sched.SharesMsg{Now: v.now(m), Shares: shares}))
+	}
+	return lent, ok
+}
+
+// now returns the time of the message.
+func (v *service) now(m share.Msg) time.Time {
+	switch m := m.(type) {
+	case share.RosterMsg:
+		return m.Now
+	case share.SettledMsg:
+		return m.Now
+	case share.TargetsMsg:
+		return m.Now
+	case share.LoadMsg:
+		return m.Now
+	case share.BorrowMsg:
+		return m.Now
+	case share.LentMsg:
+		return m.Now
+	}
+	return time.Now()
+}
+
+// setTargets replaces the targets that may get new work; each has the slots that this entry may use.
+func (v *service) setTargets(now time.Time, targets []sched.Target) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.listed)
+	slots := make(map[string]int, len(targets))
+	for _, t := range targets {
+		v.listed[t.Name()] = true
+		slots[t.Name()] = t.Slots()
+	}
+	v.shareOut(share.TargetsMsg{Now: now, Slots: slots})
+	for k, t := range targets {
+		targets[k] = sched.NewTarget(t.Name(), t.Rack(), v.loans.Usable(t.Name()))
+	}
+	v.perform(v.s.Update(sched.TargetsMsg{Now: now, Targets: targets}))
+}
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdockreach.dev/flow/sched"
+	"burdockreach.dev/flow/share"
 )
 
 // service runs one service's requests at this entry; mu guards all below it.
@@ -17,11 +18,13 @@
 	waiting map[sched.ID]chan sched.Cmd
 	out     map[string]int // requests handed out for sending, by VM
 	listed  map[string]bool
+	loans   *share.Loans
+	asks    chan<- Ask
 }
 
-func newService(name string, opts ...sched.Option) *service {
+func newService(name, self string, asks chan<- Ask, opts ...sched.Option) *service {
 	return &service{
-		name: name, s: sched.New(name, opts...),
+		name: name, s: sched.New(name, opts...), loans: share.New(self), asks: asks,
 		waiting: make(map[sched.ID]chan sched.Cmd), out: make(map[string]int), listed: make(map[string]bool),
 	}
 }
@@ -66,19 +69,6 @@
 	replies.Put(ch)
 }
 
-// update passes any other message on.
-func (v *service) update(m sched.Msg) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if t, ok := m.(sched.TargetsMsg); ok {
-		clear(v.listed)
-		for _, x := range t.Targets {
-			v.listed[x.Name()] = true
-		}
-	}
-	v.perform(v.s.Update(m))
-}
-
 // perform hands each command to the call that waits for it; v.mu is held.
 func (v *service) perform(cmds []sched.Cmd) {
 	for _, c := range cmds {
@@ -98,17 +88,12 @@
 	}
 }
 
-// idle reports whether nothing waits and nothing is at a target.
-func (v *service) idle() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return len(v.waiting) == 0
-}
-
 // tick lets the scheduler's time pass while anything waits.
 func (v *service) tick(now time.Time) {
-	if !v.idle() {
-		v.update(sched.TickMsg{Now: now})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.waiting) > 0 {
+		v.perform(v.s.Update(sched.TickMsg{Now: now}))
 	}
 }
 
--- a/node/entry/speed_test.go
+++ b/node/entry/speed_test.go
@@ -31,7 +31,7 @@
 // BenchmarkEntry sends requests through an entry with all promises on.
 func BenchmarkEntry(b *testing.B) {
 	t := listen(b, answerer)
-	r := start(b, []string{t}, WithShare(func(string, int) int { return 64 }))
+	r := start(b, []string{t})
 	load(b, r.addr)
 	b.StopTimer()
 	r.stop()
--- a/node/entry/table.go
+++ b/node/entry/table.go
@@ -17,9 +17,6 @@
 // table maps VMs to targets; it is replaced, never changed.
 type table map[string]*target
 
-// Share is the number of slots of one target that this entry may use.
-type Share func(vm string, slots int) int
-
 // target returns the target on the VM, or nil.
 func (e *Entry) target(vm string) *target { return (*e.table.Load())[vm] }
 
@@ -28,8 +25,20 @@
 	if v, ok := e.services.Load(name); ok {
 		return v.(*service)
 	}
-	v, _ := e.services.LoadOrStore(name, newService(name))
-	return v.(*service)
+	e.tableMu.Lock()
+	defer e.tableMu.Unlock()
+	return e.make(name)
+}
+
+// make returns the service's runner, new if need be; e.tableMu is held, so that it misses no roster.
+func (e *Entry) make(name string) *service {
+	if v, ok := e.services.Load(name); ok {
+		return v.(*service)
+	}
+	v := newService(name, e.self, e.asks)
+	v.lend(e.roster)
+	e.services.Store(name, v)
+	return v
 }
 
 // eachService calls f with every service.
@@ -79,15 +88,13 @@
 	for _, s := range d.Services() {
 		var ts []sched.Target
 		for _, t := range pools[s.Pool] {
-			if n := e.share(t.VM, s.Slots); n > 0 {
-				ts = append(ts, sched.NewTarget(t.VM, t.Rack, n))
-			}
+			ts = append(ts, sched.NewTarget(t.VM, t.Rack, s.Slots))
 		}
-		e.service(s.Name).update(sched.TargetsMsg{Now: now, Targets: ts})
+		e.make(s.Name).setTargets(now, ts)
 	}
 	e.eachService(func(v *service) {
 		if _, ok := d.Service(v.name); !ok {
-			v.update(sched.TargetsMsg{Now: now})
+			v.setTargets(now, nil)
 		}
 	})
 }
--- /dev/null
+++ b/proof/path_test.go
@@ -0,0 +1,33 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/proof/rig"
+)
+
+func small() rig.Plan {
+	return rig.Plan{DataCentres: 1, Entries: 2, Targets: 2, RunTime: 5 * time.Millisecond, MaxOut: 1, Reboot: 300 * time.Millisecond}
+}
+
+// all returns every entry, for a load that goes to each by turns.
+func all(r *rig.Rig) func() []*rig.Entry { return func() []*rig.Entry { return r.Entries } }
+
+func TestOrderIsServedWhole(t *testing.T) {
+	i := is.New(t)
+	r := rig.New(t, small())
+	a := r.Entries[0].Ask(rig.Request{Method: "POST", Path: "/order", Key: "k1", Body: "one tray"})
+	i.NoErr(a.Err)
+	i.Equal(a.Outcome, "answered")
+	var b rig.Answer
+	r.Await("the kept answer at the other entry", func() bool {
+		b = r.Entries[1].Ask(rig.Request{Method: "POST", Path: "/order", Key: "k1", Body: "one tray"})
+		i.True(b.Outcome == "repeat" || b.Outcome == "unknown" && b.Status == 409) // running, until the holders are told
+		return b.Outcome == "repeat"
+	})
+	i.Equal(b.Body, a.Body)
+	i.Equal(r.Runs()["k1"], 1)
+}
--- /dev/null
+++ b/proof/rig/rig.go
@@ -0,0 +1,351 @@
+package rig
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/fakes/cloud"
+	"burdockreach.dev/fakes/target"
+	"burdockreach.dev/plat/conf"
+	"burdockreach.dev/plat/hosts"
+)
+
+// Names and tokens that every rig uses.
+const (
+	Service = "orders"
+	Team    = "kitchen"
+	Token   = "kitchen-token"
+	Pool    = "kitchen-pool"
+	Spare   = "back-office"
+)
+
+const (
+	startWithin = 30 * time.Second
+	stopWithin  = 20 * time.Second
+	controlStep = 1000 // from a target's port to its control port
+)
+
+// Plan says what a rig is made of, for each data centre.
+type Plan struct {
+	DataCentres int
+	Entries     int // in each data centre
+	Targets     int // of the service in each data centre
+	Spares      int // in each data centre
+	RunTime     time.Duration
+	MaxOut      int
+	Reboot      time.Duration
+	Lag         time.Duration
+}
+
+// Rig is a running fleet.
+type Rig struct {
+	T        testing.TB
+	Cloud    *cloud.Server
+	Targets  map[string]*target.Target
+	Entries  []*Entry
+	Holder   *conf.Holder
+	commit   *conf.Committer
+	plan     Plan
+	dir, bin string
+	group    *errgroup.Group
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// Entry is one entry process.
+type Entry struct {
+	Name, DataCentre, Caller, Peer, Operator string
+
+	rig  *Rig
+	file string
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  *os.File
+}
+
+var (
+	buildOnce sync.Once
+	builtPath string
+	buildErr  error
+)
+
+// binary builds the program once for all tests of a package.
+func binary(t testing.TB) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		d, err := os.MkdirTemp("", "burdockreach")
+		if err != nil {
+			buildErr = err
+			return
+		}
+		builtPath = filepath.Join(d, "burdockreach")
+		out, err := exec.CommandContext(context.Background(), "go", "build", "-o", builtPath, "burdockreach.dev/cmd/burdockreach").CombinedOutput()
+		if err != nil {
+			buildErr = fmt.Errorf("build: %w: %s", err, out)
+		}
+	})
+	if buildErr != nil {
+		t.Fatal(buildErr)
+	}
+	return builtPath
+}
+
+// New starts a fleet and returns when every entry is ready; it is stopped when the test ends.
+func New(t testing.TB, p Plan) *Rig {
+	t.Helper()
+	r := &Rig{T: t, plan: p, dir: t.TempDir(), bin: binary(t), Targets: make(map[string]*target.Target), Holder: conf.NewHolder()}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.group = &errgroup.Group{}
+	t.Cleanup(r.close)
+	r.startCloud(r.startTargets())
+	r.configure()
+	for d := range p.DataCentres {
+		for range p.Entries {
+			r.AddEntry(DataCentre(d))
+		}
+	}
+	for _, e := range r.Entries {
+		e.AwaitReady()
+	}
+	return r
+}
+
+// DataCentre returns the name of the n-th data centre.
+func DataCentre(n int) string { return fmt.Sprintf("dc%d", n+1) }
+
+func (r *Rig) close() {
+	for _, e := range r.Entries {
+		e.Kill()
+	}
+	r.cancel()
+	_ = r.group.Wait()
+	if r.T.Failed() {
+		r.dump()
+	}
+}
+
+// dump shows the last lines of each entry's log.
+func (r *Rig) dump() {
+	const tail = 3000
+	for _, e := range r.Entries {
+		b, _ := os.ReadFile(e.log.Name())
+		r.T.Logf("log of %s:\n%s", e.Name, b[max(0, len(b)-tail):])
+	}
+}
+
+// startTargets starts the targets and returns the platform's list of them.
+func (r *Rig) startTargets() []hosts.Wire {
+	var l []hosts.Wire
+	for d := range r.plan.DataCentres {
+		for k := range r.plan.Targets + r.plan.Spares {
+			w := hosts.Wire{
+				ID: fmt.Sprintf("%s-w%d", DataCentre(d), k+1), DataCentre: DataCentre(d), Rack: fmt.Sprintf("%s-r%d", DataCentre(d), k/2+1),
+				Pool: Pool, State: hosts.Live, Kind: hosts.Worker, Boot: 1, Cores: 32, MemoryMB: 64 << 10, Addr: freePair(r.T),
+			}
+			if k >= r.plan.Targets {
+				w.Pool = Spare
+			}
+			r.startTarget(w)
+			l = append(l, w)
+		}
+	}
+	return l
+}
+
+func (r *Rig) startTarget(w hosts.Wire) {
+	t := target.New(target.WithName(w.ID), target.WithRunTime(r.plan.RunTime), target.WithRebootTime(r.plan.Reboot))
+	r.Targets[w.ID] = t
+	r.group.Go(func() error { return t.Serve(r.ctx, w.Addr, control(w.Addr)) })
+}
+
+func (r *Rig) startCloud(vms []hosts.Wire) {
+	r.Cloud = cloud.New(cloud.WithVMs(vms...), cloud.WithReboot(r.plan.Reboot), cloud.WithLag(r.plan.Lag))
+	addr := free(r.T)
+	r.group.Go(func() error { return r.Cloud.Serve(r.ctx, addr) })
+	<-r.Cloud.Ready()
+}
+
+// configure commits the service, its pool, its profile, the team and its approval.
+func (r *Rig) configure() {
+	r.commit = conf.NewCommitter(r.Cloud.Store(), r.Holder)
+	sum := sha256.Sum256([]byte(Token))
+	vms := r.plan.Targets * r.plan.DataCentres
+	for _, c := range []conf.Change{
+		{Kind: conf.PutProfile, Profile: &conf.ProfileSpec{
+			Name: "gold", MinVMs: vms, MaxVMs: 2 * vms, MaxOut: max(1, r.plan.MaxOut), DrainSeconds: 30, RebootSeconds: 20, DeadlineMillis: 5000,
+		}},
+		{Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: Pool}},
+		{Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: Spare, Spare: true}},
+		{Kind: conf.PutService, Service: &conf.ServiceSpec{Name: Service, Profile: "gold", Pool: Pool, Slots: 8, Conns: 64}},
+		{Kind: conf.PutTeam, Team: &conf.TeamSpec{Name: Team, TokenDigest: hex.EncodeToString(sum[:])}},
+		{Kind: conf.Approve, Approval: &conf.ApprovalSpec{Team: Team, Service: Service}},
+	} {
+		r.Commit(c)
+	}
+}
+
+// Commit makes c the next change and returns its number.
+func (r *Rig) Commit(c conf.Change) conf.Number {
+	r.T.Helper()
+	c.By, c.Op = "rig", fmt.Sprintf("rig-%d-%d", time.Now().UnixNano(), r.Holder.Document().Number())
+	x, cancel := context.WithTimeout(r.ctx, startWithin)
+	defer cancel()
+	n, err := r.commit.Commit(x, c)
+	if err != nil {
+		r.T.Fatal(err)
+	}
+	return n
+}
+
+// AddEntry starts one more entry in the data centre.
+func (r *Rig) AddEntry(dataCentre string) *Entry {
+	r.T.Helper()
+	n := 1
+	for _, e := range r.Entries {
+		if e.DataCentre == dataCentre {
+			n++
+		}
+	}
+	e := &Entry{
+		Name: fmt.Sprintf("%s-e%d", dataCentre, n), DataCentre: dataCentre,
+		Caller: free(r.T), Peer: free(r.T), Operator: free(r.T), rig: r,
+	}
+	r.Entries = append(r.Entries, e)
+	e.write()
+	e.Start()
+	return e
+}
+
+// write writes the entry's settings file.
+func (e *Entry) write() {
+	var all []string
+	peers := []string{}
+	for d := range e.rig.plan.DataCentres {
+		all = append(all, DataCentre(d))
+	}
+	for _, o := range e.rig.Entries {
+		if o != e && o.DataCentre == e.DataCentre {
+			peers = append(peers, o.Peer)
+		}
+	}
+	b, err := json.Marshal(map[string]any{
+		"name": e.Name, "dataCentre": e.DataCentre, "dataCentres": all, "callerAddr": e.Caller, "peerAddr": e.Peer,
+		"operatorAddr": e.Operator, "platformAddr": e.rig.Cloud.Addr(), "peerAddrs": peers, "logLevel": "info",
+		"tickMs": 200, "beatMs": 100, "leaderLeaseMs": 2000, "drainWaitMs": 10000,
+	})
+	if err != nil {
+		e.rig.T.Fatal(err)
+	}
+	e.file = filepath.Join(e.rig.dir, e.Name+".json")
+	if err := os.WriteFile(e.file, b, 0o600); err != nil {
+		e.rig.T.Fatal(err)
+	}
+	if e.log, err = os.Create(filepath.Join(e.rig.dir, e.Name+".log")); err != nil {
+		e.rig.T.Fatal(err)
+	}
+}
+
+// Start starts the entry's process.
+func (e *Entry) Start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := exec.CommandContext(e.rig.ctx, e.rig.bin, "entry", "-settings", e.file)
+	c.Stdout, c.Stderr = e.log, e.log
+	if err := c.Start(); err != nil {
+		e.rig.T.Fatal(err)
+	}
+	e.cmd, e.done = c, make(chan struct{})
+	done := e.done
+	e.rig.group.Go(func() error {
+		defer close(done)
+		_ = c.Wait() // the state tells how it ended
+		return nil
+	})
+}
+
+// signal sends s to the process if it runs.
+func (e *Entry) signal(s syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd != nil {
+		_ = e.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends the process at once and returns when it is gone.
+func (e *Entry) Kill() {
+	e.signal(syscall.SIGKILL)
+	e.wait()
+}
+
+// Freeze stops the process's clock and work; Thaw lets it go on.
+func (e *Entry) Freeze() { e.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (e *Entry) Thaw() { e.signal(syscall.SIGCONT) }
+
+// Stop ends the process by SIGTERM and returns its exit status.
+func (e *Entry) Stop() int {
+	e.signal(syscall.SIGTERM)
+	e.wait()
+	return e.cmd.ProcessState.ExitCode()
+}
+
+func (e *Entry) wait() {
+	if e.cmd == nil {
+		return
+	}
+	select {
+	case <-e.done:
+	case <-time.After(stopWithin):
+		e.rig.T.Errorf("%s does not end", e.Name)
+		e.signal(syscall.SIGKILL)
+	}
+}
+
+func control(addr string) string {
+	h, p, _ := net.SplitHostPort(addr)
+	var n int
+	_, _ = fmt.Sscan(p, &n)
+	return net.JoinHostPort(h, fmt.Sprint(n+controlStep))
+}
+
+// free returns a loopback address that nothing listens on.
+func free(t testing.TB) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// freePair returns a free address whose control address is free too.
+func freePair(t testing.TB) string {
+	t.Helper()
+	for {
+		a := free(t)
+		c := control(a)
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", c)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return a
+	}
+}
