End the demo's entries before the platform and the targets

Ended all at once, each entry waited for a platform that had gone. Both entries of a data centre still wait 5 s each, since nobody is left to take their records.

--- a/fakes/demo/procs.go
+++ b/fakes/demo/procs.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -27,13 +28,14 @@
 
 // proc is one process with its log.
 type proc struct {
-	name string
-	cmd  *exec.Cmd
-	log  *os.File
+	name  string
+	entry bool // it needs the others for its drain.
+	cmd   *exec.Cmd
+	log   *os.File
 }
 
 // start runs a program until end; its output goes to a log of its own.
-func (p *procs) start(name, program string, args ...string) error {
+func (p *procs) start(name string, entry bool, program string, args ...string) error {
 	l, err := os.Create(filepath.Join(p.dir, name+".log"))
 	if err != nil {
 		return eris.Wrap(err, "create log")
@@ -45,23 +47,34 @@
 		_ = l.Close()
 		return eris.Wrapf(err, "start %s", name)
 	}
-	p.all = append(p.all, &proc{name: name, cmd: x, log: l})
+	p.all = append(p.all, &proc{name: name, entry: entry, cmd: x, log: l})
 	return nil
 }
 
-// end stops every process, the latest first, and reports one that did not end by itself with status 0.
+// end stops the entries and then all else, and reports a process that did not end by itself with status 0.
 func (p *procs) end() error {
-	var first error
-	for i := len(p.all) - 1; i >= 0; i-- {
-		_ = p.all[i].cmd.Process.Signal(syscall.SIGTERM)
-	}
-	for i := len(p.all) - 1; i >= 0; i-- {
-		if err := p.all[i].wait(); err != nil && first == nil {
-			first = err
+	var entries, rest []*proc
+	for _, x := range p.all {
+		if x.entry {
+			entries = append(entries, x)
+		} else {
+			rest = append(rest, x)
 		}
 	}
 	p.all = nil
-	return first
+	return errors.Join(stop(entries), stop(rest))
+}
+
+// stop signals the processes and waits for all.
+func stop(ps []*proc) error {
+	for _, x := range ps {
+		_ = x.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	var errs []error
+	for _, x := range ps {
+		errs = append(errs, x.wait())
+	}
+	return errors.Join(errs...)
 }
 
 // wait waits for the end of the process and kills it when it takes too long.
--- a/fakes/demo/site.go
+++ b/fakes/demo/site.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	for _, t := range s.targets {
-		err := s.procs.start(t.name, s.program("standin"), "target", "-name", t.name, "-addr", t.addr, "-run", runTime, "-reboot", rebootTime.String())
+		err := s.procs.start(t.name, false, s.program("standin"), "target", "-name", t.name, "-addr", t.addr, "-run", runTime, "-reboot", rebootTime.String())
 		if err != nil {
 			return err
 		}
@@ -130,7 +130,7 @@
 	if err := s.writeJSON("platform.json", f); err != nil {
 		return err
 	}
-	return s.procs.start("platform", s.program("standin"), "platform", "-settings", s.path("platform.json"))
+	return s.procs.start("platform", false, s.program("standin"), "platform", "-settings", s.path("platform.json"))
 }
 
 // startNode starts one entry with a settings file of its own.
@@ -149,7 +149,7 @@
 	if err := s.writeJSON(n.name+".json", f); err != nil {
 		return err
 	}
-	return s.procs.start(n.name, s.program("burdockreach"), "entry", "-settings", s.path(n.name+".json"))
+	return s.procs.start(n.name, true, s.program("burdockreach"), "entry", "-settings", s.path(n.name+".json"))
 }
 
 func (s *site) path(name string) string    { return filepath.Join(s.dir, name) }
