Prove the planner on random traces with racing leaders

Four leaders of two data centres share a store that loses answers and lands writes late; the checker sees each act. Cause of one fault found so: a leader that had read the membership before a VM joined released the VM's reservation while another leader drained it. A VM now joins with the shard's version as its count of stops, so a later stop never has an older number. Ruled out: comparing times, which a paused leader's clock does not allow.

--- a/fleet/pool/codec.go
+++ b/fleet/pool/codec.go
@@ -28,6 +28,7 @@
 	To    string `json:"m,omitempty"`
 	Boot  int64  `json:"k,omitempty"`
 	Seq   int64  `json:"q,omitempty"`
+	Shut  bool   `json:"h,omitempty"`
 }
 
 // names gives each name its position in order of first use.
@@ -68,7 +69,7 @@
 	for _, m := range s.members {
 		w.VMs[m.VM] = line{
 			Pool: pools.add(m.Pool), Rack: racks.add(m.Rack), State: m.State, Wave: waves.addOptional(m.Wave),
-			Since: m.Since - w.Base, Op: m.Op, Doing: waves.addOptional(m.Doing), To: m.To, Boot: m.Boot, Seq: m.Seq,
+			Since: m.Since - w.Base, Op: m.Op, Doing: waves.addOptional(m.Doing), To: m.To, Boot: m.Boot, Seq: m.Seq, Shut: m.Shut,
 		}
 	}
 	w.Pools, w.Racks, w.Waves = pools.list, racks.list, waves.list
@@ -107,7 +108,7 @@
 	ok := vm != "" && okPool && okRack && okWave && okDoing && e.State >= Serving && e.State <= Failed
 	m := Member{
 		VM: vm, Pool: p, Rack: r, State: e.State, Wave: v, Since: e.Since + w.Base,
-		Op: e.Op, Doing: d, To: e.To, Boot: e.Boot, Seq: e.Seq,
+		Op: e.Op, Doing: d, To: e.To, Boot: e.Boot, Seq: e.Seq, Shut: e.Shut,
 	}
 	return m, ok
 }
--- a/fleet/pool/member.go
+++ b/fleet/pool/member.go
@@ -40,6 +40,7 @@
 	To    string // the pool that a running move leads to.
 	Boot  int64  // boot number before the running reboot.
 	Seq   int64  // number of planned stops that have ended, with or without a reboot.
+	Shut  bool   // the platform may still hold a drain of a planned stop that has ended.
 }
 
 var (
--- a/fleet/pool/shard.go
+++ b/fleet/pool/shard.go
@@ -137,7 +137,7 @@
 	}
 	s := Shard{index: index, count: count, number: number, members: l}
 	for i, m := range l {
-		if m.State != Serving || m.Op != "" {
+		if m.State != Serving || m.Op != "" || m.Shut {
 			s.busy = append(s.busy, i)
 		}
 	}
--- a/fleet/wave/call.go
+++ b/fleet/wave/call.go
@@ -19,6 +19,11 @@
 			}
 		}
 	}
+	for m := range p.table.Busy() {
+		if p.isShut(m) {
+			l = p.call(l, "undrain "+m.VM, UndrainCmd{VM: m.VM})
+		}
+	}
 	for _, vm := range p.strays {
 		if m, ok := p.table.Find(vm); ok && m.State == pool.Serving {
 			l = p.call(l, "undrain "+vm, UndrainCmd{VM: vm})
@@ -32,6 +37,14 @@
 	return l
 }
 
+// isShut tells whether the platform holds a drain of ours on a VM that is not being stopped any more.
+func (p *Planner) isShut(m pool.Member) bool {
+	if m.Op != "" || p.hosts[m.VM].State != Leaving || p.dead[m.VM] {
+		return false
+	}
+	return m.Shut || m.State != pool.Serving && p.now-m.Since > outMillis
+}
+
 // call adds c unless the same call was made a moment ago.
 func (p *Planner) call(l []Cmd, key string, c Cmd) []Cmd {
 	if at, ok := p.called[key]; ok && p.now-at < repeatMillis {
--- a/fleet/wave/planner.go
+++ b/fleet/wave/planner.go
@@ -22,6 +22,7 @@
 	entryGraceMillis = 60_000  // before an entry that was heard but never listed counts as gone.
 	wishMillis       = 120_000 // before a move that found no room is forgotten.
 	strayMillis      = 60_000  // after a planned stop during which a drain is taken for a late one of our own.
+	outMillis        = 600_000 // after which a VM that the platform shows as leaving, but does not stop, is asked back.
 	idleDrainMillis  = 30_000  // longest drain in a pool that serves nothing.
 	idleRebootMillis = 600_000 // longest reboot in a pool that serves nothing.
 )
@@ -43,6 +44,7 @@
 	waves    []Wave
 	hosts    map[string]Host
 	hostsAt  int64
+	entries  []string // entries of the list that are not gone.
 	heard    map[string]int64
 	said     map[string]map[string]int64 // by VM, then entry: the version at which the VM was drained.
 	draining map[string]sight
@@ -193,12 +195,14 @@
 	switch m := msg.(type) {
 	case FailedMsg:
 		p.pass(m.At)
+		was := p.dead[m.VM]
 		p.dead[m.VM] = true
-		return true
+		return !was
 	case RecoveredMsg:
 		p.pass(m.At)
+		was := p.dead[m.VM]
 		delete(p.dead, m.VM)
-		return true
+		return was
 	case UnheardMsg:
 		p.pass(m.At)
 		p.unheard = slices.Clone(m.DataCentres)
--- /dev/null
+++ b/fleet/wave/planner_test.go
@@ -0,0 +1,238 @@
+package wave
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/fleet/pool"
+)
+
+// run lets both data centres' leaders work for the given seconds; boots says whether rebooted VMs come back.
+func (w *world) run(seconds int, boots bool) {
+	for range seconds {
+		w.pass(1000)
+		for _, e := range w.entries {
+			w.pull(e)
+		}
+		for _, v := range w.vms {
+			if boots && v.planned {
+				w.recover(v)
+			}
+		}
+		for _, l := range []*leader{w.leaders[0], w.leaders[2]} {
+			w.round(l, 0)
+		}
+	}
+}
+
+// settled returns a world whose VMs have joined, with the wave put off.
+func settled(opts ...Option) *world {
+	w := newWorld(opts...)
+	w.setWave(true)
+	w.run(5, true)
+	return w
+}
+
+func (w *world) setWave(paused bool) {
+	w.wave.Paused = paused
+	for _, l := range w.leaders {
+		w.tell(l, PolicyMsg{At: w.now, Services: w.rules, Waves: []Wave{w.wave}})
+	}
+}
+
+func (w *world) checkStops(t *testing.T, want bool) {
+	t.Helper()
+	got := 0
+	for _, v := range w.vms {
+		if m := w.member(v.name); m.Pool != "office" && (m.Op != "" || m.Wave != "") {
+			got++
+		}
+	}
+	is.New(t).Equal(got > 0, want) // planned stops have started.
+	is.New(t).Equal(w.faults, nil)
+}
+
+func TestGates(t *testing.T) {
+	t.Run("open", func(t *testing.T) {
+		w := settled()
+		w.setWave(false)
+		w.run(10, true)
+		w.checkStops(t, true)
+	})
+	t.Run("paused wave", func(t *testing.T) {
+		w := settled()
+		w.run(10, true)
+		w.checkStops(t, false)
+	})
+	t.Run("data centre unheard", func(t *testing.T) {
+		w := settled()
+		for _, l := range w.leaders {
+			w.tell(l, UnheardMsg{At: w.now, DataCentres: []string{"c"}})
+		}
+		w.setWave(false)
+		w.run(10, true)
+		w.checkStops(t, false)
+	})
+	t.Run("entry unheard", func(t *testing.T) {
+		w := settled()
+		w.entries[0].name, w.entries[2].name = "a-new", "b-new" // the list still shows the old names.
+		w.setWave(false)
+		for range 20 {
+			w.pass(1000)
+			for _, l := range w.leaders {
+				l.planner.takeHosts(HostsMsg{At: w.now, Hosts: w.lists[l.dc][0]})
+				w.tell(l, FreshMsg{At: w.now})
+			}
+		}
+		w.checkStops(t, false)
+	})
+	t.Run("documents too old", func(t *testing.T) {
+		w := settled()
+		w.setWave(false)
+		w.drop()
+		w.pass(DefaultMaxAge + 1)
+		for _, l := range w.leaders {
+			w.hear(l, 0)
+		}
+		w.performAll()
+		w.checkStops(t, false)
+	})
+	t.Run("list too old", func(t *testing.T) {
+		w := settled()
+		w.setWave(false)
+		w.drop()
+		w.pass(DefaultMaxAge + 1)
+		for _, l := range w.leaders {
+			w.read(l)
+		}
+		w.performAll()
+		w.checkStops(t, false)
+	})
+}
+
+func (w *world) performAll() {
+	for _, l := range w.leaders {
+		for range 40 {
+			w.perform(l, 0, 0)
+		}
+	}
+}
+
+// drop replaces the leaders by ones that have read and heard everything, but have not acted yet.
+func (w *world) drop() {
+	for _, l := range w.leaders {
+		l.planner, l.pending = New(l.dc, worldShards, w.opts...), nil
+		w.tell(l, PolicyMsg{At: w.now, Services: w.rules})
+		w.read(l)
+		w.hear(l, 0)
+		w.tell(l, PolicyMsg{At: w.now, Services: w.rules, Waves: []Wave{w.wave}})
+		l.pending = nil
+	}
+}
+
+func TestStopsEnd(t *testing.T) {
+	t.Run("a request in flight puts the VM back", func(t *testing.T) {
+		w := settled()
+		for _, e := range w.entries {
+			for _, v := range w.vms {
+				if serves(v.pool) {
+					e.flying[v.name] = 1
+				}
+			}
+		}
+		w.setWave(false)
+		w.run(60, true)
+		is.New(t).Equal(w.faults, nil)
+		for _, v := range w.vms {
+			is.New(t).True(serves(v.pool) == (w.member(v.name).Wave == "")) // only VMs that serve nothing were rebooted.
+		}
+		ended := 0
+		for _, l := range w.leaders {
+			ended += len(l.planner.holds)
+		}
+		is.New(t).True(ended > 0) // drains ended by being taken back.
+	})
+	t.Run("reboots that never come back stop the wave", func(t *testing.T) {
+		w := settled(WithWreckLimit(1))
+		w.setWave(false)
+		w.run(60, false)
+		lost := w.reboots
+		for i := range w.rules {
+			w.rules[i].MaxOut = len(w.vms)
+		}
+		w.setWave(false)
+		w.run(60, false)
+		is.New(t).Equal(w.reboots, lost)
+		for _, v := range w.vms {
+			w.recover(v)
+		}
+		w.run(60, true)
+		is.New(t).Equal(w.unfinished(), nil) // goes on once all are back.
+	})
+	t.Run("a canary bounds what a bad wave breaks", func(t *testing.T) {
+		w := settled(WithCanary(1))
+		for i := range w.rules {
+			w.rules[i].MaxOut = len(w.vms)
+		}
+		w.setWave(false)
+		w.run(60, false)
+		for _, dc := range []string{"a", "b"} {
+			n := 0
+			for _, v := range w.vms {
+				if m := w.member(v.name); v.dc == dc && m.Pool == "orders" && m.State != pool.Serving {
+					n++
+				}
+			}
+			is.New(t).Equal(n, 1)
+		}
+	})
+	t.Run("failures that use the budget up take drains back", func(t *testing.T) {
+		w := settled()
+		for _, e := range w.entries {
+			e.flying["a0"], e.flying["a1"], e.flying["b0"], e.flying["b1"] = 1, 1, 1, 1
+			e.flying["a2"], e.flying["a3"], e.flying["b2"], e.flying["b3"] = 1, 1, 1, 1
+		}
+		w.setWave(false)
+		w.run(3, true)
+		w.checkStops(t, true)
+		n := 0
+		for _, v := range w.vms {
+			if m := w.member(v.name); m.Pool == "orders" && m.State == pool.Serving && n < worldMaxOut {
+				w.crash(v)
+				n++
+			}
+		}
+		w.run(3, true)
+		for _, v := range w.vms {
+			if m := w.member(v.name); m.Pool == "orders" {
+				is.New(t).True(m.State != pool.Draining)
+			}
+		}
+	})
+}
+
+func TestOlderStore(t *testing.T) {
+	w := settled()
+	old := w.shards["a"][0]
+	w.setWave(false)
+	w.run(40, true)
+	number := w.shards["a"][0].doc.Number()
+	is.New(t).True(number > old.doc.Number())
+	w.shards["a"][0] = old // the store comes back with an older state and revision.
+	w.leaders[0].planner.shards[0].dirty = true
+	w.run(40, true)
+	is.New(t).True(w.shards["a"][0].doc.Number() > number) // entries never see a version twice.
+	for _, v := range w.vms {
+		is.New(t).Equal(w.member(v.name).Wave, "w1")
+	}
+}
+
+func TestRackOrder(t *testing.T) {
+	racks := map[string]*rack{"hit": {out: 1, left: 3}, "begun": {done: 1, left: 2}, "small": {left: 1}, "big": {left: 4}}
+	names := []string{"hit", "begun", "small", "big"}
+	for i := range len(names) - 1 {
+		a, b := pool.Member{VM: "b", Rack: names[i]}, pool.Member{VM: "a", Rack: names[i+1]}
+		is.New(t).True(before(racks, a, b) < 0) // names[i] goes first.
+	}
+}
--- a/fleet/wave/queue.go
+++ b/fleet/wave/queue.go
@@ -77,7 +77,7 @@
 	switch {
 	case p.isDown(m.VM):
 		p.failing[m.VM] = true
-	case h.State == Leaving && m.Seq > 0 && p.now-m.Since < strayMillis:
+	case h.State == Leaving && (m.Shut || m.Wave != "" && p.now-m.Since < strayMillis):
 		p.strays = append(p.strays, m.VM)
 	case h.State == Leaving:
 		p.failing[m.VM] = true
@@ -192,7 +192,7 @@
 func (p *Planner) idleOut(name string) int {
 	n := 0
 	for m := range p.table.Busy() {
-		if m.Pool == name && m.To == "" {
+		if m.Pool == name && m.To == "" && m.State != pool.Serving {
 			n++
 		}
 	}
--- /dev/null
+++ b/fleet/wave/random_test.go
@@ -0,0 +1,229 @@
+package wave
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"burdockreach.dev/fleet/pool"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
+	_ = flag.Set("rapid.checks", "60")
+}
+
+// checkBudget sees every write of a budget: a planned stop is never added beyond the bound.
+func (w *world) checkBudget(service string, o, n Budget) {
+	maxOut := 0
+	for _, s := range w.rules {
+		if s.Name == service {
+			maxOut = s.MaxOut
+		}
+	}
+	for _, a := range n.Absences() {
+		if old, ok := o.Find(a.VM); (!ok || !old.Planned()) && a.Planned() && n.Out() > maxOut {
+			w.fault("%s: %s reserved with %d of %d out", service, a.VM, n.Out(), maxOut)
+		}
+	}
+	for _, a := range o.Absences() {
+		m := w.member(a.VM)
+		if _, ok := n.Find(a.VM); !ok && m.Op != "" && serves(m.Pool) {
+			w.fault("%s: %s released while it is %s", service, a.VM, m.State)
+		}
+	}
+}
+
+// checkShard sees every write of the membership.
+func (w *world) checkShard(dc string, o, n pool.Shard) {
+	if n.Number() <= o.Number() {
+		w.fault("shard %d of %s goes from version %d to %d", n.Index(), dc, o.Number(), n.Number())
+	}
+	for _, v := range w.vms {
+		a, was := o.Find(v.name)
+		b, is := n.Find(v.name)
+		if v.dc != dc || !was || !is {
+			continue
+		}
+		if b.State == pool.Draining && a.State != pool.Draining && serves(b.Pool) {
+			w.checkReserved(v.name, "drain")
+		}
+		if a.Pool != b.Pool {
+			w.checkMove(a)
+		}
+		if b.State == pool.Serving && a.State != pool.Serving && v.planned {
+			w.fault("%s serves before it is back", v.name)
+		}
+	}
+}
+
+func serves(name string) bool { return name != "office" }
+
+// checkMove sees a VM leave its pool: no entry may still send to it there.
+func (w *world) checkMove(m pool.Member) {
+	for _, e := range w.entries {
+		if t, ok := e.view.Find(m.VM); ok && serves(m.Pool) && t.Pool == m.Pool && t.State == pool.Serving {
+			w.fault("%s moves while %s still sends to it", m.VM, e.name)
+		}
+		if e.flying[m.VM] > 0 {
+			w.fault("%s moves with %d requests of %s", m.VM, e.flying[m.VM], e.name)
+		}
+	}
+}
+
+// checkReserved sees a planned act on a VM: every budget concerned holds its reservation at this moment.
+func (w *world) checkReserved(vm, act string) {
+	m := w.member(vm)
+	for _, s := range w.rules {
+		if s.Pool != m.Pool {
+			continue
+		}
+		if a, ok := w.budgets[s.Name].doc.Find(vm); !ok || !a.Planned() || a.Seq != m.Seq+1 {
+			w.fault("%s of %s without a reservation by %s", act, vm, s.Name)
+		}
+	}
+}
+
+func (w *world) member(vm string) pool.Member {
+	m, _ := w.shards[w.vm(vm).dc][pool.Index(vm, worldShards)].doc.Find(vm)
+	return m
+}
+
+// checkPools sees the readers: no two hold one VM as serving in different pools.
+func (w *world) checkPools() {
+	for _, v := range w.vms {
+		in := ""
+		for _, e := range w.entries {
+			t, ok := e.view.Find(v.name)
+			if !ok || t.State != pool.Serving || e.dc != v.dc || !serves(t.Pool) {
+				continue
+			}
+			if in != "" && in != t.Pool {
+				w.fault("%s serves in %s and %s", v.name, in, t.Pool)
+			}
+			in = t.Pool
+		}
+	}
+}
+
+// round is a healthy second of one leader.
+func (w *world) round(l *leader, old uint32) {
+	w.read(l)
+	w.hear(l, old)
+	for range 40 {
+		w.perform(l, 0, 0)
+	}
+}
+
+// act does the trace's next action.
+func (w *world) act(u uint32) {
+	a, n := u%16, u/16
+	l, e, v := w.leaders[n%4], w.entries[n%4], w.vms[n%14]
+	n /= 16
+	switch a {
+	case 0, 1, 2, 3:
+		w.round(l, n)
+		w.pass(int64(n%3) * 500)
+	case 4, 5:
+		w.perform(l, int(n), n/8)
+	case 6:
+		w.land(l, int(n))
+	case 7:
+		w.hear(l, n)
+	case 8, 9:
+		w.pull(e)
+	case 10:
+		w.send(e, n)
+	case 11, 12:
+		clear(e.flying)
+		w.recover(v)
+	case 13:
+		w.pass(int64(n%8) * 1000)
+	case 14:
+		w.upset(l, v, n)
+	case 15:
+		to := []string{"orders", "office", "grants"}[n%3]
+		w.tell(l, MoveMsg{At: w.now, Moves: []Move{{VM: v.name, From: w.member(v.name).Pool, To: to}}})
+	}
+}
+
+// upset brings a failure, a restart of the leader or a stale list about.
+func (w *world) upset(l *leader, v *vm, n uint32) {
+	switch n % 4 {
+	case 0:
+		w.crash(v)
+	case 1:
+		w.restart(l)
+	case 2:
+		w.crash(v)
+		v.gone = true
+	case 3:
+		w.tell(l, UnheardMsg{At: w.now, DataCentres: []string{"c"}[:n/4%2]})
+	}
+}
+
+// heal ends all failures and lets one leader a data centre run for the given number of seconds.
+func (w *world) heal(seconds int) {
+	for i := range seconds {
+		if i%25 == 24 && len(w.unfinished()) == 0 {
+			return
+		}
+		w.pass(1000)
+		for _, e := range w.entries {
+			w.pull(e)
+			clear(e.flying)
+		}
+		for _, v := range w.vms {
+			if i%10 == 9 {
+				w.recover(v)
+			}
+		}
+		for _, l := range []*leader{w.leaders[0], w.leaders[2]} {
+			w.tell(l, UnheardMsg{At: w.now})
+			w.round(l, 0)
+		}
+	}
+}
+
+// unfinished tells what keeps the wave from being done and the fleet from being whole.
+func (w *world) unfinished() []string {
+	var l []string
+	for _, v := range w.vms {
+		if m := w.member(v.name); m.State != pool.Serving || m.Wave != w.wave.ID || m.Op != "" || !v.alive || v.drained || v.pool != m.Pool {
+			l = append(l, fmt.Sprintf("%s is left as %+v, platform %s, drained %v", v.name, m, v.pool, v.drained))
+		}
+	}
+	for _, s := range w.rules {
+		if b := w.budgets[s.Name].doc; b.Out() != 0 {
+			l = append(l, fmt.Sprintf("%s is left with %+v", s.Name, b.Absences()))
+		}
+	}
+	return l
+}
+
+func TestRandomTraces(t *testing.T) {
+	reboots := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(WithWreckLimit(100))
+		for _, u := range rapid.SliceOfN(rapid.Uint32(), 100, 500).Draw(t, "trace") {
+			w.act(u)
+			w.checkPools()
+			if len(w.faults) > 0 {
+				t.Fatal(w.faults)
+			}
+		}
+		reboots += w.reboots
+		w.heal(1500)
+		w.faults = append(w.faults, w.unfinished()...)
+		if len(w.faults) > 0 {
+			t.Fatal(w.faults)
+		}
+	})
+	is.New(t).True(reboots > 100) // the traces reach the acts that they check.
+	t.Log("planned reboots during the faulty parts:", reboots)
+}
--- a/fleet/wave/reserve.go
+++ b/fleet/wave/reserve.go
@@ -60,7 +60,11 @@
 		}
 		m, ok := p.table.Find(a.VM)
 		switch {
-		case !ok || m.Pool != s.Pool && m.Seq >= a.Seq:
+		case !ok:
+			if p.hasPassed(a) {
+				b = b.Release(a.VM)
+			}
+		case m.Pool != s.Pool && m.Seq >= a.Seq:
 			b = b.Release(a.VM)
 		case a.Planned() && a.Seq > m.Seq:
 			if m.State == pool.Failed && m.Op != "" {
@@ -77,6 +81,13 @@
 	return b
 }
 
+// hasPassed tells whether the absence belongs to a VM that has left the membership, not to one that this planner has yet
+// to see join: a VM joins with the shard's version as its count of stops, so no later stop has the absence's number.
+func (p *Planner) hasPassed(a Absence) bool {
+	i := p.table.Index(a.VM)
+	return a.Seq <= p.table.Shard(i).Number() && (a.Planned() || p.isFresh(p.shards[i]))
+}
+
 // count adds every VM of the pool that is out and not yet counted.
 func (p *Planner) count(s ServiceRule, b Budget) Budget {
 	for vm := range p.failing {
--- a/fleet/wave/sight.go
+++ b/fleet/wave/sight.go
@@ -1,6 +1,10 @@
 package wave
 
-import "burdockreach.dev/fleet/pool"
+import (
+	"slices"
+
+	"burdockreach.dev/fleet/pool"
+)
 
 // takeHosts notes the platform's list; a list without a single target tells nothing.
 func (p *Planner) takeHosts(m HostsMsg) bool {
@@ -8,16 +12,19 @@
 		return false
 	}
 	h, workers := make(map[string]Host, len(m.Hosts)), 0
+	var entries []string
 	for _, v := range m.Hosts {
 		h[v.Name] = v
 		if !v.Entry {
 			workers++
+		} else if v.State != Gone {
+			entries = append(entries, v.Name)
 		}
 	}
 	if workers == 0 {
 		return false
 	}
-	p.hosts, p.hostsAt = h, m.At
+	p.hosts, p.hostsAt, p.entries = h, m.At, entries
 	return true
 }
 
@@ -33,12 +40,7 @@
 
 // senders returns the entries that may still send to the data centre's targets.
 func (p *Planner) senders() []string {
-	var l []string
-	for _, h := range p.hosts {
-		if h.Entry && h.State != Gone {
-			l = append(l, h.Name)
-		}
-	}
+	l := slices.Clip(p.entries)
 	for e, at := range p.heard {
 		if _, listed := p.hosts[e]; !listed && p.hostsAt-at < entryGraceMillis {
 			l = append(l, e)
--- a/fleet/wave/step.go
+++ b/fleet/wave/step.go
@@ -39,7 +39,9 @@
 		l[i].puts = append(l[i].puts, m)
 	}
 	for m := range p.table.Busy() {
-		if p.isForgotten(m) {
+		if p.isForgotten(m) && m.Op != "" {
+			put(p.end(m))
+		} else if p.isForgotten(m) {
 			i := p.table.Index(m.VM)
 			l[i].drops = append(l[i].drops, m.VM)
 		} else if n := p.step(m); n != m {
@@ -63,6 +65,11 @@
 // step returns the member after the next step of what it is in, or the member itself.
 func (p *Planner) step(m pool.Member) pool.Member {
 	switch m.State {
+	case pool.Serving:
+		if m.Shut && p.isUp(m.VM) && p.hostsAt >= m.Since+p.limits.listLag {
+			m.Shut = false
+		}
+		return m
 	case pool.Draining:
 		return p.stepDraining(m)
 	case pool.Rebooting:
@@ -125,7 +132,7 @@
 	if !ok || p.hostsAt < at+p.limits.listLag || p.hosts[m.VM].Boot <= m.Boot || !p.isUp(m.VM) {
 		return m
 	}
-	m.Wave, m.State, m.Since = m.Doing, pool.Serving, p.now
+	m.Wave, m.State, m.Since, m.Shut = m.Doing, pool.Serving, p.now, false
 	return p.end(m)
 }
 
@@ -153,7 +160,7 @@
 
 func (p *Planner) rise(m pool.Member) pool.Member {
 	if p.isUp(m.VM) {
-		m.State, m.Since = pool.Serving, p.now
+		m.State, m.Since, m.Shut = pool.Serving, p.now, false
 	}
 	return m
 }
@@ -173,7 +180,9 @@
 		if _, ok := p.table.Find(vm); ok || h.State != Live || h.Entry || h.Pool == "" {
 			continue
 		}
-		l = append(l, pool.Member{VM: vm, Pool: h.Pool, Rack: h.Rack, Since: p.now})
+		i := p.table.Index(vm)
+		n := max(p.table.Shard(i).Number(), p.floors[i]) + 1
+		l = append(l, pool.Member{VM: vm, Pool: h.Pool, Rack: h.Rack, Since: p.now, Seq: n})
 	}
 	return l
 }
@@ -195,6 +204,7 @@
 
 func (p *Planner) start(m pool.Member, a Absence) pool.Member {
 	m.State, m.Since, m.Op, m.Doing = pool.Draining, p.now, a.Op, a.Wave
+	m.Shut = m.Shut || a.Wave != ""
 	if a.Wave == "" {
 		m.To = p.moves[m.VM].To
 	}
