--- a/flow/ledger/claim.go
+++ b/flow/ledger/claim.go
@@ -201,6 +201,9 @@
 	return []Cmd{AskCmd{Holder: h, Roster: c.roster.number}}
 }
 
+// inTime reports whether records of copies that ran before the claim began cannot have lapsed since.
+func (c *Claim) inTime(now time.Time) bool { return now.Sub(c.start) <= ClaimWithin }
+
 func (c *Claim) replied(m ReplyMsg) []Cmd {
 	if m.Holder != c.holder().Entry {
 		return nil
@@ -213,7 +216,7 @@
 	case Gap:
 		return c.refuse(RefuseCmd{Reason: Lost, NotRun: c.granted, Holder: m.Holder, RetryAfter: m.Reply.Retry})
 	case Full:
-		free := c.granted || !m.Reply.Store
+		free := c.granted || !m.Reply.Store && c.inTime(m.Now)
 		return c.refuse(RefuseCmd{Reason: NoRoom, NotRun: free, Holder: m.Holder, RetryAfter: m.Reply.Retry})
 	default:
 		return c.stale(m)
@@ -222,21 +225,21 @@
 
 func (c *Claim) known(m ReplyMsg) []Cmd {
 	if m.Reply.Verdict == Mismatch {
-		return c.refuse(RefuseCmd{Reason: OtherRequest, NotRun: true, Holder: m.Holder})
+		return c.refuse(RefuseCmd{Reason: OtherRequest, NotRun: c.inTime(m.Now), Holder: m.Holder})
 	}
 	return c.end(RepeatCmd{Record: m.Reply.Record})
 }
 
 func (c *Claim) grantedBy(m ReplyMsg) []Cmd {
 	c.store = c.store || m.Reply.Store
-	c.granted = c.granted || !m.Reply.Store
+	c.granted = c.granted || !m.Reply.Store && c.inTime(m.Now)
 	c.tries = 0
 	_, second := c.roster.HoldersOf(c.id)
 	switch {
 	case c.step == probeSecond:
 		c.why.NotRun = c.granted
 		return c.refuse(c.why)
-	case m.Now.Sub(c.start) > ClaimWithin:
+	case !c.inTime(m.Now):
 		return c.refuse(RefuseCmd{Reason: Unreachable, NotRun: c.granted, Holder: m.Holder, RetryAfter: refuseRetryIn})
 	case c.step == askFirst && second != "":
 		c.step = askSecond
@@ -259,7 +262,7 @@
 	if c.step == probeSecond {
 		return c.refuse(c.why)
 	}
-	if m.Now.Sub(c.start) > ClaimWithin {
+	if !c.inTime(m.Now) {
 		return c.giveUp(RefuseCmd{Reason: Changing, Holder: m.Holder, RetryAfter: refuseRetryIn})
 	}
 	if c.renew(m.Roster) {
@@ -282,11 +285,10 @@
 		return c.refuse(c.why)
 	}
 	c.tries++
-	late := m.Now.Sub(c.start) > ClaimWithin
 	switch {
-	case !late && c.renew(m.Roster):
+	case c.inTime(m.Now) && c.renew(m.Roster):
 		return c.ask()
-	case !late && (m.Holder == "" || c.tries < askTries):
+	case c.inTime(m.Now) && (m.Holder == "" || c.tries < askTries):
 		return c.ask()
 	default:
 		return c.giveUp(RefuseCmd{Reason: Unreachable, Holder: m.Holder, RetryAfter: refuseRetryIn})
@@ -308,10 +310,8 @@
 	switch {
 	case m.Outcome == StoreTaken:
 		return c.end(RepeatCmd{Record: m.Record})
-	case m.Outcome == StoreMade && m.Now.Sub(c.start) <= ClaimWithin:
+	case m.Outcome == StoreMade && c.inTime(m.Now):
 		return c.allow()
-	case m.Outcome == StoreMade:
-		c.granted = true
 	}
 	return c.refuse(RefuseCmd{Reason: Unreachable, NotRun: c.granted, RetryAfter: refuseRetryIn})
 }
