--- a/node/burn/burn.go
+++ b/node/burn/burn.go
@@ -13,16 +13,7 @@
 	now               time.Time
 	series            map[Key]*series
 	goals             map[string]ObjectiveMsg
-	spares            map[string]spare
-	moves             map[Move]int64
-	waves             map[string]WaveMsg
-}
-
-// spare is what a pool holds beyond demand, and the VM seconds of it up to at.
-type spare struct {
-	at      time.Time
-	vms     int
-	seconds float64
+	lead              lead
 }
 
 // New returns the empty figures of the entry, which begin at now.
@@ -30,7 +21,7 @@
 	return &Burn{
 		entry: entry, dataCentre: dataCentre, since: now, now: now,
 		series: make(map[Key]*series), goals: make(map[string]ObjectiveMsg),
-		spares: make(map[string]spare), moves: make(map[Move]int64), waves: make(map[string]WaveMsg),
+		lead: newLead(),
 	}
 }
 
@@ -43,12 +34,8 @@
 		b.goals[m.Service] = m
 	case ForgetMsg:
 		b.forget(m.Service)
-	case SpareMsg:
-		b.spare(m)
-	case MoveMsg:
-		b.moves[Move{From: m.From, To: m.To}]++
-	case WaveMsg:
-		b.waves[m.ID] = m
+	case LeadMsg:
+		b.lead.update(m)
 	case TickMsg:
 		return b.tick(m.Now)
 	}
@@ -73,16 +60,6 @@
 	}
 }
 
-// spare closes the time that the last figure of the pool stood for.
-func (b *Burn) spare(m SpareMsg) {
-	s, ok := b.spares[m.Pool]
-	if ok && m.Now.After(s.at) {
-		s.seconds += float64(s.vms) * m.Now.Sub(s.at).Seconds()
-	}
-	s.at, s.vms = m.Now, m.VMs
-	b.spares[m.Pool] = s
-}
-
 // tick clears what is too old and reports the series whose speed has changed.
 func (b *Burn) tick(now time.Time) []Cmd {
 	b.now = now
--- a/node/burn/msg.go
+++ b/node/burn/msg.go
@@ -74,25 +74,24 @@
 // ForgetMsg drops a service that the configuration no longer has.
 type ForgetMsg struct{ Service string }
 
-// SpareMsg says how many VMs of a pool the leader holds beyond the present demand, from now on.
-type SpareMsg struct {
-	Now  time.Time
-	Pool string
-	VMs  int
+// LeadMsg is what the leader of the data centre knows of its VMs; it comes about once a second while this entry leads.
+type LeadMsg struct {
+	Now     time.Time
+	Term    int64 // number of the term of leadership; figures of different terms are not compared.
+	Members []Member
+	Spares  []string // names of the spare pools.
+	Waves   []Wave   // waves of the configuration; one that is missing has ended.
 }
 
-// MoveMsg says that the leader moved one VM from a pool to another.
-type MoveMsg struct {
-	Now      time.Time
-	From, To string
+// Member is one VM of the data centre; Wave is the last wave that it has finished.
+type Member struct {
+	VM, Pool, Wave string
 }
 
-// WaveMsg says how far a maintenance wave has come in the data centre; Ended is zero while it runs.
-type WaveMsg struct {
-	Now            time.Time
-	ID             string
-	Done, Total    int
-	Started, Ended time.Time
+// Wave is one maintenance wave over pools.
+type Wave struct {
+	ID    string
+	Pools []string
 }
 
 // TickMsg lets time pass; it comes about once a second.
@@ -101,9 +100,7 @@
 func (CountMsg) isMsg()     {}
 func (ObjectiveMsg) isMsg() {}
 func (ForgetMsg) isMsg()    {}
-func (SpareMsg) isMsg()     {}
-func (MoveMsg) isMsg()      {}
-func (WaveMsg) isMsg()      {}
+func (LeadMsg) isMsg()      {}
 func (TickMsg) isMsg()      {}
 
 // Cmd is something that the runner does for a Burn.
--- a/node/burn/report.go
+++ b/node/burn/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -49,7 +48,7 @@
 	Counts Counts    `json:"counts"`
 }
 
-// SpareReport is what a data centre holds of a pool beyond demand, and the VM hours of it.
+// SpareReport is the number of VMs of a spare pool in a data centre, and the VM hours of it.
 type SpareReport struct {
 	DataCentre string    `json:"dataCentre"`
 	Pool       string    `json:"pool"`
@@ -107,37 +106,10 @@
 			Windows: ws, Hours: s.rough.points(time.Hour), Recent: s.fine.points(fineStep),
 		})
 	}
-	r.Spares, r.Moves, r.Waves = b.spareReports(), b.moveReports(), b.waveReports()
+	r.Spares, r.Moves, r.Waves = b.lead.spareReports(b.dataCentre), b.lead.moveReports(), b.lead.waveReports(b.dataCentre)
 	return r
 }
 
-func (b *Burn) spareReports() []SpareReport {
-	var rs []SpareReport
-	for _, p := range slices.Sorted(maps.Keys(b.spares)) {
-		s := b.spares[p]
-		rs = append(rs, SpareReport{DataCentre: b.dataCentre, Pool: p, At: s.at, VMs: s.vms, VMHours: s.seconds / time.Hour.Seconds()})
-	}
-	return rs
-}
-
-func (b *Burn) moveReports() []MoveReport {
-	var rs []MoveReport
-	for m, n := range b.moves {
-		rs = append(rs, MoveReport{Move: m, Count: n})
-	}
-	slices.SortFunc(rs, compareMoves)
-	return rs
-}
-
-func (b *Burn) waveReports() []WaveReport {
-	var rs []WaveReport
-	for _, id := range slices.Sorted(maps.Keys(b.waves)) {
-		w := b.waves[id]
-		rs = append(rs, WaveReport{ID: id, DataCentre: b.dataCentre, At: w.Now, Done: w.Done, Total: w.Total, Started: w.Started, Ended: w.Ended})
-	}
-	return rs
-}
-
 func compareMoves(a, b MoveReport) int {
 	return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To))
 }
--- a/node/burn/text.go
+++ b/node/burn/text.go
@@ -58,9 +58,11 @@
 }
 
 func (r Report) writeWorst(w *strings.Builder) {
-	fmt.Fprintf(w, "\nWORST HOUR\tSERVICE\tCLASS\tREQUESTS\tMISSED\tBURN\n")
+	head := "\nWORST HOUR\tSERVICE\tCLASS\tREQUESTS\tMISSED\tBURN\n"
 	for _, s := range r.Services {
 		for _, p := range s.Worst(worstHours) {
+			w.WriteString(head)
+			head = ""
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.2f\n", p.Start.UTC().Format(minute), s.Service, s.Class,
 				p.Counts.Total(), p.Counts.Bad(), p.Counts.Rate(s.Objective))
 		}
@@ -68,20 +70,27 @@
 }
 
 func (r Report) writeCost(w *strings.Builder) {
-	fmt.Fprintf(w, "\nPOOL\tDATA CENTRE\tSPARE VMS\tSPARE VM HOURS\n")
+	heading(w, "POOL\tDATA CENTRE\tSPARE VMS\tSPARE VM HOURS", len(r.Spares))
 	for _, s := range r.Spares {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\n", s.Pool, s.DataCentre, s.VMs, s.VMHours)
 	}
-	fmt.Fprintf(w, "\nMOVED FROM\tTO\tVMS\n")
+	heading(w, "MOVED FROM\tTO\tVMS", len(r.Moves))
 	for _, m := range r.Moves {
 		fmt.Fprintf(w, "%s\t%s\t%d\n", m.From, m.To, m.Count)
 	}
-	fmt.Fprintf(w, "\nWAVE\tDATA CENTRE\tDONE\tOF\tTOOK\n")
+	heading(w, "WAVE\tDATA CENTRE\tDONE\tOF\tTOOK", len(r.Waves))
 	for _, v := range r.Waves {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", v.ID, v.DataCentre, v.Done, v.Total, v.took())
 	}
 }
 
+// heading writes the columns of a table that has rows.
+func heading(w *strings.Builder, columns string, rows int) {
+	if rows > 0 {
+		fmt.Fprintf(w, "\n%s\n", columns)
+	}
+}
+
 // took returns how long the wave ran, or that it still does.
 func (v WaveReport) took() string {
 	if v.Ended.IsZero() {
