Bring failures about two at a time and watch from outside

Cause: each promise must hold while other things fail; a watcher that is no part of the system has to see it.

--- a/fakes/target/count.go
+++ b/fakes/target/count.go
@@ -14,6 +14,7 @@
 	Pool            string         `json:"pool"`
 	Boot            int64          `json:"boot"`
 	Draining        bool           `json:"draining"`
+	Away            bool           `json:"away"`
 	Running         int64          `json:"running"`
 	Runs            int64          `json:"runs"`
 	Keys            map[string]int `json:"keys,omitempty"`
@@ -125,11 +126,14 @@
 // Runs returns what the target has counted, with the runs of each key.
 func (t *Target) Runs() Runs { return t.report(true) }
 
+// Brief returns the counts without the keys.
+func (t *Target) Brief() Runs { return t.report(false) }
+
 func (t *Target) report(keys bool) Runs {
 	r := t.count.copy(keys)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.Target, r.Pool, r.Boot = t.name, t.pool, t.boot
-	r.Draining, r.Running = t.draining.Load(), t.running.Load()
+	r.Draining, r.Away, r.Running = t.draining.Load(), t.away.Load(), t.running.Load()
 	return r
 }
--- a/fakes/target/target.go
+++ b/fakes/target/target.go
@@ -31,6 +31,7 @@
 	running  atomic.Int64
 	present  atomic.Int64
 	draining atomic.Bool
+	away     atomic.Bool
 	fault    atomic.Pointer[Fault]
 	count    counts
 	reboots  chan reboot
@@ -158,12 +159,14 @@
 	t.down = down
 	t.mu.Unlock()
 	t.draining.Store(false)
+	t.away.Store(false)
 	gate := newGate(l, t.conns, &t.count.refused)
 	var r reboot
 	g.Go(func() error { return serve(b, gate, t.handle, t.name) })
 	g.Go(func() error {
 		select {
 		case r = <-t.reboots:
+			t.away.Store(true)
 			t.count.stopped(r.planned, t.running.Load())
 		case <-b.Done():
 		}
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -28,6 +28,7 @@
 	Service = "orders"
 	Team    = "kitchen"
 	Token   = "kitchen-token"
+	OpToken = "operator-token"
 	Pool    = "kitchen-pool"
 	Spare   = "back-office"
 )
@@ -58,6 +59,7 @@
 	Entries  []*Entry
 	Holder   *conf.Holder
 	commit   *conf.Committer
+	spares   map[string]bool // VMs that begin in the spare pool
 	plan     Plan
 	dir, bin string
 	group    *errgroup.Group
@@ -107,17 +109,22 @@
 // New starts a fleet and returns when every entry is ready; it is stopped when the test ends.
 func New(t testing.TB, p Plan) *Rig {
 	t.Helper()
-	r := &Rig{T: t, plan: p, dir: t.TempDir(), bin: binary(t), Targets: make(map[string]*target.Target), Holder: conf.NewHolder()}
+	r := &Rig{T: t, plan: p, dir: t.TempDir(), bin: binary(t), Targets: make(map[string]*target.Target), Holder: conf.NewHolder(), spares: make(map[string]bool)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.group = &errgroup.Group{}
 	t.Cleanup(r.close)
-	r.startCloud(r.startTargets())
-	r.configure()
+	vms := r.startTargets()
 	for d := range p.DataCentres {
 		for range p.Entries {
-			r.AddEntry(DataCentre(d))
+			vms = append(vms, r.plant(DataCentre(d)))
 		}
 	}
+	r.startCloud(vms)
+	r.configure()
+	for _, e := range r.Entries {
+		e.write()
+		e.Start()
+	}
 	for _, e := range r.Entries {
 		e.AwaitReady()
 	}
@@ -158,6 +165,7 @@
 			}
 			if k >= r.plan.Targets {
 				w.Pool = Spare
+				r.spares[w.ID] = true
 			}
 			r.startTarget(w)
 			l = append(l, w)
@@ -173,7 +181,7 @@
 }
 
 func (r *Rig) startCloud(vms []hosts.Wire) {
-	r.Cloud = cloud.New(cloud.WithVMs(vms...), cloud.WithReboot(r.plan.Reboot), cloud.WithLag(r.plan.Lag))
+	r.Cloud = cloud.New(cloud.WithVMs(vms...), cloud.WithReboot(r.plan.Reboot), cloud.WithLag(r.plan.Lag), cloud.WithControl("127.0.0.1:0"))
 	addr := free(r.T)
 	r.group.Go(func() error { return r.Cloud.Serve(r.ctx, addr) })
 	<-r.Cloud.Ready()
@@ -182,7 +190,6 @@
 // configure commits the service, its pool, its profile, the team and its approval.
 func (r *Rig) configure() {
 	r.commit = conf.NewCommitter(r.Cloud.Store(), r.Holder)
-	sum := sha256.Sum256([]byte(Token))
 	vms := r.plan.Targets * r.plan.DataCentres
 	for _, c := range []conf.Change{
 		{Kind: conf.PutProfile, Profile: &conf.ProfileSpec{
@@ -191,7 +198,7 @@
 		{Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: Pool}},
 		{Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: Spare, Spare: true}},
 		{Kind: conf.PutService, Service: &conf.ServiceSpec{Name: Service, Profile: "gold", Pool: Pool, Slots: 8, Conns: 64}},
-		{Kind: conf.PutTeam, Team: &conf.TeamSpec{Name: Team, TokenDigest: hex.EncodeToString(sum[:])}},
+		{Kind: conf.PutTeam, Team: &conf.TeamSpec{Name: Team, TokenDigest: digest(Token)}},
 		{Kind: conf.Approve, Approval: &conf.ApprovalSpec{Team: Team, Service: Service}},
 	} {
 		r.Commit(c)
@@ -211,9 +218,8 @@
 	return n
 }
 
-// AddEntry starts one more entry in the data centre.
-func (r *Rig) AddEntry(dataCentre string) *Entry {
-	r.T.Helper()
+// plant makes one more entry of the data centre, which is not started, and returns its line in the platform's list.
+func (r *Rig) plant(dataCentre string) hosts.Wire {
 	n := 1
 	for _, e := range r.Entries {
 		if e.DataCentre == dataCentre {
@@ -225,6 +231,19 @@
 		Caller: free(r.T), Peer: free(r.T), Operator: free(r.T), rig: r,
 	}
 	r.Entries = append(r.Entries, e)
+	return hosts.Wire{
+		ID: e.Name, Addr: e.Peer, DataCentre: dataCentre, Rack: e.Name + "-rack", State: hosts.Live, Kind: hosts.Entry, Boot: 1, Cores: 2, MemoryMB: 2048,
+	}
+}
+
+// Replace ends the entry's VM for good and starts a new VM with another name in its place; the new entry is not yet ready.
+func (r *Rig) Replace(old *Entry) *Entry {
+	r.T.Helper()
+	old.Kill()
+	r.Platform("/vm/fail", map[string]any{"id": old.Name})
+	w := r.plant(old.DataCentre)
+	r.Platform("/vm/add", w)
+	e := r.Entries[len(r.Entries)-1]
 	e.write()
 	e.Start()
 	return e
@@ -245,7 +264,7 @@
 	b, err := json.Marshal(map[string]any{
 		"name": e.Name, "dataCentre": e.DataCentre, "dataCentres": all, "callerAddr": e.Caller, "peerAddr": e.Peer,
 		"operatorAddr": e.Operator, "platformAddr": e.rig.Cloud.Addr(), "peerAddrs": peers, "logLevel": "info",
-		"tickMs": 200, "beatMs": 100, "leaderLeaseMs": 2000, "drainWaitMs": 10000,
+		"operatorTokenDigests": []string{digest(OpToken)}, "tickMs": 200, "beatMs": 100, "leaderLeaseMs": 2000, "drainWaitMs": 10000,
 	})
 	if err != nil {
 		e.rig.T.Fatal(err)
@@ -277,6 +296,32 @@
 	})
 }
 
+// running returns the entries whose processes run.
+func (r *Rig) running() []*Entry {
+	var l []*Entry
+	for _, e := range r.Entries {
+		if e.life() != "" {
+			l = append(l, e)
+		}
+	}
+	return l
+}
+
+// life names the running process; it is empty while none runs.
+func (e *Entry) life() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd == nil {
+		return ""
+	}
+	select {
+	case <-e.done:
+		return ""
+	default:
+		return fmt.Sprintf("%s/%d", e.Name, e.cmd.Process.Pid)
+	}
+}
+
 // signal sends s to the process if it runs.
 func (e *Entry) signal(s syscall.Signal) {
 	e.mu.Lock()
@@ -349,3 +394,8 @@
 		return a
 	}
 }
+
+func digest(token string) string {
+	s := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(s[:])
+}
