Test quotas, order, ejection and retries against naive versions

Cause: the parts were tested only through the scheduler. Conclusion: a team over its rate gets what is idle and gives it back within a second; of four targets one that fails everything got at most 6 of 1000 requests and 4 to 8 trials in the minute after.

--- /dev/null
+++ b/flow/admit/gate_test.go
@@ -0,0 +1,149 @@
+package admit_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"burdockreach.dev/flow/admit"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+const capacity = 100.0 // requests a second
+
+// ask lets each team ask at its pace from one time to another and returns the requests a second that were let in.
+func ask(g *admit.Gate, from, to time.Duration, tight bool, perSecond map[string]float64) map[string]float64 {
+	got, next := map[string]float64{}, map[string]time.Duration{}
+	for now := from; now < to; now += time.Millisecond {
+		for _, n := range []string{"a", "b", "c", "none"} {
+			p := perSecond[n]
+			if p == 0 || now < next[n] {
+				continue
+			}
+			next[n] = max(next[n], from) + time.Duration(float64(time.Second)/p)
+			if v, _ := g.Arrive(now, n, admit.NewLoad(false, tight, capacity)); v.In() {
+				got[n] += 1 / (to - from).Seconds()
+			}
+		}
+	}
+	return got
+}
+
+func between(t *testing.T, x, least, most float64) {
+	t.Helper()
+	if x < least || x > most {
+		t.Fatalf("%v is not between %v and %v", x, least, most)
+	}
+}
+
+func TestGate(t *testing.T) {
+	start := func() *admit.Gate {
+		g := admit.New()
+		g.SetRates(map[string]float64{"a": 60, "b": 30, "c": 10})
+		return g
+	}
+	t.Run("lets everybody in without rates", func(t *testing.T) {
+		v, _ := admit.New().Arrive(0, "a", admit.NewLoad(false, true, capacity))
+		is.New(t).Equal(v, admit.Within)
+	})
+	t.Run("shares by rate when all ask for too much", func(t *testing.T) {
+		got := ask(start(), 0, 20*time.Second, true, map[string]float64{"a": 300, "b": 300, "c": 300})
+		between(t, got["a"], 60, 72)
+		between(t, got["b"], 30, 36)
+		between(t, got["c"], 10, 12)
+	})
+	t.Run("lends an idle share and takes it back within a second", func(t *testing.T) {
+		g := start()
+		got := ask(g, 0, 10*time.Second, false, map[string]float64{"c": 300})
+		between(t, got["c"], 100, 125) // its own rate is 10
+		all := map[string]float64{"a": 60, "b": 30, "c": 300}
+		got = ask(g, 10*time.Second, 11*time.Second, false, all)
+		between(t, got["a"], 59, 61)
+		between(t, got["b"], 29, 31)
+		got = ask(g, 11*time.Second, 20*time.Second, false, all)
+		between(t, got["c"], 10, 12)
+	})
+	t.Run("a team without a rate gets only idle capacity", func(t *testing.T) {
+		i, g := is.New(t), start()
+		v, after := g.Arrive(0, "none", admit.NewLoad(false, false, capacity))
+		i.Equal(v, admit.Over)
+		i.True(after > 0)
+		v, _ = g.Arrive(0, "none", admit.NewLoad(true, false, capacity))
+		i.Equal(v, admit.Lent)
+	})
+	t.Run("the time to come back is enough", func(t *testing.T) {
+		i, g := is.New(t), admit.New()
+		g.SetRates(map[string]float64{"a": 120, "b": 80}) // more than there is
+		got := ask(g, 0, 5*time.Second, true, map[string]float64{"a": 300, "b": 300})
+		between(t, got["a"], 1.4*got["b"], 1.6*got["b"])
+		v, after := g.Arrive(5*time.Second, "a", admit.NewLoad(false, true, capacity))
+		i.Equal(v, admit.Crowded)
+		v, _ = g.Arrive(5*time.Second+after+time.Millisecond, "a", admit.NewLoad(false, true, capacity))
+		i.Equal(v, admit.Within)
+	})
+}
+
+// naive finds the active teams by looking at all of them.
+type naive struct {
+	rates, finish map[string]float64
+	seen          map[string]time.Duration
+	now           time.Duration
+	virtual       float64
+}
+
+func (n *naive) arrive(now time.Duration, name string, spare, tight bool) admit.Verdict {
+	if n.rates[name] == 0 {
+		if spare {
+			return admit.Lent
+		}
+		return admit.Over
+	}
+	n.seen[name] = now
+	active := 0.0
+	for t, s := range n.seen {
+		if s+time.Second >= now {
+			active += n.rates[t]
+		}
+	}
+	speed := 1.1 * capacity / active
+	if !tight {
+		speed = max(1, speed)
+	}
+	n.virtual += min(now-n.now, time.Second).Seconds() * speed
+	n.now = now
+	switch {
+	case n.finish[name] <= n.virtual+1:
+		n.finish[name] = max(n.finish[name], n.virtual) + 1/n.rates[name]
+		return admit.Within
+	case spare:
+		return admit.Lent
+	case speed < 1:
+		return admit.Crowded
+	}
+	return admit.Over
+}
+
+func TestSameAsNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g, n := admit.New(), &naive{rates: map[string]float64{}, finish: map[string]float64{}, seen: map[string]time.Duration{}}
+		for k := range rapid.IntRange(1, 6).Draw(t, "teams") {
+			n.rates[fmt.Sprint(k)] = float64(rapid.IntRange(0, 80).Draw(t, "rate"))
+		}
+		g.SetRates(n.rates)
+		var now time.Duration
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pass")) * time.Millisecond / 8
+			name := fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "team"))
+			spare, tight := rapid.IntRange(0, 9).Draw(t, "spare") == 0, rapid.Bool().Draw(t, "tight")
+			a, _ := g.Arrive(now, name, admit.NewLoad(spare, tight, capacity))
+			if b := n.arrive(now, name, spare, tight); a != b {
+				t.Fatalf("verdict %v on %s, naive %v", a, name, b)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/flow/queue/queue_test.go
@@ -0,0 +1,153 @@
+package queue_test
+
+import (
+	"cmp"
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"burdockreach.dev/flow/queue"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+type entry struct {
+	id       int
+	class    queue.Class
+	deadline time.Duration
+	handle   queue.Handle
+}
+
+func order(a, b entry) int {
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.id, b.id))
+}
+
+func TestSameOrderAsSortedSlice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, id := queue.New[int](), 0
+		var l []entry
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch k := rapid.IntRange(0, 5).Draw(t, "act"); {
+			case k < 3 || len(l) == 0:
+				id++
+				e := entry{id: id, class: queue.Class(rapid.IntRange(0, 2).Draw(t, "class"))}
+				e.deadline = time.Hour + time.Duration(rapid.IntRange(0, 5).Draw(t, "deadline"))*time.Minute
+				e.handle, _ = q.Push(0, e.class, e.deadline, id)
+				l = append(l, e)
+			case k == 3:
+				i := rapid.IntRange(0, len(l)-1).Draw(t, "removed")
+				q.Remove(l[i].handle)
+				l = slices.Delete(l, i, i+1)
+			default:
+				slices.SortFunc(l, order)
+				v, ok := q.Pop(0, false)
+				if !ok || v != l[0].id {
+					t.Fatalf("took %d, not %d", v, l[0].id)
+				}
+				l = l[1:]
+			}
+			if q.Len() != len(l) {
+				t.Fatalf("%d wait, not %d", q.Len(), len(l))
+			}
+		}
+	})
+}
+
+// taught returns a queue with slots that has learned that a run takes d.
+func taught(slots int, d time.Duration) *queue.Queue[int] {
+	q := queue.New[int]()
+	q.SetSlots(0, slots)
+	for c := range queue.Class(3) {
+		for range 64 {
+			q.Started(c)
+			q.Finished(c, d)
+		}
+	}
+	return q
+}
+
+func TestShedding(t *testing.T) {
+	t.Run("what cannot be in time is refused at once, with an honest excess", func(t *testing.T) {
+		i, q := is.New(t), taught(1, 100*time.Millisecond)
+		for k := range 20 {
+			h, over := q.Push(0, queue.Normal, time.Second, k)
+			i.Equal(h != queue.None, over == 0)
+		}
+		i.True(q.Len() >= 6 && q.Len() <= 9) // of ten runs that fit, some are kept for long ones
+		_, over := q.Push(0, queue.Normal, time.Second, 99)
+		h, _ := q.Push(0, queue.Normal, time.Second+over+time.Millisecond, 99)
+		i.True(h != queue.None)
+	})
+	t.Run("fewer slots shed the last ones at once", func(t *testing.T) {
+		i, q := is.New(t), taught(8, 100*time.Millisecond)
+		for k := range 30 {
+			q.Push(0, queue.Normal, time.Second, k)
+		}
+		i.Equal(q.Len(), 30)
+		q.SetSlots(0, 2)
+		q.Sweep(time.Millisecond)
+		d := q.Dropped()
+		i.Equal(len(d)+q.Len(), 30)
+		i.True(q.Len() >= 14 && q.Len() <= 18)
+		i.Equal(d[len(d)-1].Value(), 29)
+		i.True(!d[0].Late())
+	})
+	t.Run("an urgent entry takes the place of the last background one", func(t *testing.T) {
+		i, q := is.New(t), queue.New[int](queue.WithBound(2))
+		q.SetSlots(0, 1)
+		for k := range 3 {
+			q.Push(0, queue.Background, time.Hour+time.Duration(k), k)
+		}
+		i.Equal(q.Len(), 2)
+		h, _ := q.Push(0, queue.Urgent, time.Hour, 9)
+		i.True(h != queue.None)
+		i.Equal(q.Dropped()[0].Value(), 1)
+	})
+}
+
+// compete runs background entries against endless normal ones and returns how many ended in time and the normal runs of the first half.
+func compete(q *queue.Queue[int], slots, back int, by time.Duration) (inTime, normal int) {
+	const run = 100 * time.Millisecond
+	for k := range back {
+		q.Push(0, queue.Background, by, k)
+	}
+	var ends []entry
+	for now := time.Duration(0); now < by; now += 10 * time.Millisecond {
+		for len(ends) > 0 && ends[0].deadline <= now {
+			q.Finished(ends[0].class, run)
+			if ends[0].class == queue.Background {
+				inTime++
+			} else if now < by/2 {
+				normal++
+			}
+			ends = ends[1:]
+		}
+		q.Push(now, queue.Normal, now+time.Second, -1)
+		q.Sweep(now)
+		for len(ends) < slots {
+			v, ok := q.Pop(now, false)
+			if !ok {
+				break
+			}
+			e := entry{class: queue.Normal, deadline: now + run}
+			if v >= 0 {
+				e.class = queue.Background
+			}
+			q.Started(e.class)
+			ends = append(ends, e)
+		}
+		q.Dropped()
+	}
+	return inTime, normal
+}
+
+func TestBackgroundIsInTimeThoughNormalWorkNeverEnds(t *testing.T) {
+	i := is.New(t)
+	inTime, normal := compete(taught(4, 100*time.Millisecond), 4, 100, 30*time.Second)
+	i.True(inTime >= 99)                  // the last may end at the very deadline
+	i.True(float64(normal) > 0.9*4*10*15) // the reserve is small while the deadline is far
+}
--- /dev/null
+++ b/flow/route/pool_test.go
@@ -0,0 +1,189 @@
+package route_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"burdockreach.dev/flow/route"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func pool(n, slots int, o ...route.Option) *route.Pool {
+	p := route.New(o...)
+	set(p, 0, n, slots)
+	return p
+}
+
+func set(p *route.Pool, now time.Duration, n, slots int) {
+	var l []route.Target
+	for i := range n {
+		l = append(l, route.NewTarget(fmt.Sprint("vm-", i), fmt.Sprint("rack-", i/2), slots))
+	}
+	p.Set(now, l)
+}
+
+// run sends a request every millisecond of the span, each of 2 ms, and counts sends by target.
+func run(p *route.Pool, from, to time.Duration, bad func(string) bool) map[string]int {
+	sent := map[string]int{}
+	var out []string
+	for now := from; now < to; now += time.Millisecond {
+		if t, ok := p.Pick(now, "", false); ok {
+			sent[t]++
+			out = append(out, t)
+		}
+		for len(out) > 2 {
+			o := route.Good
+			if bad(out[0]) {
+				o = route.Bad
+			}
+			p.Done(now, out[0], o, 0)
+			out = out[1:]
+		}
+	}
+	for _, t := range out {
+		p.Done(to, t, route.Mute, 0)
+	}
+	return sent
+}
+
+func only(names ...string) func(string) bool {
+	m := map[string]bool{}
+	for _, n := range names {
+		m[n] = true
+	}
+	return func(s string) bool { return m[s] }
+}
+
+func TestEjection(t *testing.T) {
+	t.Run("a target that fails everything gets a few requests and then rare trials", func(t *testing.T) {
+		i, p := is.New(t), pool(4, 8)
+		n := run(p, 0, time.Second, only("vm-1"))
+		i.True(n["vm-1"] <= 6)
+		n = run(p, time.Second, time.Minute, only("vm-1"))
+		i.True(n["vm-1"] >= 4 && n["vm-1"] <= 8) // after 1, 2, 4, 8, 16 and 32 s
+		i.Equal(p.Ejected(), 1)
+	})
+	t.Run("never more than the share is ejected, and the rest goes on", func(t *testing.T) {
+		i, p := is.New(t), pool(10, 8, route.WithMaxEjected(0.3))
+		n := run(p, 0, 10*time.Second, func(string) bool { return true })
+		i.Equal(p.Ejected(), 3)
+		sum := 0
+		for _, k := range n {
+			sum += k
+		}
+		i.Equal(sum, 10000)
+	})
+	t.Run("targets that fail no more than the others by chance stay", func(t *testing.T) {
+		i, p, k := is.New(t), pool(4, 8), 0
+		run(p, 0, 20*time.Second, func(string) bool { k++; return k*2654435761>>8%10 < 3 })
+		i.Equal(p.Ejected(), 0)
+	})
+	t.Run("a target that is well again gets more step by step", func(t *testing.T) {
+		i, p := is.New(t), pool(2, 8)
+		run(p, 0, 500*time.Millisecond, only("vm-1"))
+		i.Equal(p.Slots(), 8)
+		now := 3 * time.Second
+		for p.Ejected() == 1 {
+			x, _ := p.Pick(now, "", false)
+			p.Done(now, x, route.Good, 0)
+		}
+		i.Equal(p.Free(), 9) // one slot is open to the target that came back
+		run(p, now, now+time.Second, only())
+		i.Equal(p.Free(), 16)
+	})
+	t.Run("a careful request is no trial at first", func(t *testing.T) {
+		i, p := is.New(t), pool(2, 8)
+		run(p, 0, 500*time.Millisecond, only("vm-1"))
+		x, _ := p.Pick(1100*time.Millisecond, "", true)
+		i.Equal(x, "vm-0")
+		x, _ = p.Pick(1200*time.Millisecond, "", false)
+		i.Equal(x, "vm-1")
+	})
+}
+
+func TestLeaving(t *testing.T) {
+	i, p := is.New(t), pool(2, 8)
+	p.Leave(0, "vm-0")
+	set(p, time.Second, 2, 8) // the list lags
+	n := run(p, time.Second, 29*time.Second, only())
+	i.Equal(n["vm-0"], 0)
+	set(p, 29*time.Second, 0, 8)
+	set(p, 29*time.Second, 2, 8)
+	n = run(p, 29*time.Second, 30*time.Second, only())
+	i.True(n["vm-0"] > 0) // the list dropped it and has it again
+}
+
+func TestSlotOfLostRequestStaysTaken(t *testing.T) {
+	i, p := is.New(t), pool(1, 1)
+	x, _ := p.Pick(0, "", false)
+	p.Done(0, x, route.Lost, time.Second)
+	_, ok := p.Pick(999*time.Millisecond, "", false)
+	i.True(!ok)
+	i.Equal(p.Busy(), 0)
+	p.Pass(time.Second)
+	_, ok = p.Pick(time.Second, "", false)
+	i.True(ok)
+}
+
+// model is the naive version: it looks at all targets.
+type model map[string]*struct{ slots, out int }
+
+// least returns the least load in steps of a sixteenth.
+func (m model) least(avoid string) int {
+	best := 16
+	for n, x := range m {
+		if x.out < x.slots && (n != avoid || len(m) == 1) {
+			best = min(best, x.out*16/x.slots)
+		}
+	}
+	return best
+}
+
+func TestPicksLeastLoadedAsNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, m := route.New(), model{}
+		var l []route.Target
+		for i := range rapid.IntRange(1, 12).Draw(t, "targets") {
+			n, k := fmt.Sprint("vm-", i), rapid.IntRange(0, 9).Draw(t, "slots")
+			m[n] = &struct{ slots, out int }{slots: k}
+			l = append(l, route.NewTarget(n, fmt.Sprint(i%3), k))
+		}
+		p.Set(0, l)
+		var out []string
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			if rapid.IntRange(0, 2).Draw(t, "act") == 0 && len(out) > 0 {
+				i := rapid.IntRange(0, len(out)-1).Draw(t, "done")
+				p.Done(0, out[i], route.Good, 0)
+				m[out[i]].out--
+				out = append(out[:i], out[i+1:]...)
+				continue
+			}
+			avoid := fmt.Sprint("vm-", rapid.IntRange(0, 20).Draw(t, "avoid"))
+			best := m.least(avoid)
+			n, ok := p.Pick(0, avoid, false)
+			if ok != (best < 16) || ok && m[n].out*16/m[n].slots != best {
+				t.Fatalf("picked %q, least load is %d", n, best)
+			}
+			if ok {
+				m[n].out++
+				out = append(out, n)
+			}
+		}
+	})
+}
+
+func TestSpreadsOverRacks(t *testing.T) {
+	i, p := is.New(t), pool(4, 8) // two racks
+	racks := map[string]int{}
+	for range 2 {
+		x, _ := p.Pick(0, "", false)
+		racks[map[string]string{"vm-0": "a", "vm-1": "a", "vm-2": "b", "vm-3": "b"}[x]]++
+	}
+	i.Equal(racks["a"], 1)
+}
