--- a/flow/ledger/world_test.go
+++ b/flow/ledger/world_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
 // failer is what a world reports to; a rapid.T and a testing.T are both one.
 type failer interface {
 	Helper()
+	Log(args ...any)
 	Fatalf(format string, args ...any)
 }
 
@@ -98,9 +100,7 @@
 func (w *world) fail(f string, a ...any) {
 	w.t.Helper()
 	w.note(f, a...)
-	for _, l := range w.log[max(0, len(w.log)-400):] {
-		fmt.Println(l)
-	}
+	w.t.Log(strings.Join(w.log[max(0, len(w.log)-200):], "\n"))
 	w.t.Fatalf(f, a...)
 }
 
--- a/node/relay/client.go
+++ b/node/relay/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 const (
 	callWithin     = 250 * time.Millisecond
 	dialWithin     = 250 * time.Millisecond
+	keepAlive      = 15 * time.Second
 	idleFor        = 30 * time.Second
 	idlePerPeer    = 64 // connections
 	opensAfter     = 3  // failures in a row
@@ -23,6 +25,7 @@
 // Client calls other entries, each call once, with a bound on its time and a circuit for each peer.
 type Client struct {
 	within time.Duration
+	dial   DialFunc
 	now    func() time.Time
 
 	mu    sync.Mutex
@@ -30,15 +33,22 @@
 	swept time.Time
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // ClientOption changes a new Client.
 type ClientOption func(*Client)
 
 // WithCallWithin bounds the time of one call whose context has no earlier deadline.
 func WithCallWithin(d time.Duration) ClientOption { return func(c *Client) { c.within = d } }
 
+// WithDial sets how connections are opened.
+func WithDial(f DialFunc) ClientOption { return func(c *Client) { c.dial = f } }
+
 // NewClient returns a client of other entries.
 func NewClient(o ...ClientOption) *Client {
-	c := &Client{within: callWithin, now: time.Now, peers: map[string]*lane{}}
+	d := net.Dialer{Timeout: dialWithin, KeepAlive: keepAlive}
+	c := &Client{within: callWithin, dial: d.DialContext, now: time.Now, peers: map[string]*lane{}}
 	for _, f := range o {
 		f(c)
 	}
@@ -113,7 +123,7 @@
 	c.sweep(now)
 	l, ok := c.peers[addr]
 	if !ok {
-		l = newLane(addr, c.now)
+		l = newLane(addr, c.dial, c.now)
 		c.peers[addr] = l
 	}
 	l.used = now
@@ -146,9 +156,9 @@
 	probed time.Time
 }
 
-func newLane(addr string, now func() time.Time) *lane {
+func newLane(addr string, dial DialFunc, now func() time.Time) *lane {
 	t := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     idleFor,
 		DisableCompression:  true,
--- a/node/relay/errors.go
+++ b/node/relay/errors.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,8 +16,6 @@
 	ErrCall = eris.New("relay: call failed")
 )
 
-var dialer = net.Dialer{Timeout: dialWithin, KeepAlive: 15 * time.Second}
-
 func fail(step, peer string, err error) error { return eris.Wrapf(err, "relay %s peer=%s", step, peer) }
 
 // RepeatError reports that another copy of the key was claimed before.
--- a/node/relay/fleet_test.go
+++ b/node/relay/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -50,13 +52,12 @@
 	beater *Beater
 	conf   *quiet
 	ctx    context.Context
-	end    context.CancelFunc
+	end    func()
 	group  *errgroup.Group
 }
 
 func (n *node) kill() {
 	n.end()
-	_ = n.group.Wait()
 }
 
 type lender struct{}
@@ -69,28 +70,122 @@
 	return &ReturnReply{}, nil
 }
 
-// fleet is the entries of one data centre over loopback.
+// wires is a network in memory whose connections can go silent, so that a whole fleet runs under synctest.
+type wires struct {
+	mu        sync.Mutex
+	listeners map[string]chan net.Conn
+	silent    map[string]bool // addresses to which nothing arrives any more
+}
+
+type wire struct {
+	net.Conn
+	w    *wires
+	addr string
+}
+
+func (c wire) Write(b []byte) (int, error) {
+	c.w.mu.Lock()
+	s := c.w.silent[c.addr]
+	c.w.mu.Unlock()
+	if s {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+type ear struct {
+	w     *wires
+	addr  string
+	conns chan net.Conn
+	end   chan struct{}
+	once  sync.Once
+}
+
+func (e *ear) Accept() (net.Conn, error) {
+	select {
+	case c := <-e.conns:
+		return c, nil
+	case <-e.end:
+		return nil, net.ErrClosed
+	}
+}
+
+func (e *ear) Close() error {
+	e.once.Do(func() {
+		close(e.end)
+		e.w.mu.Lock()
+		defer e.w.mu.Unlock()
+		delete(e.w.listeners, e.addr)
+	})
+	return nil
+}
+
+func (e *ear) Addr() net.Addr { return &net.UnixAddr{Name: e.addr} }
+
+func (w *wires) listen(addr string) net.Listener {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := &ear{w: w, addr: addr, conns: make(chan net.Conn, 64), end: make(chan struct{})}
+	w.listeners[addr] = e.conns
+	return e
+}
+
+func (w *wires) dial(_ context.Context, _, addr string) (net.Conn, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l, ok := w.listeners[addr]
+	if !ok {
+		return nil, errors.New("refused")
+	}
+	a, b := net.Pipe()
+	l <- b
+	return wire{Conn: a, w: w, addr: addr}, nil
+}
+
+func (w *wires) hush(addr string, s bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent[addr] = s
+}
+
+// fleet is the entries of one data centre.
 type fleet struct {
 	t     *testing.T
 	store keyval.Store
+	wires *wires
 	addrs []Address
+	nodes []*node
 	lives int64
 }
 
-func newFleet(t *testing.T, s keyval.Store) *fleet { return &fleet{t: t, store: s} }
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, store: keyval.NewMemory(), wires: &wires{listeners: map[string]chan net.Conn{}, silent: map[string]bool{}}}
+}
 
-// start begins a life of an entry; known is whom it is told of besides the entries started before.
+// start begins a life of an entry.
 func (f *fleet) start(entry string) *node {
-	i := is.New(f.t)
+	f.lives++
+	addr := fmt.Sprintf("%s-%d:1", entry, f.lives)
+	return f.serve(entry, "east", f.wires.listen(addr), addr, NewClient(WithDial(f.wires.dial)))
+}
+
+// startAt begins a life of an entry of a data centre on the machine's loopback.
+func (f *fleet) startAt(entry, dataCentre string) *node {
 	l, err := (&net.ListenConfig{}).Listen(f.t.Context(), "tcp", "127.0.0.1:0")
-	i.NoErr(err)
+	is.New(f.t).NoErr(err)
 	f.lives++
-	c := NewClient()
-	m := ledger.Member{Entry: entry, Addr: l.Addr().String(), Incarnation: f.lives}
-	n := &node{Keeper: NewKeeper(m, "east", []string{"east"}, f.store, c), conf: &quiet{}}
-	n.beater = NewBeater(n.Keeper, c, n.conf, WithEvery(50*time.Millisecond))
-	f.addrs = append(f.addrs, NewAddress(entry, m.Addr, "east"))
-	n.beater.Know(f.addrs)
+	return f.serve(entry, dataCentre, l, l.Addr().String(), NewClient())
+}
+
+func (f *fleet) serve(entry, dataCentre string, l net.Listener, addr string, c *Client) *node {
+	m := ledger.Member{Entry: entry, Addr: addr, Incarnation: f.lives}
+	n := &node{Keeper: NewKeeper(m, dataCentre, []string{"east", "west"}, f.store, c), conf: &quiet{}}
+	n.beater = NewBeater(n.Keeper, c, n.conf)
+	f.addrs = append(f.addrs, NewAddress(entry, m.Addr, dataCentre))
+	f.nodes = append(f.nodes, n)
+	for _, o := range f.nodes {
+		o.beater.Know(f.addrs)
+	}
 	ctx, end := context.WithCancel(f.t.Context())
 	g, x := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.Run(x) })
@@ -98,35 +193,39 @@
 	g.Go(func() error {
 		return NewServer(Service{n.Keeper, n.beater, lender{}}, WithStopWithin(time.Second)).Serve(x, l)
 	})
-	n.ctx, n.group, n.end = x, g, func() { end(); c.Close() }
+	n.ctx, n.group, n.end = x, g, func() { end(); _ = g.Wait(); c.Close() }
 	f.t.Cleanup(n.kill)
 	return n
 }
 
-// await waits until ok holds.
-func (f *fleet) await(what string, ok func() bool) {
-	f.t.Helper()
-	ctx, end := context.WithTimeout(f.t.Context(), 30*time.Second)
-	defer end()
-	for !ok() {
-		select {
-		case <-ctx.Done():
-			f.t.Fatalf("waited in vain for %s", what)
-		case <-time.After(10 * time.Millisecond):
-		}
+// gone tells every entry what the platform's list says.
+func (f *fleet) gone(l ...string) {
+	for _, n := range f.nodes {
+		n.Gone(l)
 	}
 }
 
 // inForce waits until all nodes hold one roster of just them.
 func (f *fleet) inForce(l ...*node) {
 	f.t.Helper()
-	f.await("a roster in force", func() bool {
-		for _, n := range l {
-			r := n.Roster("east")
-			if len(r.Members()) != len(l) || n.Holding() != r.Number() || r.Number() != l[0].Holding() {
-				return false
-			}
+	for range 4000 {
+		if agreed(l) {
+			return
 		}
-		return true
-	})
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, n := range l {
+		f.t.Logf("%s holds %x of %v", n.self.Entry, n.Holding(), n.Roster(n.dataCentre))
+	}
+	f.t.Fatal("no roster in force")
+}
+
+func agreed(l []*node) bool {
+	for _, n := range l {
+		r := n.Roster(n.dataCentre)
+		if len(r.Members()) != len(l) || n.Holding() != r.Number() || r.Number() != l[0].Holding() {
+			return false
+		}
+	}
+	return true
 }
--- a/node/relay/keeper_test.go
+++ b/node/relay/keeper_test.go
@@ -1,34 +1,250 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"burdockreach.dev/flow/ledger"
-	"burdockreach.dev/plat/keyval"
 )
 
+var body = []byte("digest of a request")
+
+// keyHeldBy returns a key of the east that just these entries hold.
+func keyHeldBy(n *node, a, b string) string {
+	r := n.Roster("east")
+	for k := 0; ; k++ {
+		key := fmt.Sprintf("east/%d", k)
+		if f, s := r.Holders(key); f == a && s == b || f == b && s == a {
+			return key
+		}
+	}
+}
+
 func granted(i *is.I, n *node, key, attempt string) *Ticket {
 	i.Helper()
-	t, err := n.Take(n.ctx, key, []byte("body"), attempt)
+	t, err := n.Take(n.ctx, key, body, attempt)
 	i.NoErr(err)
 	return t
 }
 
-func repeats(i *is.I, err error) *RepeatError {
+func repeated(i *is.I, n *node, key, attempt string, p ledger.Phase) *RepeatError {
 	i.Helper()
+	_, err := n.Take(n.ctx, key, body, attempt)
 	var r *RepeatError
-	i.True(errors.As(err, &r))
+	i.True(errors.As(err, &r)) // repeat
+	i.Equal(r.Phase(), p)
 	return r
 }
 
+func refused(i *is.I, n *node, key, attempt string, why ledger.Reason, notRun bool) {
+	i.Helper()
+	_, err := n.Take(n.ctx, key, body, attempt)
+	var r *RefusedError
+	i.True(errors.As(err, &r)) // refused
+	i.Equal(r.Reason(), why)
+	i.Equal(r.NotRun(), notRun)
+}
+
+func keptAnswer(i *is.I, n *node, key, attempt string) {
+	i.Helper()
+	a, ok := repeated(i, n, key, attempt, ledger.Answered).Answer()
+	i.True(ok)
+	i.Equal(string(a), "answer of "+key)
+}
+
+func answer(t *Ticket, key string) {
+	t.Settle(ledger.Answered, 200, "text/plain", []byte("answer of "+key))
+}
+
+// inBubble runs a case with a fleet of the entries in a bubble whose time is not the machine's.
+func inBubble(t *testing.T, name string, entries []string, f func(*is.I, *fleet, []*node)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFleet(t)
+			var l []*node
+			for _, e := range entries {
+				l = append(l, w.start(e))
+			}
+			w.inForce(l...)
+			f(is.New(t), w, l)
+		})
+	})
+}
+
 func TestKeeper(t *testing.T) {
-	f := newFleet(t, keyval.NewMemory())
-	a, b, c := f.start("a"), f.start("b"), f.start("c")
-	f.inForce(a, b, c)
-	_ = fmt.Sprint
-	_ = ledger.Answered
+	three := []string{"a", "b", "c"}
+	inBubble(t, "a holder dies between claim and settle", three, func(i *is.I, f *fleet, n []*node) {
+		key := keyHeldBy(n[0], "b", "c")
+		k := granted(i, n[0], key, "1")
+		n[1].kill()
+		answer(k, key)
+		f.gone("b")
+		f.inForce(n[0], n[2])
+		time.Sleep(2 * time.Second)
+		keptAnswer(i, n[0], key, "2")
+		keptAnswer(i, n[2], key, "3")
+	})
+	inBubble(t, "the claimant dies before it settles", three, func(i *is.I, f *fleet, n []*node) {
+		key := keyHeldBy(n[0], "b", "c")
+		granted(i, n[0], key, "1")
+		n[0].kill()
+		repeated(i, n[1], key, "2", ledger.Claimed)
+		f.gone("a")
+		f.inForce(n[1], n[2])
+		repeated(i, n[2], key, "3", ledger.Claimed)
+	})
+	inBubble(t, "a copy that did not run leaves the key free", three, func(i *is.I, _ *fleet, n []*node) {
+		granted(i, n[0], "east/x", "1").Settle(ledger.NotRun, 0, "", nil)
+		time.Sleep(time.Second)
+		granted(i, n[1], "east/x", "2")
+		repeated(i, n[2], "east/x", "3", ledger.Claimed)
+	})
+	inBubble(t, "another request under the key", three, func(i *is.I, _ *fleet, n []*node) {
+		granted(i, n[0], "east/x", "1")
+		_, err := n[1].Take(n[1].ctx, "east/x", []byte("other"), "2")
+		var r *RefusedError
+		i.True(errors.As(err, &r))
+		i.Equal(r.Reason(), ledger.OtherRequest)
+	})
+	inBubble(t, "a planned stop hands over first", three, func(i *is.I, f *fleet, n []*node) {
+		key := keyHeldBy(n[0], "b", "c")
+		answer(granted(i, n[0], key, "1"), key)
+		time.Sleep(time.Second)
+		i.NoErr(n[1].Leave(n[1].ctx))
+		n[1].kill()
+		n[2].kill() // the other holder dies at once
+		f.gone("c")
+		f.inForce(n[0])
+		keptAnswer(i, n[0], key, "2")
+	})
+}
+
+func TestKeeperLosses(t *testing.T) {
+	three := []string{"a", "b", "c"}
+	inBubble(t, "a holder that cannot be reached is removed when unheard", three, func(i *is.I, f *fleet, n []*node) {
+		key := keyHeldBy(n[0], "b", "c")
+		n[1].kill()
+		start := time.Now()
+		refused(i, n[0], key, "1", ledger.Unreachable, true)
+		i.True(time.Since(start) < time.Second)
+		f.inForce(n[0], n[2])
+		granted(i, n[0], key, "2")
+	})
+	inBubble(t, "both holders die", three, func(i *is.I, f *fleet, n []*node) {
+		key := keyHeldBy(n[0], "b", "c")
+		granted(i, n[0], key, "1")
+		n[1].kill()
+		n[2].kill()
+		refused(i, n[0], key, "2", ledger.Unreachable, false)
+		f.gone("b", "c")
+		f.inForce(n[0])
+		refused(i, n[0], key, "3", ledger.Lost, false)
+		time.Sleep(ledger.Remember - 15*time.Second)
+		refused(i, n[0], key, "4", ledger.Lost, false)
+		time.Sleep(20 * time.Second)
+		granted(i, n[0], key, "5")
+	})
+	inBubble(t, "an entry restarts with nothing", three, func(i *is.I, f *fleet, n []*node) {
+		key := keyHeldBy(n[0], "b", "c")
+		answer(granted(i, n[0], key, "1"), key)
+		time.Sleep(time.Second)
+		n[1].kill()
+		b := f.start("b")
+		f.inForce(n[0], b, n[2])
+		n[2].kill()
+		f.gone("c")
+		f.inForce(n[0], b)
+		keptAnswer(i, b, key, "2")
+	})
+	inBubble(t, "a lone entry uses the platform's service", []string{"a"}, func(i *is.I, f *fleet, n []*node) {
+		granted(i, n[0], "east/x", "1")
+		granted(i, n[0], "east/y", "1").Settle(ledger.NotRun, 0, "", nil)
+		time.Sleep(time.Second)
+		n[0].kill()
+		b, c := f.start("b"), f.start("c")
+		f.gone("a")
+		f.inForce(b, c)
+		repeated(i, b, "east/x", "2", ledger.Claimed)
+		granted(i, c, "east/y", "2")
+		repeated(i, b, "east/y", "3", ledger.Claimed)
+	})
+	inBubble(t, "records end after their time", three, func(i *is.I, _ *fleet, n []*node) {
+		answer(granted(i, n[0], "east/x", "1"), "east/x")
+		time.Sleep(ledger.Remember - time.Second)
+		keptAnswer(i, n[1], "east/x", "2")
+		time.Sleep(3 * time.Second)
+		granted(i, n[1], "east/x", "3")
+	})
+}
+
+func TestSilentPeer(t *testing.T) {
+	inBubble(t, "connections that go silent", []string{"a", "b", "c"}, func(i *is.I, f *fleet, n []*node) {
+		key := keyHeldBy(n[0], "b", "c")
+		f.wires.hush(n[1].self.Addr, true)
+		start := time.Now()
+		refused(i, n[0], key, "1", ledger.Unreachable, true)
+		i.True(time.Since(start) <= ledger.ClaimWithin)
+		time.Sleep(time.Second)
+		start = time.Now()
+		refused(i, n[0], key, "2", ledger.Unreachable, true)
+		i.True(time.Since(start) <= callWithin) // the circuit is open
+		f.wires.hush(n[1].self.Addr, false)
+		time.Sleep(3 * time.Second)
+		granted(i, n[0], key, "3") // over new connections
+	})
+}
+
+func TestOtherDataCentre(t *testing.T) {
+	f := newFleet(t)
+	a, b, c := f.startAt("a", "east"), f.startAt("b", "west"), f.startAt("c", "west")
+	f.inForce(a)
+	f.inForce(b, c)
+	i := is.New(t)
+	i.NoErr(a.refresh(a.ctx, "west"))
+	k := granted(i, a, "west/x", "1")
+	answer(k, "west/x")
+	for {
+		_, err := b.Take(b.ctx, "west/x", body, "2")
+		var r *RepeatError
+		i.True(errors.As(err, &r))
+		if r.Phase() == ledger.Answered {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	g, err := a.client.Borrow(a.ctx, b.self.Addr, &BorrowRequest{Service: "s", Slots: 2})
+	i.NoErr(err)
+	i.Equal(g.GetGrants()[0].GetSlots(), int32(2))
+	_, err = a.client.Claim(a.ctx, "127.0.0.1:1", &ClaimRequest{})
+	i.True(errors.Is(err, ErrCall))
+}
+
+func TestBeats(t *testing.T) {
+	inBubble(t, "changes pass from entry to entry", []string{"a", "b"}, func(i *is.I, _ *fleet, n []*node) {
+		n[0].conf.Offer([][]byte{{1}}, nil)
+		n[0].beater.Kick()
+		synctest.Wait()
+		i.Equal(n[1].conf.Applied(), int64(1))
+		h := n[1].beater.Heard()
+		i.Equal(len(h), 1)
+		i.Equal(h[0].Address().Entry(), "a")
+		i.Equal(h[0].Applied(), int64(1))
+	})
+	inBubble(t, "a claim ends with its caller", []string{"a", "b", "c"}, func(i *is.I, f *fleet, n []*node) {
+		key := keyHeldBy(n[0], "b", "c")
+		f.wires.hush(n[1].self.Addr, true)
+		f.wires.hush(n[2].self.Addr, true)
+		c, end := context.WithTimeout(n[0].ctx, 100*time.Millisecond)
+		defer end()
+		_, err := n[0].Take(c, key, body, "1")
+		var r *RefusedError
+		i.True(errors.As(err, &r))
+		i.Equal(r.Reason(), ledger.Withdrawn)
+	})
 }
