--- a/fakes/demo/main.go
+++ b/fakes/demo/main.go
@@ -73,7 +73,7 @@
 	t, cancel := context.WithTimeout(c, maxTime)
 	defer cancel()
 	for _, step := range []func(context.Context) error{
-		s.start, s.configure, s.order, s.refusals, s.withdraw, s.maintain, s.report,
+		s.start, s.configure, s.order, s.refusals, s.withdraw, s.maintain, s.replace, s.report,
 	} {
 		if err := step(t); err != nil {
 			return err
--- a/fakes/demo/procs.go
+++ b/fakes/demo/procs.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -36,7 +37,7 @@
 
 // start runs a program until end; its output goes to a log of its own.
 func (p *procs) start(name string, entry bool, program string, args ...string) error {
-	l, err := os.Create(filepath.Join(p.dir, name+".log"))
+	l, err := os.OpenFile(filepath.Join(p.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return eris.Wrap(err, "create log")
 	}
@@ -65,6 +66,17 @@
 	return errors.Join(stop(entries), stop(rest))
 }
 
+// stopOne stops the process of that name and reports when it did not end by itself with status 0.
+func (p *procs) stopOne(name string) error {
+	i := slices.IndexFunc(p.all, func(x *proc) bool { return x.name == name })
+	if i < 0 {
+		return eris.Errorf("no process is named %s", name)
+	}
+	x := p.all[i]
+	p.all = slices.Delete(p.all, i, i+1)
+	return stop([]*proc{x})
+}
+
 // stop signals the processes and waits for all.
 func stop(ps []*proc) error {
 	for _, x := range ps {
--- a/node/burn/picture.go
+++ b/node/burn/picture.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	legendShare   = 0.2 // of the picture's width, kept free for the legend.
 	fewHours      = 2
 	pictureWidth  = 24 * vg.Centimeter
 	pictureHeight = 12 * vg.Centimeter
@@ -56,6 +57,7 @@
 		p.Add(l)
 		p.Legend.Add(s.Service+" "+s.Class, l)
 	}
+	p.X.Max += legendShare * (p.X.Max - p.X.Min)
 	return p, nil
 }
 
