Test failing targets, cancel waves and refusals

Figures: one target of four that failed everything got fewer than 30 of 5000 requests, and fewer than 10 requests ended without an answer.

--- a/flow/queue/queue_test.go
+++ b/flow/queue/queue_test.go
@@ -109,6 +109,21 @@
 	})
 }
 
+func TestPressing(t *testing.T) {
+	i, q := is.New(t), taught(4, 100*time.Millisecond)
+	for k := range 20 {
+		q.Push(0, queue.Background, 10*time.Second, k)
+	}
+	q.Push(0, queue.Urgent, time.Second, 20)
+	q.Push(0, queue.Normal, time.Second, 21)
+	q.Sweep(0)
+	i.Equal(q.Pressing(), 2) // the background entries have time
+	q.Sweep(9 * time.Second)
+	i.True(q.Pressing() > 2)
+	q.Started(queue.Background)
+	i.Equal(q.Yielding(), 0)
+}
+
 // compete runs background entries against endless normal ones and returns how many ended in time and the normal runs of the first half.
 func compete(q *queue.Queue[int], slots, back int, by time.Duration) (inTime, normal int) {
 	const run = 100 * time.Millisecond
--- a/flow/route/pool_test.go
+++ b/flow/route/pool_test.go
@@ -131,6 +131,35 @@
 	i.True(ok)
 }
 
+func TestRefusals(t *testing.T) {
+	t.Run("a target that is full of others' requests is sent less for a while", func(t *testing.T) {
+		i, p := is.New(t), pool(1, 8)
+		var x string
+		for range 8 {
+			x, _ = p.Pick(0, "", false)
+		}
+		for range 5 {
+			p.Done(0, x, route.Full, 0)
+		}
+		i.Equal(p.Free(), 0) // it took three
+		i.Equal(p.Ejected(), 0)
+		p.Done(0, x, route.Good, 0)
+		i.Equal(p.Free(), 2) // the slot of the answer and one more
+	})
+	t.Run("a target that refuses though it has nothing of ours is ejected", func(t *testing.T) {
+		i, p := is.New(t), pool(2, 8)
+		for range 200 {
+			x, _ := p.Pick(0, "", false)
+			o := route.Good
+			if x == "vm-0" {
+				o = route.Full
+			}
+			p.Done(0, x, o, 0)
+		}
+		i.Equal(p.Ejected(), 1)
+	})
+}
+
 // model is the naive version: it looks at all targets.
 type model map[string]*struct{ slots, out int }
 
--- /dev/null
+++ b/flow/sched/sched_test.go
@@ -0,0 +1,145 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/flow/sched"
+)
+
+// rig runs requests of a given time against a scheduler in virtual time.
+type rig struct {
+	*is.I
+	s     *sched.Scheduler
+	now   time.Time
+	sent  []sched.SendCmd
+	when  []time.Time
+	ends  map[sched.ID]sched.EndCmd
+	count map[string]int // sends by target
+}
+
+func newRig(t *testing.T, targets int) *rig {
+	now := time.Unix(1000, 0)
+	return &rig{I: is.New(t), s: ready(now, targets, 1), now: now, ends: map[sched.ID]sched.EndCmd{}, count: map[string]int{}}
+}
+
+func (r *rig) update(m sched.Msg) {
+	for _, c := range r.s.Update(m) {
+		switch c := c.(type) {
+		case sched.SendCmd:
+			r.sent, r.when = append(r.sent, c), append(r.when, r.now)
+			r.count[c.Target]++
+		case sched.EndCmd:
+			r.ends[c.ID] = c
+		}
+	}
+}
+
+func (r *rig) arrive(id sched.ID, c sched.Class, d time.Duration) {
+	r.update(sched.ArriveMsg{Now: r.now, ID: id, Team: "team-000", Class: c, Deadline: r.now.Add(d), Idempotent: true})
+}
+
+// pass lets a millisecond go by; requests sent that long ago end as f says.
+func (r *rig) pass(run time.Duration, f func(sched.SendCmd) sched.Result) {
+	r.now = r.now.Add(time.Millisecond)
+	for len(r.sent) > 0 && !r.when[0].Add(run).After(r.now) {
+		c := r.sent[0]
+		r.sent, r.when = r.sent[1:], r.when[1:]
+		r.update(sched.DoneMsg{Now: r.now, ID: c.ID, Target: c.Target, Result: f(c)})
+	}
+	r.update(sched.TickMsg{Now: r.now})
+}
+
+func answered(sched.SendCmd) sched.Result { return sched.Answered }
+
+func TestTargetThatFailsEverything(t *testing.T) {
+	r := newRig(t, 4)
+	for i := range sched.ID(5000) {
+		r.arrive(i, sched.Normal, time.Second)
+		r.pass(10*time.Millisecond, func(c sched.SendCmd) sched.Result {
+			if c.Target == "vm-001" {
+				return sched.Failed
+			}
+			return sched.Answered
+		})
+	}
+	r.True(r.count["vm-001"] < 30)
+	r.True(len(r.ends) < 10) // of 5000; the others were answered, at another target if need be
+	r.Equal(r.s.Stats().Ejected(), 1)
+}
+
+func TestCancelWave(t *testing.T) {
+	r := newRig(t, 1)
+	for i := range sched.ID(20) {
+		r.arrive(i, sched.Normal, time.Minute)
+	}
+	for range 200 {
+		r.pass(10*time.Millisecond, answered)
+	}
+	for i := range sched.ID(2000) {
+		r.arrive(100+i, sched.Background, time.Hour)
+	}
+	for i := range sched.ID(1990) {
+		r.update(sched.CancelMsg{Now: r.now, ID: 100 + i})
+	}
+	notRun := 0
+	for _, e := range r.ends {
+		r.Equal(e.Reason, sched.ReasonCancelled)
+		if e.NotRun {
+			notRun++
+		}
+	}
+	r.Equal(notRun, 1990-8) // eight were at the target
+	for range 100 {
+		r.pass(10*time.Millisecond, answered)
+	}
+	r.Equal(r.s.Stats().Queued(sched.Background), 0)
+	r.Equal(r.s.Stats().Busy(), 0)
+}
+
+func TestNoTarget(t *testing.T) {
+	r := newRig(t, 1)
+	for i := range sched.ID(10) {
+		r.arrive(i, sched.Normal, time.Minute)
+	}
+	r.update(sched.TargetsMsg{Now: r.now})
+	r.arrive(20, sched.Normal, time.Minute)
+	r.Equal(len(r.ends), 0) // the target may come back
+	for range 1001 {
+		r.pass(time.Hour, answered)
+	}
+	r.Equal(len(r.ends), 3)
+	r.arrive(21, sched.Normal, time.Minute)
+	r.Equal(r.ends[21].Reason, sched.ReasonNoTarget)
+	r.True(r.ends[21].NotRun)
+	r.True(r.ends[21].RetryAfter > 0)
+}
+
+func TestSlotIsHeldForUrgentWorkWhenRunsAreLong(t *testing.T) {
+	r := newRig(t, 1)
+	r.arrive(1, sched.Urgent, time.Minute)
+	for range 10001 {
+		r.pass(10*time.Second, answered)
+	}
+	for i := range sched.ID(20) {
+		r.arrive(100+i, sched.Normal, time.Hour)
+	}
+	r.Equal(r.s.Stats().Busy(), 7)
+	r.arrive(2, sched.Urgent, time.Minute)
+	r.Equal(r.sent[len(r.sent)-1].ID, sched.ID(2))
+}
+
+func TestRetriesDoNotMultiplyAnOverload(t *testing.T) {
+	r := newRig(t, 4)
+	sends := 0
+	for i := range sched.ID(2000) {
+		r.arrive(i, sched.Normal, time.Second)
+		r.pass(5*time.Millisecond, func(sched.SendCmd) sched.Result { sends++; return sched.NotRun })
+	}
+	r.True(float64(sends) <= 1.1*2000+10)
+	for _, e := range r.ends {
+		r.True(e.NotRun)
+	}
+}
