--- /dev/null
+++ b/node/relay/bench_test.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"burdockreach.dev/flow/ledger"
+)
+
+// benchFleet is three entries over loopback and a key prefix.
+func benchFleet(b *testing.B) []*node {
+	f := newFleet(b)
+	l := []*node{f.startAt("a", "east"), f.startAt("b", "east"), f.startAt("c", "east")}
+	f.inForce(l...)
+	b.ResetTimer()
+	return l
+}
+
+// BenchmarkTake tells the time of a claim at two holders over loopback, the claimant being one of them for two keys in three.
+func BenchmarkTake(b *testing.B) {
+	n := benchFleet(b)[0]
+	b.ReportAllocs()
+	for k := range b.N {
+		t, err := n.Take(n.ctx, fmt.Sprint("east/", k), body, "1")
+		if err != nil {
+			b.Fatal(err)
+		}
+		t.Settle(ledger.Answered, 200, "text/plain", body)
+	}
+}
+
+// BenchmarkTakeParallel does the same from many requests at once.
+func BenchmarkTakeParallel(b *testing.B) {
+	n := benchFleet(b)[0]
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			id := n.nextBench()
+			t, err := n.Take(n.ctx, id, body, "1")
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			t.Settle(ledger.Answered, 200, "text/plain", body)
+		}
+	})
+}
+
+func (n *node) nextBench() string { return fmt.Sprint("east/p", n.bench.Add(1)) }
+
+// BenchmarkBeatSize tells the bytes of a beat with 51 services and lists of drained VMs.
+func BenchmarkBeatSize(b *testing.B) {
+	for _, vms := range []int{0, 20, 200} {
+		b.Run(fmt.Sprint(vms, " drained"), func(b *testing.B) {
+			q := &BeatRequest{
+				Entry: "entry-east-17", DataCentre: "east", Incarnation: 1 << 60, Applied: 16_000, Roster: 3 << 40, Holding: 3 << 40,
+				PeerRoster: 3 << 40, Addr: "10.20.30.40:7101",
+			}
+			for s := range 51 {
+				q.Loads = append(q.Loads, &ServiceLoad{Service: fmt.Sprint("service-", s), Busy: 70, Queued: 12, Idle: 10, Arrivals: 31.5})
+			}
+			for v := range vms {
+				q.Drained = append(q.Drained, fmt.Sprintf("worker-east-%04d", v))
+			}
+			var w []byte
+			for b.Loop() {
+				w, _ = proto.Marshal(q)
+			}
+			b.ReportMetric(float64(len(w)), "B/beat")
+		})
+	}
+}
--- a/node/relay/fleet_test.go
+++ b/node/relay/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,6 +52,7 @@
 	*Keeper
 	beater *Beater
 	conf   *quiet
+	bench  atomic.Int64
 	ctx    context.Context
 	end    func()
 	group  *errgroup.Group
@@ -150,7 +152,7 @@
 
 // fleet is the entries of one data centre.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store keyval.Store
 	wires *wires
 	addrs []Address
@@ -158,7 +160,7 @@
 	lives int64
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	return &fleet{t: t, store: keyval.NewMemory(), wires: &wires{listeners: map[string]chan net.Conn{}, silent: map[string]bool{}}}
 }
 
