Lend and give back by a load that is read at that moment

Cause: loans were decided by a load up to 20 ms old; in the meantime the scheduler may have started requests in slots that were then lent or returned. Ruled out: asking the runner to send a load before each borrow message, which may itself open slots. Conclusion: the load is part of the message; only a fresh one lends, returns or settles.

--- a/flow/route/pool_test.go
+++ b/flow/route/pool_test.go
@@ -107,6 +107,25 @@
 	})
 }
 
+func TestLastTargetsAreNotLeftEjected(t *testing.T) {
+	i, p := is.New(t), pool(2, 8)
+	run(p, 0, 500*time.Millisecond, only("vm-1"))
+	i.Equal(p.Ejected(), 1)
+	p.Leave(500*time.Millisecond, "vm-0")
+	i.Equal(p.Free(), 8) // better a failing target than none
+	i.Equal(p.Ejected(), 0)
+}
+
+func TestTrialIsDueThoughNoSlotIsFree(t *testing.T) {
+	i, p := is.New(t), pool(2, 8)
+	run(p, 0, 500*time.Millisecond, only("vm-1"))
+	p.SetSlots("vm-0", 0)
+	i.True(!p.Ready(510 * time.Millisecond))
+	i.True(p.Ready(2 * time.Second))
+	x, _ := p.Pick(2*time.Second, "", false)
+	i.Equal(x, "vm-1")
+}
+
 func TestLeaving(t *testing.T) {
 	i, p := is.New(t), pool(2, 8)
 	p.Leave(0, "vm-0")
--- a/flow/share/borrow.go
+++ b/flow/share/borrow.go
@@ -23,7 +23,6 @@
 	if len(m.Grants) < p.ask.Want {
 		p.after = l.now.Add(pause)
 	}
-	l.release()
 }
 
 // release closes borrowed slots that are idle for long or of no use, and gives back those that no request holds.
--- a/flow/share/loans.go
+++ b/flow/share/loans.go
@@ -91,9 +91,15 @@
 		l.now = m.Now
 		l.targets = maps.Clone(m.Slots)
 	case LoadMsg:
-		l.load(m)
+		l.now = m.Now
+		l.read(m.Load)
+		l.keepWithin()
+		l.recall()
+		l.release()
+		l.borrow()
 	case BorrowMsg:
 		l.now = m.Now
+		l.read(m.Load)
 		l.lend(m)
 	case LentMsg:
 		l.now = m.Now
@@ -185,14 +191,18 @@
 	}
 }
 
-// settle marks this entry as keeping to the newest roster, and forgets older ones when everybody does.
+// keepWithin marks this entry as keeping to the newest roster; the load must be fresh.
+func (l *Loans) keepWithin() {
+	if len(l.rosters) > 1 && l.settled[l.self] != l.number && l.within() {
+		l.settled[l.self] = l.number
+	}
+}
+
+// settle forgets older rosters when everybody keeps to the newest.
 func (l *Loans) settle() {
 	if len(l.rosters) < 2 {
 		return
 	}
-	if l.settled[l.self] != l.number && l.within() {
-		l.settled[l.self] = l.number
-	}
 	newest := l.rosters[len(l.rosters)-1]
 	for _, e := range newest {
 		if l.settled[e] != l.number {
@@ -229,20 +239,17 @@
 	}
 }
 
-func (l *Loans) load(m LoadMsg) {
-	l.now, l.queued, l.yields, l.keep = m.Now, m.Queued, m.Yielding, m.Keep
+func (l *Loans) read(x Load) {
+	l.queued, l.yields, l.keep = x.Queued, x.Yielding, x.Keep
+	clear(l.busy)
+	maps.Copy(l.busy, x.Busy)
 	if l.queued > 0 || !l.now.Before(l.clearTo) {
 		clear(l.cleared)
 	}
-	clear(l.busy)
-	maps.Copy(l.busy, m.Busy)
 	if l.queued > 0 || l.idle.IsZero() {
 		l.idle = l.now
 	}
 	if l.queued == 0 || l.pressed.IsZero() {
 		l.pressed = l.now
 	}
-	l.recall()
-	l.release()
-	l.borrow()
 }
--- a/flow/share/loans_test.go
+++ b/flow/share/loans_test.go
@@ -80,6 +80,11 @@
 		switch c := c.(type) {
 		case share.SharesCmd:
 			e.shares = c.Shares
+			if e.queued > 0 { // what waits takes new slots at once
+				for t, n := range e.shares {
+					e.busy[t] = max(e.busy[t], n)
+				}
+			}
 		case share.BorrowCmd:
 			w.post = append(w.post, parcel{c.To, share.BorrowMsg{From: to, Number: c.Number, Want: c.Want, Holding: c.Holding}})
 		case share.LentCmd:
@@ -131,11 +136,12 @@
 }
 
 func (w *world) load(e string) {
-	x := w.entries[e]
-	w.give(e, share.LoadMsg{Now: w.now, Queued: x.queued, Busy: x.busy})
+	w.give(e, share.LoadMsg{Now: w.now, Load: w.entries[e].load()})
 }
 
-// work starts what may be started or ends some of what runs.
+func (e *entry) load() share.Load { return share.Load{Queued: e.queued, Busy: e.busy} }
+
+// work starts what may be started or ends some of what runs; its Loans do not hear of it.
 func (w *world) work(e string) {
 	x := w.entries[e]
 	x.queued = rapid.IntRange(0, 8).Draw(w.T, "queued")
@@ -144,7 +150,6 @@
 		x.busy[t] = max(min(x.busy[t], n), min(n, x.shares[t]))
 	}
 	w.check()
-	w.load(e)
 }
 
 // carry delivers one message, loses it, or delivers it and keeps it for once more.
@@ -162,8 +167,7 @@
 	}
 	switch m := p.msg.(type) {
 	case share.BorrowMsg:
-		m.Now = w.now
-		w.load(p.to)
+		m.Now, m.Load = w.now, w.entries[p.to].load()
 		w.give(p.to, m)
 	case share.LentMsg:
 		m.Now = w.now
@@ -193,7 +197,7 @@
 		}
 		acts := []func(){
 			func() { w.hear(w.some()) }, func() { w.hear(w.some()) }, func() { w.work(w.some()) },
-			func() { w.work(w.some()) }, func() { w.load(w.some()) }, w.carry, w.carry, w.carry, w.carry, w.change,
+			func() { w.work(w.some()) }, func() { w.load(w.some()) }, func() { w.load(w.some()) }, func() { w.load(w.some()) }, w.carry, w.carry, w.carry, w.carry, w.change,
 		}
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "pass")) * time.Millisecond)
@@ -213,6 +217,7 @@
 		for _, l := range []*share.Loans{a, b} {
 			l.Update(share.TargetsMsg{Now: now, Slots: map[string]int{"vm": 8}})
 			l.Update(share.RosterMsg{Now: now, Number: 1, Entries: []string{"a", "b"}})
+			l.Update(share.LoadMsg{Now: now})
 		}
 		a.Update(share.SettledMsg{Now: now, From: "b", Number: b.Settled()})
 		b.Update(share.SettledMsg{Now: now, From: "a", Number: a.Settled()})
@@ -222,10 +227,11 @@
 	// meet lets both tell their load after d and passes the messages between them.
 	meet := func(a, b *share.Loans, d time.Duration, queuedA, busyA, queuedB, busyB int) {
 		now = now.Add(d)
-		b.Update(share.LoadMsg{Now: now, Queued: queuedB, Busy: map[string]int{"vm": busyB}})
-		for _, c := range slices.Clone(a.Update(share.LoadMsg{Now: now, Queued: queuedA, Busy: map[string]int{"vm": busyA}})) {
+		x := share.Load{Queued: queuedB, Busy: map[string]int{"vm": busyB}}
+		b.Update(share.LoadMsg{Now: now, Load: x})
+		for _, c := range slices.Clone(a.Update(share.LoadMsg{Now: now, Load: share.Load{Queued: queuedA, Busy: map[string]int{"vm": busyA}}})) {
 			if c, ok := c.(share.BorrowCmd); ok {
-				l := b.Update(share.BorrowMsg{Now: now, From: "a", Number: c.Number, Want: c.Want, Holding: c.Holding})
+				l := b.Update(share.BorrowMsg{Now: now, From: "a", Number: c.Number, Want: c.Want, Holding: c.Holding, Load: x})
 				r := l[0].(share.LentCmd)
 				a.Update(share.LentMsg{Now: now, From: "b", Number: r.Number, Grants: r.Grants, Recalled: r.Recalled})
 			}
--- a/flow/share/msg.go
+++ b/flow/share/msg.go
@@ -25,24 +25,31 @@
 	Slots map[string]int
 }
 
-// LoadMsg tells the requests that need a slot here now, those at each target, how many of these make room for a peer's,
-// and how many idle slots are not to be lent.
-// It comes every 20 ms while anything waits or is lent or borrowed, and before each BorrowMsg with nothing sent in between: what is lent must be idle.
-type LoadMsg struct {
-	Now      time.Time
+// Load tells the requests that need a slot here now, those at each target, how many of these make room for a peer's,
+// and how many idle slots are not to be lent. Between the reading of a Load and the SharesCmd that comes of it the runner
+// sends nothing: it holds the scheduler's lock.
+type Load struct {
 	Queued   int
 	Yielding int
 	Keep     int
 	Busy     map[string]int
 }
 
-// BorrowMsg is a peer's request for slots; Holding names all grants of this entry that the peer still has, the others are returned.
+// LoadMsg tells the load here; it comes every 20 ms while anything waits or is lent or borrowed.
+type LoadMsg struct {
+	Now  time.Time
+	Load Load
+}
+
+// BorrowMsg is a peer's request for slots, with the load here.
+// Holding names all grants of this entry that the peer still has, the others are returned.
 type BorrowMsg struct {
 	Now     time.Time
 	From    string
 	Number  int64
 	Want    int
 	Holding []int64
+	Load    Load
 }
 
 // LentMsg is a peer's answer to a BorrowCmd.
--- a/flow/share/replay.go
+++ b/flow/share/replay.go
@@ -120,6 +120,9 @@
 		r.loan(i, TargetsMsg{Now: r.time(), Slots: slots})
 		r.loan(i, RosterMsg{Now: r.time(), Number: 1, Entries: all})
 	}
+	for i := range r.entries {
+		r.loan(i, LoadMsg{Now: r.time()})
+	}
 	for i := range r.entries {
 		for _, n := range all {
 			r.loan(i, SettledMsg{Now: r.time(), From: n, Number: 1})
@@ -133,15 +136,15 @@
 			r.perform(i, e.s.Update(sched.TickMsg{Now: r.time()}))
 		}
 		if e.loans != nil && d%loadEvery == 0 {
-			r.load(i)
+			r.loan(i, LoadMsg{Now: r.time(), Load: r.load(i)})
 		}
 	}
 }
 
-func (r *replay) load(i int) {
+func (r *replay) load(i int) Load {
 	e := r.entries[i]
 	t := e.s.Stats()
-	r.loan(i, LoadMsg{Now: r.time(), Queued: t.Pressing(), Yielding: t.Yielding(), Keep: t.Held(), Busy: e.busy})
+	return Load{Queued: t.Pressing(), Yielding: t.Yielding(), Keep: t.Held(), Busy: e.busy}
 }
 
 // loan gives a message to the loans of entry i and performs the commands; messages between entries take two hops.
@@ -154,8 +157,7 @@
 			r.out.messages++
 			r.in(r.now+2*r.hop, func() {
 				j := r.index(c.To)
-				r.load(j)
-				r.loan(j, BorrowMsg{Now: r.time(), From: entryName(i), Number: c.Number, Want: c.Want, Holding: c.Holding})
+				r.loan(j, BorrowMsg{Now: r.time(), From: entryName(i), Number: c.Number, Want: c.Want, Holding: c.Holding, Load: r.load(j)})
 			})
 		case LentCmd:
 			r.out.messages++
