Prove the platform's clients by histories, outages and races

A call that is repeated after a lost answer is Repeat, which never says not accepted: the trial found that a repeat which had written nothing itself said so of a change that its first call had brought into the log. A change that was ever sent with a lost answer is unsettled rather than refused, as an entry that saw it may bring it back after a restore.

--- a/plat/conf/commit.go
+++ b/plat/conf/commit.go
@@ -50,21 +50,31 @@
 	return c
 }
 
-// Commit writes the change into the log and returns its number, once the service has it; the same Op is committed once.
-// It tries until ctx ends. A FieldError and ErrNotAccepted mean that the change is not and will not be in the
-// log; ErrUnsettled means that this is not known: commit it again with the same Op.
+// Commit writes the change into the log and returns its number, once the service has it; an Op that is in the log already is not
+// written again. It tries until ctx ends. A FieldError and ErrNotAccepted mean that the change is not and will not be in the
+// log by this call; ErrUnsettled means that this is not known: use Repeat with the same Op.
 func (c *Committer) Commit(ctx context.Context, change Change) (Number, error) {
+	return c.run(ctx, &attempt{source: c.source, change: change})
+}
+
+// Repeat is Commit for a change whose outcome was lost before, at any entry: it never returns ErrNotAccepted, since the earlier
+// call may have written the change or may still do so; a FieldError says that neither can be, unless the service came back older.
+func (c *Committer) Repeat(ctx context.Context, change Change) (Number, error) {
+	return c.run(ctx, &attempt{source: c.source, change: change, repeat: true})
+}
+
+func (c *Committer) run(ctx context.Context, a *attempt) (Number, error) {
 	select {
 	case c.turn <- struct{}{}:
 		defer func() { <-c.turn }()
 	case <-ctx.Done():
-		return 0, eris.Wrapf(ErrNotAccepted, "commit %s: wait for its turn", change.Op)
+		return 0, a.end(errTurn)
 	}
 	_ = c.catchUp(ctx)
-	if change.At.IsZero() {
-		change.At = c.now().UTC()
+	if a.change.At.IsZero() {
+		a.change.At = c.now().UTC()
 	}
-	a := &attempt{source: c.source, change: change.WithDefaults()}
+	a.change = a.change.WithDefaults()
 	b := retryWaits()
 	for {
 		n, done, err := a.step(ctx)
@@ -81,6 +91,8 @@
 	}
 }
 
+var errTurn = eris.New("conf: another commit of this entry is under way")
+
 func retryWaits() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = firstRetry, lastRetry
@@ -105,7 +117,8 @@
 	change Change
 	sent   *Change // the change under the number at which it is tried.
 	blind  bool    // it may be in the log under that number.
-	wrote  bool    // it was in the log under some number.
+	wrote  bool    // it may be, or may have been, in the log under some number.
+	repeat bool    // an earlier call may have written it.
 }
 
 // step makes one try; done with no error when the change is in the log. Not done and no error means to go on at once.
@@ -128,7 +141,7 @@
 		a.clear()
 		return 0, false, err
 	}
-	a.blind = true
+	a.blind, a.wrote = true, true
 	return 0, false, err
 }
 
@@ -152,7 +165,7 @@
 	c := a.change
 	c.Number, c.Prev = d.n+1, d.chain
 	if err := d.Validate(c); err != nil {
-		return 0, !a.wrote, err
+		return 0, true, a.invalid(err)
 	}
 	a.sent = &c
 	return 0, false, nil
@@ -211,9 +224,18 @@
 	return 0, false, nil
 }
 
+// invalid returns the error for a change that does not fit the newest document. One that was written before may still come back
+// with an entry that saw it, should the service have come back older in between.
+func (a *attempt) invalid(err error) error {
+	if !a.wrote {
+		return err
+	}
+	return eris.Wrapf(ErrUnsettled, "commit %s: %v", a.change.Op, err)
+}
+
 // end returns the error for a change whose time ran out.
 func (a *attempt) end(last error) error {
-	if a.blind || a.wrote {
+	if a.wrote || a.repeat {
 		return eris.Wrapf(ErrUnsettled, "commit %s: %v", a.change.Op, last)
 	}
 	return eris.Wrapf(ErrNotAccepted, "commit %s: %v", a.change.Op, last)
--- a/plat/conf/follow.go
+++ b/plat/conf/follow.go
@@ -29,7 +29,7 @@
 
 const (
 	firstOutageWait = 100 * time.Millisecond
-	lastOutageWait  = 4 * time.Second
+	lastOutageWait  = 2 * time.Second
 )
 
 // Follower keeps a holder up to date from the service, and the service from the holder when it came back older.
--- /dev/null
+++ b/plat/conf/follow_test.go
@@ -0,0 +1,187 @@
+package conf_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/plat/conf"
+	"burdockreach.dev/plat/keyval"
+)
+
+// fill commits changes up to the number n.
+func fill(t testing.TB, s keyval.Store, h *conf.Holder, n conf.Number) {
+	t.Helper()
+	c := conf.NewCommitter(s, h)
+	for h.Document().Number() < n {
+		k := h.Document().Number()
+		_, err := c.Commit(t.Context(), conf.Change{
+			Op: fmt.Sprint("op", k), Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: fmt.Sprint("p", k%50)},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// follow runs a follower of s for h while f runs.
+func follow(t testing.TB, s keyval.Store, h *conf.Holder, f func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return conf.NewFollower(s, h).Run(ctx) })
+	f()
+	cancel()
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCompactorBoundsTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, h := keyval.NewMemory(), conf.NewHolder()
+		fill(t, m, h, 1_700)
+		c := conf.NewCompactor(m, h)
+		for range 20 {
+			is.NoErr(c.Step(t.Context()))
+		}
+		writes := m.Writes()
+		is.NoErr(c.Step(t.Context()))
+		is.Equal(m.Writes(), writes) // nothing left to do
+		first, _, err := m.List(t.Context(), conf.LogPrefix, "", 1)
+		is.NoErr(err)
+		is.Equal(first[0].Key(), conf.LogKey(701))
+
+		newcomer, reads := conf.NewHolder(), m.Reads()
+		follow(t, m, newcomer, func() {
+			is.NoErr(newcomer.Wait(t.Context(), 1_700))
+			is.True(newcomer.Document().Equal(h.Document()))
+			is.True(m.Reads()-reads <= 4) // the snapshot and what follows, not the whole log
+		})
+
+		behind := conf.NewHolder()
+		old, _ := h.At(701)
+		is.Equal(old.Number, conf.Number(701))
+		_, err = behind.Offer(pool(1, "a")) // of a log that has been pruned away since
+		is.NoErr(err)
+		follow(t, m, behind, func() { is.NoErr(behind.Wait(t.Context(), 1_700)) })
+	})
+}
+
+func TestNewcomerDuringOutageLearnsFromPeers(t *testing.T) {
+	is := is.New(t)
+	m, h := keyval.NewMemory(), conf.NewHolder()
+	fill(t, m, h, 1_100)
+	for _, since := range []conf.Number{0, 1_050} {
+		peer := conf.NewHolder()
+		if since > 0 {
+			peer.OfferDocument(replayTo(t, m, since))
+		}
+		for peer.Document().Number() < 1_100 {
+			changes, snapshot := h.Since(peer.Document().Number(), 20)
+			peer.OfferDocument(snapshot)
+			_, err := peer.Offer(changes...)
+			is.NoErr(err)
+		}
+		is.True(peer.Document().Equal(h.Document()))
+	}
+}
+
+func replayTo(t testing.TB, m *keyval.Memory, n conf.Number) *conf.Document {
+	t.Helper()
+	h := conf.NewHolder()
+	follow(t, m, h, func() {
+		if err := h.Wait(t.Context(), n); err != nil {
+			t.Fatal(err)
+		}
+	})
+	d := conf.NewDocument()
+	for k := conf.Number(1); k <= n; k++ {
+		if c, ok := h.At(k); ok && k == d.Number()+1 {
+			d = mustApply(t, d, c)
+			continue
+		}
+		d = mustApply(t, d, conf.Change{Op: fmt.Sprint("op", k-1), Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: fmt.Sprint("p", (k-1)%50)}})
+	}
+	return d
+}
+
+func TestOutageCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const entries, outageSeconds = 100, 60
+		m, admin := keyval.NewMemory(), conf.NewHolder()
+		fill(t, m, admin, 10)
+		c := &chance{r: rand.New(rand.NewSource(1)), calm: true}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		var stores []*flaky
+		var holders []*conf.Holder
+		for range entries {
+			s, h := &flaky{Store: m, chance: c}, conf.NewHolder()
+			stores, holders = append(stores, s), append(holders, h)
+			g.Go(func() error { return conf.NewFollower(s, h).Run(ctx) })
+		}
+		time.Sleep(10 * time.Second)
+		c.set(true, true)
+		before := calls(c, stores)
+		time.Sleep(outageSeconds * time.Second)
+		perSecond := (calls(c, stores) - before) / outageSeconds
+		is.True(perSecond <= entries) // at most one call a second and entry while it is down
+		fill(t, m, admin, 11)
+		c.set(false, true)
+		before = calls(c, stores)
+		back := time.Now()
+		for _, h := range holders {
+			is.NoErr(h.Wait(ctx, 11))
+		}
+		is.True(time.Since(back) < 9*time.Second) // in force everywhere
+		is.True(calls(c, stores)-before <= 10*entries)
+		t.Logf("%d calls/s in the outage, all at %v after it with %d calls", perSecond, time.Since(back), calls(c, stores)-before)
+		cancel()
+		is.NoErr(g.Wait())
+	})
+}
+
+func calls(c *chance, l []*flaky) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range l {
+		n += s.calls
+	}
+	return n
+}
+
+func TestOneWinnerOfARace(t *testing.T) {
+	is := is.New(t)
+	m, a, b := keyval.NewMemory(), conf.NewHolder(), conf.NewHolder()
+	fill(t, m, a, 1)
+	edit := func(op string) conf.Change {
+		return conf.Change{Op: op, Kind: conf.PutPool, Expect: 1, Pool: &conf.PoolSpec{Name: "p0", Spare: true}}
+	}
+	errs := make([]error, 2)
+	group(t,
+		func() { _, errs[0] = conf.NewCommitter(m, a).Commit(t.Context(), edit("a")) },
+		func() { _, errs[1] = conf.NewCommitter(m, b).Commit(t.Context(), edit("b")) })
+	is.True((errs[0] == nil) != (errs[1] == nil))                             // one of them
+	is.True(errors.Is(errors.Join(errs[0], errs[1]), conf.ErrInvalid))        // the other is told why
+	n, err := conf.NewCommitter(m, b).Repeat(t.Context(), winner(errs, edit)) // a repeat is not a second edit
+	is.NoErr(err)
+	is.Equal(n, conf.Number(2))
+}
+
+func winner(errs []error, edit func(string) conf.Change) conf.Change {
+	if errs[0] == nil {
+		return edit("a")
+	}
+	return edit("b")
+}
--- /dev/null
+++ b/plat/conf/size.go
@@ -0,0 +1,89 @@
+package conf
+
+import (
+	"fmt"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+// maxDocumentBytes keeps a document with its snapshot's frame under the largest value of the service.
+const maxDocumentBytes = keyval.MaxValue - 4_096
+
+// Most bytes in JSON of one object without its names.
+const (
+	profileBytes  = 700
+	serviceBytes  = 160
+	poolBytes     = 80
+	teamBytes     = 200
+	waveBytes     = 100
+	approvalBytes = 70
+	nameBytes     = 3 // quotes and comma.
+)
+
+// room checks that the document stays small enough for its snapshot; an object that is replaced counts twice.
+func (d *Document) room(k *checker, c Change) {
+	add := c.bytes()
+	if add == 0 {
+		return
+	}
+	if have := d.bytes(); have+add > maxDocumentBytes {
+		k.fail(false, string(c.Kind), c.Object(), fmt.Sprintf("documents of up to %d bytes, this one has %d", maxDocumentBytes, have))
+	}
+}
+
+// bytes returns an upper bound of what c adds to a document in JSON.
+func (c Change) bytes() int {
+	switch c.Kind {
+	case PutProfile:
+		return profileSize(*c.Profile)
+	case PutService:
+		return serviceSize(*c.Service)
+	case PutPool:
+		return poolSize(*c.Pool)
+	case PutTeam:
+		return teamSize(*c.Team)
+	case PutWave:
+		return waveSize(*c.Wave)
+	case Approve:
+		return approvalSize(*c.Approval)
+	}
+	return 0
+}
+
+// bytes returns an upper bound of the document's length in JSON.
+func (d *Document) bytes() int {
+	n := profileBytes + sizes(d.profiles, profileSize) + sizes(d.services, serviceSize) + sizes(d.pools, poolSize) +
+		sizes(d.teams, teamSize) + sizes(d.waves, waveSize)
+	for a := range d.approvals {
+		n += approvalSize(a)
+	}
+	return n
+}
+
+func sizes[T any](t table[T], size func(T) int) int {
+	n := 0
+	for _, e := range t {
+		n += size(e.Spec)
+	}
+	return n
+}
+
+func profileSize(p ProfileSpec) int { return profileBytes + len(p.Name) }
+
+func serviceSize(s ServiceSpec) int {
+	return serviceBytes + len(s.Name) + len(s.Profile) + len(s.Pool)
+}
+
+func poolSize(p PoolSpec) int { return poolBytes + len(p.Name) }
+
+func teamSize(t TeamSpec) int { return teamBytes + len(t.Name) }
+
+func waveSize(w WaveSpec) int {
+	n := waveBytes + len(w.ID)
+	for _, p := range w.Pools {
+		n += nameBytes + len(p)
+	}
+	return n
+}
+
+func approvalSize(a ApprovalSpec) int { return approvalBytes + len(a.Team) + len(a.Service) }
