Give the operators' API contexts of its server, not of a request

The race detector found that a context made from a fasthttp request was read after the server had taken the request back: a context below it starts a goroutine that outlives the handler.

--- a/node/burn/burn_test.go
+++ b/node/burn/burn_test.go
@@ -145,6 +145,7 @@
 	i.Equal(r.Spares[0].VMs, 0)
 	i.Equal(r.Spares[0].VMHours, 3.0)
 	i.Equal(r.Moves, []burn.MoveReport{{Move: burn.Move{From: "p", To: "spare"}, Count: 1}, {Move: burn.Move{From: "spare", To: "p"}, Count: 1}})
+	i.Equal(burn.Merge(old.Report(), next.Report()).Spares, r.Spares)
 	r = burn.Merge(next.Report())
 	i.Equal(r.Spares[0].VMs, 2)
 	i.Equal(r.Waves[0].Done, 2)
@@ -181,6 +182,7 @@
 	i.NoErr(g.Wait())
 	c := m.Report(start).Services[0].Windows[0].Counts
 	i.Equal(c, burn.Counts{Good: adders * adds / 2, Late: adders * adds / 2})
+	i.Equal(m.Report(start).Services[0].Windows[0].Counts, c) // what was flushed is not counted again
 	i.Equal(testing.AllocsPerRun(100, func() { m.Add(orders, burn.Good) }) <= 1, true)
 }
 
--- a/node/oper/api.go
+++ b/node/oper/api.go
@@ -103,7 +103,7 @@
 // ServeListener serves l until ctx ends and closes it; it returns nil after a clean end.
 func (a *API) ServeListener(ctx context.Context, l net.Listener) error {
 	s := &fasthttp.Server{
-		Handler: a.Handle, Name: "burdockreach", MaxRequestBodySize: maxReadBytes, Concurrency: maxConns,
+		Handler: func(x *fasthttp.RequestCtx) { a.Handle(ctx, x) }, Name: "burdockreach", MaxRequestBodySize: maxReadBytes, Concurrency: maxConns,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		CloseOnShutdown: true, NoDefaultDate: true, Logger: quiet{}, ErrorHandler: tooLong,
 	}
--- a/node/oper/change.go
+++ b/node/oper/change.go
@@ -20,27 +20,27 @@
 const maxOpBytes = 128
 
 // change commits the change in the body.
-func (a *API) change(x *fasthttp.RequestCtx) {
-	c, bad := parseChange(x.PostBody())
+func (a *API) change(c context.Context, x *fasthttp.RequestCtx) {
+	g, bad := parseChange(x.PostBody())
 	if bad != nil {
 		a.refuse(x, fasthttp.StatusBadRequest, *bad)
 		return
 	}
-	if c.Op == "" {
-		c.Op = uuid.NewString()
+	if g.Op == "" {
+		g.Op = uuid.NewString()
 	}
-	c.At = a.now().UTC()
-	t, cancel := context.WithTimeout(x, commitTimeout)
+	g.At = a.now().UTC()
+	t, cancel := context.WithTimeout(c, commitTimeout)
 	defer cancel()
-	n, err := a.config.Commit(t, c)
-	r := changeReply(c.Op, n, err)
-	a.log.Info().Str("step", "change").Stringer("peer", x.RemoteAddr()).Str("op", c.Op).Str("by", c.By).Str("kind", string(c.Kind)).
-		Str("object", c.Object()).Str("outcome", string(r.Outcome)).Int64("n", int64(r.Number)).Str("reason", r.Reason).Msg("change")
+	n, err := a.config.Commit(t, g)
+	r := changeReply(g.Op, n, err)
+	a.log.Info().Str("step", "change").Stringer("peer", x.RemoteAddr()).Str("op", g.Op).Str("by", g.By).Str("kind", string(g.Kind)).
+		Str("object", g.Object()).Str("outcome", string(r.Outcome)).Int64("n", int64(r.Number)).Str("reason", r.Reason).Msg("change")
 	reply(x, changeStatus(r), r)
 }
 
 // settle tells what became of an operation.
-func (a *API) settle(x *fasthttp.RequestCtx) {
+func (a *API) settle(c context.Context, x *fasthttp.RequestCtx) {
 	op := string(x.QueryArgs().Peek("op"))
 	if op == "" || len(op) > maxOpBytes {
 		a.refuse(x, fasthttp.StatusBadRequest, Refusal{
@@ -48,7 +48,7 @@
 		})
 		return
 	}
-	t, cancel := context.WithTimeout(x, commitTimeout)
+	t, cancel := context.WithTimeout(c, commitTimeout)
 	defer cancel()
 	n, err := a.config.Settle(t, op)
 	r := changeReply(op, n, err)
--- a/node/oper/oper_test.go
+++ b/node/oper/oper_test.go
@@ -145,7 +145,7 @@
 	x.Request.SetRequestURI("/op/change")
 	x.Request.Header.Set("Authorization", "Bearer "+token)
 	x.Request.SetBodyString(`{"op": "op-1", "by": "wanjiru", "kind": "putPool", "pool": {"name": "spare", "spare": true}}`)
-	a.Handle(&x)
+	a.Handle(context.Background(), &x)
 	fmt.Printf("%s", x.Response.Body())
 	// Output: {"outcome":"accepted","op":"op-1","n":1}
 }
@@ -275,8 +275,9 @@
 	i.Equal(inForce(), true)
 	b.fleet.heard = false
 	i.Equal(inForce(), false) // an entry that is not heard is not taken to have it
+	b.fleet.heard, b.fleet.applied = true, 2
 	_, m := b.call(token, "GET", "/op/applied?n=2", "")
-	i.Equal(m["inForce"], false)
+	i.Equal(m["inForce"], false) // the asked entry's own document lacks it
 	assertStatus(t, b, token, "GET", "/op/applied?n=-1", 400)
 	assertStatus(t, b, token, "GET", "/op/applied?n=x", 400)
 }
--- a/node/oper/route.go
+++ b/node/oper/route.go
@@ -1,6 +1,7 @@
 package oper
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,17 +12,24 @@
 
 // route is what a path does; args are the query fields that it knows.
 type route struct {
-	method string
-	args   []string
-	serve  fasthttp.RequestHandler
+	args  []string
+	serve handler
 }
 
-// table returns the routes by path; the change path has one for each method.
+// handler serves one request; c ends with the server. The request itself is no parent for contexts, since the server reuses it.
+type handler func(c context.Context, x *fasthttp.RequestCtx)
+
+// plain is a handler that waits for nothing.
+func plain(f fasthttp.RequestHandler) handler {
+	return func(_ context.Context, x *fasthttp.RequestCtx) { f(x) }
+}
+
+// table returns the routes by method and path.
 func (a *API) table() map[string]route {
-	get := func(f fasthttp.RequestHandler, args ...string) route { return route{fasthttp.MethodGet, args, f} }
+	get := func(f fasthttp.RequestHandler, args ...string) route { return route{args, plain(f)} }
 	return map[string]route{
-		"POST /op/change":   {fasthttp.MethodPost, nil, a.change},
-		"GET /op/change":    get(a.settle, "op"),
+		"POST /op/change":   {nil, a.change},
+		"GET /op/change":    {[]string{"op"}, a.settle},
 		"GET /op/conf":      get(a.document),
 		"GET /op/profiles":  get(a.profiles, "name"),
 		"GET /op/services":  get(a.services, "name"),
@@ -38,8 +46,8 @@
 	}
 }
 
-// Handle serves one request.
-func (a *API) Handle(x *fasthttp.RequestCtx) {
+// Handle serves one request until c ends.
+func (a *API) Handle(c context.Context, x *fasthttp.RequestCtx) {
 	if !a.allowed(x) {
 		a.refuse(x, fasthttp.StatusUnauthorized, Refusal{Reason: "no operator's token, or one that this entry does not know"})
 		return
@@ -59,7 +67,7 @@
 		tooLong(x, fasthttp.ErrBodyTooLarge)
 		return
 	}
-	r.serve(x)
+	r.serve(c, x)
 }
 
 // unknownArg returns a query field that is not in known, or nothing.
