Lock the double that serves stale reads

Cause: the race detector found its first value shared between clients; the test's double only, not the store. go test -race -count=1 ./plat/keyval passed.

--- a/plat/keyval/memory_test.go
+++ b/plat/keyval/memory_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,11 +125,14 @@
 // unsound is a store whose reads now and then show an older value.
 type unsound struct {
 	keyval.Store
+	mu    sync.Mutex
 	first keyval.Item
 }
 
 func (u *unsound) Get(ctx context.Context, key string) (keyval.Item, error) {
 	i, err := u.Store.Get(ctx, key)
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	if !u.first.Found() {
 		u.first = i
 	}
