Lend by a load that is read under the lock that sends

Cause: the loans now take a fresh load with each request for slots, and the entry still told an old one. Ruled out: none.

--- a/node/entry/loans.go
+++ b/node/entry/loans.go
@@ -8,7 +8,7 @@
 )
 
 // loadEvery is the time between looks at what is idle and may be lent.
-const loadEvery = 50 * time.Millisecond
+const loadEvery = 20 * time.Millisecond
 
 // maxAsks is the number of requests for slots that wait to be sent; more are dropped and made again.
 const maxAsks = 64
@@ -76,7 +76,7 @@
 func (v *service) answer(m share.BorrowMsg) (c share.LentCmd, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.look(m.Now)
+	m.Load = v.load()
 	return v.shareOut(m)
 }
 
@@ -84,14 +84,13 @@
 func (v *service) lendIdle(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.look(now)
+	v.shareOut(share.LoadMsg{Now: now, Load: v.load()})
 }
 
-// look tells the loans what is busy and what waits; v.mu is held.
-func (v *service) look(now time.Time) {
+// load tells what is busy and what waits; v.mu is held.
+func (v *service) load() share.Load {
 	s := v.s.Stats()
-	q := s.Queued(sched.Urgent) + s.Queued(sched.Normal) + s.Queued(sched.Background)
-	v.shareOut(share.LoadMsg{Now: now, Queued: q, Busy: v.out})
+	return share.Load{Queued: s.Pressing(), Yielding: s.Yielding(), Keep: s.Held(), Busy: v.out}
 }
 
 // shareOut updates the loans and performs their commands; v.mu is held.
