Name entries that gave no answer, and end help with status 0

A list of VMs left out silently what unreachable entries know. wait -latest asked for change 0 when no entry answered. The flag package takes a question for help for an error.

--- a/cmd/burdockreach/app.go
+++ b/cmd/burdockreach/app.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
@@ -36,9 +37,16 @@
 	} else if err != nil {
 		return subcommands.ExitUsageError
 	}
-	return r.Execute(c)
+	t := r.Execute(c)
+	if t == subcommands.ExitUsageError && slices.ContainsFunc(args, asksHelp) {
+		return subcommands.ExitSuccess
+	}
+	return t
 }
 
+// asksHelp reports whether the word asks for a command's usage, which the flag package takes for an error.
+func asksHelp(w string) bool { return slices.Contains([]string{"-h", "-help", "--h", "--help"}, w) }
+
 // commander returns an empty commander that writes where the app does.
 func (a *app) commander(f *flag.FlagSet, name string) *subcommands.Commander {
 	r := subcommands.NewCommander(f, name)
--- a/cmd/burdockreach/main_test.go
+++ b/cmd/burdockreach/main_test.go
@@ -244,7 +244,10 @@
 	s.addrs = []string{"127.0.0.1:1", up}
 	s.assertRun(0, "accepted as change 1", "pool", "put", "kitchen")
 	s.assertRun(0, "not heard: 127.0.0.1:1: entry cannot be reached", "report")
+	s.assertRun(0, "no answer: 127.0.0.1:1: entry cannot be reached", "vm", "list")
 	s.addrs = []string{"127.0.0.1:1"}
+	s.assertRun(1, "no entry answered: 127.0.0.1:1", "report")
+	s.assertRun(1, "entry cannot be reached", "wait", "-latest")
 	s.assertRun(1, "not accepted: no entry was reached: 127.0.0.1:1", "pool", "drop", "kitchen")
 }
 
@@ -273,6 +276,8 @@
 		{2, "invalid value", []string{"profile", "put", "-max-out", "x", "gold"}},
 		{2, `-entries: "host:1" is not allowed`, []string{"status", "-entries", "host:1"}},
 		{0, "burdockreach ", []string{"version"}},
+		{0, "longest wait for an answer", []string{"status", "-h"}},
+		{0, "VMs that may be out at once", []string{"profile", "put", "-h"}},
 	} {
 		t.Run(strings.Join(c.words, " "), func(t *testing.T) {
 			var o bytes.Buffer
--- a/cmd/burdockreach/state.go
+++ b/cmd/burdockreach/state.go
@@ -67,6 +67,9 @@
 	heard := false
 	for _, r := range rs {
 		heard = heard || r.err == nil
+		if r.err != nil {
+			l.app.complain("no answer: %s\n", eris.ToString(r.err, false))
+		}
 		for _, v := range r.value.Items {
 			if k := rank(homes[r.addr], v); k > ranks[v.ID] {
 				vms[v.ID], ranks[v.ID] = v, k
@@ -143,7 +146,7 @@
 			if l.asJSON {
 				return a.writeJSON(statusReport{Entries: es, NoAnswer: lost, VMs: vs})
 			}
-			return a.writeStatus(es, lost, vs)
+			return a.writeStatus(es, vs)
 		},
 	}
 }
@@ -180,7 +183,7 @@
 	return l2, lost, nil
 }
 
-func (a *app) writeStatus(es []oper.Entry, lost []string, vs []oper.VM) error {
+func (a *app) writeStatus(es []oper.Entry, vs []oper.VM) error {
 	var rows [][]string
 	for _, e := range es {
 		rows = append(rows, texts(e.Entry, e.DataCentre, e.Heard, e.Leader, e.Leaving, e.Applied, e.Roster, e.PeerAddr))
@@ -188,11 +191,6 @@
 	if err := a.table([]string{"ENTRY", "DATA CENTRE", "HEARD", "LEADER", "LEAVING", "APPLIED", "ROSTER", "PEER ADDRESS"}, rows); err != nil {
 		return err
 	}
-	for _, s := range lost {
-		if err := a.say("no answer: %s\n", s); err != nil {
-			return err
-		}
-	}
 	if err := a.say("\n"); err != nil {
 		return err
 	}
--- a/cmd/burdockreach/wait.go
+++ b/cmd/burdockreach/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"slices"
@@ -39,20 +40,30 @@
 				return err
 			}
 			if latest {
-				n = int64(l.newest(c, as))
+				if n, err = l.newest(c, as); err != nil {
+					return err
+				}
 			}
 			return l.untilInForce(c, as, conf.Number(n), time.Time{}, longest)
 		},
 	}
 }
 
-// newest returns the newest change that any of the entries has in force.
-func (l *link) newest(c context.Context, as []string) conf.Number {
+// newest returns the number of the newest change that any of the entries has in force.
+func (l *link) newest(c context.Context, as []string) (int64, error) {
 	var n conf.Number
+	var err error
 	for _, r := range askEach[oper.Applied](c, l, as, "/op/applied") {
 		n = max(n, r.value.Newest)
+		err = errors.Join(err, r.err)
 	}
-	return n
+	if n == 0 && err == nil {
+		err = eris.New("there is no change yet")
+	}
+	if n > 0 {
+		err = nil
+	}
+	return int64(n), err
 }
 
 // untilInForce waits until change n is in force on every entry and says how long that took since began, or since the change was made
