--- a/flow/share/loans.go
+++ b/flow/share/loans.go
@@ -9,7 +9,7 @@
 const (
 	askAgain    = 200 * time.Millisecond // without an answer, and while loans are held
 	pause       = 100 * time.Millisecond // after an answer that lent less than was asked for
-	recallAfter = 200 * time.Millisecond // of waiting here, lent slots are recalled
+	recallAfter = 400 * time.Millisecond // of waiting here, lent slots are recalled
 	idleBefore  = 200 * time.Millisecond // a borrowed slot is returned after being idle so long
 	clearFor    = 250 * time.Millisecond // for which slots are emptied for a borrower that has not asked again
 	maxBorrowed = 64                     // slots of one ask
--- a/flow/share/replay.go
+++ b/flow/share/replay.go
@@ -23,7 +23,7 @@
 	Queueing
 )
 
-const loadEvery = 20 * time.Millisecond
+const loadEvery = 10 * time.Millisecond
 
 // replay is the state of a Replay in virtual time.
 type replay struct {
@@ -203,6 +203,7 @@
 			r.send(i, c)
 		case sched.EndCmd:
 			r.out.ended[c.Reason]++
+			r.out.lost(r.now)
 		}
 	}
 }
@@ -235,6 +236,9 @@
 func (r *replay) done(i int, c sched.SendCmd, at time.Duration, x sched.Result) {
 	r.in(at, func() {
 		r.entries[i].busy[c.Target]--
+		if x == sched.Unknown {
+			r.out.lost(r.now)
+		}
 		r.update(i, sched.DoneMsg{Now: r.time(), ID: c.ID, Target: c.Target, Result: x})
 	})
 }
--- a/flow/share/result.go
+++ b/flow/share/result.go
@@ -8,7 +8,10 @@
 	"burdockreach.dev/flow/sched"
 )
 
-const sliceTime = 100 * time.Millisecond // in which goodput is counted for the recovery
+const (
+	sliceTime = 100 * time.Millisecond // in which work is counted
+	burstRest = 10 * time.Second       // after a turn, in which the recovery is looked for
+)
 
 // Result is what came of a trace under a policy.
 type Result struct {
@@ -20,6 +23,7 @@
 	ended             map[sched.Reason]int
 	done              []float64 // slot seconds of answers in time, in each slice
 	sends             int
+	recovery          time.Duration
 	refused, messages int
 }
 
@@ -40,6 +44,18 @@
 	r.latency[q.class] = append(r.latency[q.class], at-q.at)
 }
 
+// lost counts a request that ended without an answer.
+func (r *Result) lost(now time.Duration) {
+	for _, b := range r.trace.bursts {
+		if now >= b.to && now < b.to+burstRest {
+			r.recovery = max(r.recovery, now-b.to)
+		}
+	}
+}
+
+// Recovery returns the longest time after a turn in which a request still ended without an answer.
+func (r *Result) Recovery() time.Duration { return r.recovery }
+
 // Goodput returns the work that was answered in time as a share of the capacity, over the turns.
 func (r *Result) Goodput() float64 {
 	sum, all := 0.0, 0.0
@@ -80,7 +96,7 @@
 
 // String returns the figures in one line.
 func (r *Result) String() string {
-	return fmt.Sprintf("goodput=%.4f urgentInTime=%.5f normalInTime=%.4f backgroundInTime=%.4f urgentP99=%s normalP99=%s refusedSends=%d messages=%d ended=%v",
+	return fmt.Sprintf("goodput=%.4f urgentInTime=%.5f normalInTime=%.4f backgroundInTime=%.4f urgentP99=%s normalP99=%s recovery=%s refusedSends=%d messages=%d ended=%v",
 		r.Goodput(), r.InTime(sched.Urgent), r.InTime(sched.Normal), r.InTime(sched.Background),
-		r.Quantile(sched.Urgent, 0.99), r.Quantile(sched.Normal, 0.99), r.refused, r.messages, r.ended)
+		r.Quantile(sched.Urgent, 0.99), r.Quantile(sched.Normal, 0.99), r.recovery, r.refused, r.messages, r.ended)
 }
