--- a/node/relay/bench_test.go
+++ b/node/relay/bench_test.go
@@ -34,6 +34,7 @@
 // BenchmarkTakeParallel does the same from many requests at once.
 func BenchmarkTakeParallel(b *testing.B) {
 	n := benchFleet(b)[0]
+	b.SetParallelism(10)
 	b.RunParallel(func(p *testing.PB) {
 		for p.Next() {
 			id := n.nextBench()
--- a/node/relay/client.go
+++ b/node/relay/client.go
@@ -20,6 +20,8 @@
 	opensAfter     = 3  // failures in a row
 	probeEvery     = 500 * time.Millisecond
 	forgetPeersFor = 10 * time.Minute
+	claimFlights   = 2   // calls to one peer that carry claims at a time
+	claimBatch     = 256 // claims in one call
 )
 
 // Client calls other entries, each call once, with a bound on its time and a circuit for each peer.
@@ -74,12 +76,27 @@
 
 // Claim asks the holder at addr to record a claim.
 func (c *Client) Claim(ctx context.Context, addr string, r *ClaimRequest) (*ClaimReply, error) {
-	return call(ctx, c, "claim", addr, false, r, Relay.Claim)
+	return c.lane(addr).claims.do(ctx, r, func(l []*ClaimRequest) ([]*ClaimReply, error) {
+		return c.claimAll(context.WithoutCancel(ctx), addr, l)
+	})
 }
 
-// Settle tells the holder at addr what became of a claim.
-func (c *Client) Settle(ctx context.Context, addr string, r *SettleRequest) (*SettleReply, error) {
-	return call(ctx, c, "settle", addr, false, r, Relay.Settle)
+func (c *Client) claimAll(ctx context.Context, addr string, l []*ClaimRequest) ([]*ClaimReply, error) {
+	if len(l) == 1 {
+		a, err := call(ctx, c, "claim", addr, false, l[0], Relay.Claim)
+		return []*ClaimReply{a}, err
+	}
+	a, err := call(ctx, c, "claim", addr, false, &BatchRequest{Claims: l}, Relay.Batch)
+	if err == nil && len(a.GetClaims()) != len(l) {
+		err = fail("claim", addr, eris.Wrap(ErrCall, "answers do not match the claims"))
+	}
+	return a.GetClaims(), err
+}
+
+// Settle tells the holder at addr what became of claims, and returns the newest roster that it knows.
+func (c *Client) Settle(ctx context.Context, addr string, l []*SettleRequest) (roster int64, err error) {
+	a, err := call(ctx, c, "settle", addr, false, &BatchRequest{Settles: l}, Relay.Batch)
+	return a.GetRoster(), err
 }
 
 // Records pulls a page of records from the entry at addr.
@@ -149,6 +166,7 @@
 	relay     Relay
 	transport *http.Transport
 	now       func() time.Time
+	claims    *joiner[*ClaimRequest, *ClaimReply]
 	used      time.Time // guarded by Client.mu
 
 	mu     sync.Mutex
@@ -163,7 +181,10 @@
 		IdleConnTimeout:     idleFor,
 		DisableCompression:  true,
 	}
-	return &lane{relay: NewRelayProtobufClient("http://"+addr, &http.Client{Transport: t}), transport: t, now: now}
+	return &lane{
+		relay: NewRelayProtobufClient("http://"+addr, &http.Client{Transport: t}), transport: t, now: now,
+		claims: newJoiner[*ClaimRequest, *ClaimReply](claimFlights, claimBatch),
+	}
 }
 
 func (l *lane) isOpen() bool {
--- /dev/null
+++ b/node/relay/joiner_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+// TestJoiner holds that each request gets its own answer, also when others leave, and that no flight is lost.
+func TestJoiner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i, r, calls := is.New(t), rand.New(rand.NewPCG(1, 1)), 0
+		j := newJoiner[int, int](2, 8)
+		echo := func(l []int) ([]int, error) {
+			time.Sleep(10 * time.Millisecond)
+			j.mu.Lock()
+			calls++
+			j.mu.Unlock()
+			return l, nil
+		}
+		g := errgroup.Group{}
+		for k := range 400 {
+			start, patience := time.Duration(r.IntN(200))*time.Millisecond, time.Duration(1+r.IntN(40))*time.Millisecond
+			g.Go(func() error {
+				time.Sleep(start)
+				c, end := context.WithTimeout(t.Context(), patience)
+				defer end()
+				if a, err := j.do(c, k, echo); err == nil && a != k {
+					return errors.New("another request's answer")
+				}
+				return nil
+			})
+		}
+		i.NoErr(g.Wait())
+		i.Equal(j.free, 2)
+		i.Equal(len(j.wait), 0)
+		i.True(calls < 200)
+	})
+}
--- a/node/relay/keeper.go
+++ b/node/relay/keeper.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	tickEvery   = 200 * time.Millisecond
-	settleTasks = 8
+	tickEvery = 200 * time.Millisecond
 )
 
 // Keeper runs the ledger for one entry: it holds records for its data centre and claims keys for the entry's requests.
@@ -185,6 +184,25 @@
 	k.book.Settle(ledger.SettleMsg{Now: k.now(), Record: r})
 }
 
+// Batch implements Relay.
+func (k *Keeper) Batch(ctx context.Context, r *BatchRequest) (*BatchReply, error) {
+	o := &BatchReply{Claims: make([]*ClaimReply, 0, len(r.GetClaims()))}
+	for _, c := range r.GetClaims() {
+		a, err := k.Claim(ctx, c)
+		if err != nil {
+			return nil, err
+		}
+		o.Claims = append(o.Claims, a)
+	}
+	for _, s := range r.GetSettles() {
+		if _, err := k.Settle(ctx, s); err != nil {
+			return nil, err
+		}
+	}
+	o.Roster = k.Roster(k.dataCentre).Number()
+	return o, nil
+}
+
 // Records implements Relay.
 func (k *Keeper) Records(_ context.Context, r *RecordsRequest) (*RecordsReply, error) {
 	if err := k.Learn(r.GetRosterDocument()); err != nil {
--- a/node/relay/outbox.go
+++ b/node/relay/outbox.go
@@ -13,9 +13,14 @@
 )
 
 const (
-	outboxMax    = 16_384 // jobs
-	settleAgain  = 500 * time.Millisecond
-	settleWithin = 5 * time.Minute
+	outboxMax      = 65_536 // jobs
+	outboxAnswers  = 8 << 20
+	settleLinger   = 5 * time.Millisecond
+	settleAgain    = 500 * time.Millisecond
+	settleWithin   = 5 * time.Minute
+	settleBatch    = 256       // jobs in one call
+	settleBytes    = 512 << 10 // answers in one call
+	settleCallsMax = 16
 )
 
 // job tells the holders of a key what became of one copy.
@@ -27,21 +32,24 @@
 	holders      []ledger.Member // that were asked
 	store        bool            // whether the platform's service may have the key
 	told         []string        // entries that have it
+	missed       bool            // whether someone who must know could not be told in this round
 	until        time.Time
 }
 
-// outbox is the queue of jobs that have not reached all holders yet.
+// outbox is the jobs that have not reached all holders yet.
 type outbox struct {
 	k    *Keeper
-	jobs chan *job
+	wake chan struct{}
 
 	mu      sync.Mutex
-	later   []*job
+	jobs    []*job // to be done now
+	later   []*job // to be done again
 	waiting int
+	bytes   int // of the answers that wait
 	dropped int
 }
 
-func newOutbox(k *Keeper) *outbox { return &outbox{k: k, jobs: make(chan *job, outboxMax)} }
+func newOutbox(k *Keeper) *outbox { return &outbox{k: k, wake: make(chan struct{}, 1)} }
 
 // send hands the job over; when too many wait it is dropped, which leaves its key claimed until that lapses.
 func (j *job) send() {
@@ -49,12 +57,23 @@
 	j.until = o.k.now().Add(settleWithin)
 	j.here()
 	o.mu.Lock()
+	full := o.waiting >= outboxMax
+	if o.bytes+len(j.record.Answer) > outboxAnswers {
+		j.record.Kept, j.record.Answer = false, nil
+	}
 	o.waiting++
+	o.bytes += len(j.record.Answer)
+	if !full {
+		o.jobs = append(o.jobs, j)
+	}
 	o.mu.Unlock()
+	if full {
+		o.end(j, true)
+		return
+	}
 	select {
-	case o.jobs <- j:
+	case o.wake <- struct{}{}:
 	default:
-		o.end(j, true)
 	}
 }
 
@@ -71,6 +90,7 @@
 func (o *outbox) end(j *job, dropped bool) {
 	o.mu.Lock()
 	o.waiting--
+	o.bytes -= len(j.record.Answer)
 	if dropped {
 		o.dropped++
 	}
@@ -80,60 +100,129 @@
 	}
 }
 
-// run performs the jobs until ctx ends.
+// run performs the jobs, many at a time, until ctx ends.
 func (o *outbox) run(ctx context.Context) error {
 	g, c := errgroup.WithContext(ctx)
-	for range settleTasks {
-		g.Go(func() error { return o.work(c) })
-	}
 	g.Go(func() error { return o.repeat(c) })
+	g.Go(func() error {
+		for {
+			select {
+			case <-c.Done():
+				return nil
+			case <-o.wake:
+			}
+			pause(c, settleLinger)
+			o.mu.Lock()
+			l := o.jobs
+			o.jobs = nil
+			o.mu.Unlock()
+			o.do(c, l)
+		}
+	})
 	return g.Wait()
 }
 
-func (o *outbox) work(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case j := <-o.jobs:
-			o.do(ctx, j)
+// repeat hands the jobs that failed back.
+func (o *outbox) repeat(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, settleAgain)
+		o.mu.Lock()
+		if len(o.later) > 0 {
+			o.jobs, o.later = append(o.jobs, o.later...), nil
+			select {
+			case o.wake <- struct{}{}:
+			default:
+			}
 		}
+		o.mu.Unlock()
 	}
+	return nil
 }
 
-func (o *outbox) do(ctx context.Context, j *job) {
-	switch {
-	case j.perform(ctx):
-		o.end(j, false)
-	case o.k.now().After(j.until):
-		o.end(j, true)
-	default:
-		o.mu.Lock()
-		o.later = append(o.later, j)
-		o.mu.Unlock()
+// parcel is what one call tells one holder.
+type parcel struct {
+	to    ledger.Member
+	jobs  []*job
+	bytes int
+	known int64 // newest roster that the holder knows
+	err   error
+}
+
+// do tells the holders of all jobs, one call at a time for each holder.
+func (o *outbox) do(ctx context.Context, l []*job) {
+	rounds := map[ledger.Member][]*parcel{}
+	for _, j := range l {
+		j.missed = false
+		for _, m := range j.lacking() {
+			rounds[m] = pack(rounds[m], m, j)
+		}
+	}
+	all := make([][]*parcel, 0, len(rounds))
+	for _, p := range rounds {
+		all = append(all, p)
+	}
+	each(ctx, settleCallsMax, all, func(c context.Context, l []*parcel) {
+		for _, p := range l {
+			p.deliver(c, o.k.client)
+		}
+	})
+	for _, p := range all {
+		for _, q := range p {
+			o.note(q)
+		}
 	}
+	o.sort(ctx, l)
 }
 
-// repeat hands the jobs that failed back to the workers.
-func (o *outbox) repeat(ctx context.Context) error {
-	t := time.NewTicker(settleAgain)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
+func pack(l []*parcel, m ledger.Member, j *job) []*parcel {
+	n := len(j.record.Answer)
+	if len(l) == 0 || len(l[len(l)-1].jobs) >= settleBatch || l[len(l)-1].bytes+n > settleBytes {
+		l = append(l, &parcel{to: m})
+	}
+	p := l[len(l)-1]
+	p.jobs = append(p.jobs, j)
+	p.bytes += n
+	return l
+}
+
+func (p *parcel) deliver(ctx context.Context, c *Client) {
+	l := make([]*SettleRequest, len(p.jobs))
+	for i, j := range p.jobs {
+		l[i] = j.request()
+	}
+	p.known, p.err = c.Settle(ctx, p.to.Addr, l)
+}
+
+// note tells the jobs of a parcel how it went.
+func (o *outbox) note(p *parcel) {
+	for _, j := range p.jobs {
+		r := o.k.Roster(j.home)
+		if p.err == nil {
+			j.told = append(j.told, p.to.Entry)
+			j.missed = j.missed || p.known > r.Number()
+		} else if m, in := r.Member(p.to.Entry); in && m.Is(p.to) { // one that has left has been pulled from or is gone
+			j.missed = true
 		}
-		o.mu.Lock()
-		l := o.later
-		o.later = nil
-		o.mu.Unlock()
-		for _, j := range l {
-			select {
-			case o.jobs <- j:
-			case <-ctx.Done():
-				return nil
-			}
+	}
+}
+
+// sort ends the jobs that are done or out of time and keeps the others for later.
+func (o *outbox) sort(ctx context.Context, l []*job) {
+	now := o.k.now()
+	for _, j := range l {
+		if j.store && j.record.Phase == ledger.NotRun && !o.k.unstoreKey(ctx, j.home, j.record) {
+			j.missed = true
+		}
+		switch {
+		case !j.missed:
+			o.end(j, false)
+		case now.After(j.until):
+			o.end(j, true)
+		default:
+			o.k.ask(j.home)
+			o.mu.Lock()
+			o.later = append(o.later, j)
+			o.mu.Unlock()
 		}
 	}
 }
@@ -157,44 +246,17 @@
 	}
 }
 
-// perform tells those that lack it, and reports whether everyone who must know does.
-func (j *job) perform(ctx context.Context) bool {
-	k := j.out.k
-	r := k.Roster(j.home)
-	f, s := r.HoldersOf(j.record.ID)
-	all := true
-	for _, m := range j.targets(r, f, s) {
-		if slices.Contains(j.told, m.Entry) {
-			continue
-		}
-		a, err := k.client.Settle(ctx, m.Addr, j.request())
-		if err == nil {
-			j.told = append(j.told, m.Entry)
-			all = all && a.GetRoster() <= r.Number()
-			continue
-		}
-		if cur, in := r.Member(m.Entry); in && cur.Is(m) { // one that has left has been pulled from or is gone
-			all = false
-		}
-	}
-	if j.store && j.record.Phase == ledger.NotRun {
-		all = k.unstoreKey(ctx, j.home, j.record) && all
-	}
-	if !all {
-		k.ask(j.home)
-	}
-	return all
-}
-
-// targets returns the holders of now and those that were asked.
-func (j *job) targets(r ledger.Roster, first, second string) []ledger.Member {
+// lacking returns the holders of now and those that were asked, but for those that have been told.
+func (j *job) lacking() []ledger.Member {
+	r := j.out.k.Roster(j.home)
 	l := slices.Clone(j.holders)
-	for _, e := range []string{first, second} {
+	f, s := r.HoldersOf(j.record.ID)
+	for _, e := range []string{f, s} {
 		if m, ok := r.Member(e); ok && !slices.Contains(l, m) {
 			l = append(l, m)
 		}
 	}
-	return l
+	return slices.DeleteFunc(l, func(m ledger.Member) bool { return slices.Contains(j.told, m.Entry) })
 }
 
 func (j *job) request() *SettleRequest {
