Give up the oldest kept answers first, and spare the platform's service

Cause: with the bound on answers reached, new answers were not kept, though a repeat mostly comes soon after the first copy. Now the oldest go; their records stay. Rosters proposed twice for one place differ in number also when one life proposes both.

--- a/flow/ledger/book.go
+++ b/flow/ledger/book.go
@@ -12,7 +12,7 @@
 
 	renewalsMax     = uint8(Abandon/Remember) - 1
 	recordsDefault  = 200_000
-	bytesDefault    = 16 << 20
+	bytesDefault    = 8 << 20
 	handoverRetryIn = 50 * time.Millisecond
 )
 
@@ -36,7 +36,7 @@
 // WithRecords bounds the number of records.
 func WithRecords(n int) BookOption { return func(b *Book) { b.maxRecords = n } }
 
-// WithAnswerBytes bounds the bytes of all kept answers.
+// WithAnswerBytes bounds the bytes of all kept answers; the oldest are given up first, their records stay.
 func WithAnswerBytes(n int) BookOption { return func(b *Book) { b.maxBytes = n } }
 
 // NewBook returns the empty records of one life of an entry.
@@ -166,9 +166,8 @@
 	if r.Digest != 0 {
 		s.digest = r.Digest
 	}
-	n := len(r.Answer) + len(r.ContentType)
-	if r.Kept && len(r.Answer) <= MaxAnswer && b.table.bytes+n <= b.maxBytes {
-		b.table.keep(i, s, answer{contentType: r.ContentType, body: r.Answer})
+	if r.Kept && len(r.Answer) <= MaxAnswer {
+		b.table.keep(i, s, answer{contentType: r.ContentType, body: r.Answer}, b.maxBytes)
 	}
 	b.table.touch(i, s, now)
 }
--- a/flow/ledger/member.go
+++ b/flow/ledger/member.go
@@ -122,7 +122,7 @@
 	if m.Now.Sub(s.wanted) < time.Duration(s.place(next))*proposeEvery {
 		return nil
 	}
-	tag := uint64(s.self.Incarnation) ^ seeds([]Member{s.self})[0]
+	tag := uint64(m.Now.UnixNano()) ^ uint64(s.self.Incarnation) ^ seeds([]Member{s.self})[0]
 	if s.roster.number == 0 {
 		return []ProposeCmd{{Roster: NewRoster(s.dataCentre, next, tag)}}
 	}
--- a/flow/ledger/random_test.go
+++ b/flow/ledger/random_test.go
@@ -75,6 +75,8 @@
 	case k < 95:
 		l.membership.Stop()
 		w.note("stop %s", l.member.Entry)
+	case k < 96:
+		w.revert()
 	default:
 		w.now = w.now.Add(rapid.SampledFrom([]time.Duration{
 			50 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second, 5 * time.Second, time.Minute, 4 * time.Minute, Remember,
--- a/flow/ledger/table.go
+++ b/flow/ledger/table.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	chunkBits = 12
@@ -24,6 +27,15 @@
 type answer struct {
 	contentType string
 	body        []byte
+	number      uint64
+}
+
+func (a answer) size() int { return len(a.body) + len(a.contentType) }
+
+// turn is one answer's place in the order in which answers are given up.
+type turn struct {
+	slot   uint32
+	number uint64
 }
 
 // table keeps records compactly: chunks that never move, an index by id, and the few answers apart.
@@ -34,7 +46,9 @@
 	free       []uint32
 	head, tail uint32
 	answers    map[uint32]answer
-	bytes      int // of kept answers
+	turns      []turn
+	number     uint64 // of the last answer
+	bytes      int    // of kept answers
 }
 
 func newTable() table {
@@ -110,23 +124,35 @@
 	t.free = append(t.free, i)
 }
 
-func (t *table) keep(i uint32, s *slot, a answer) {
+// keep stores an answer and gives up the oldest ones while all together are longer than most bytes.
+func (t *table) keep(i uint32, s *slot, a answer, most int) {
 	t.drop(i, s)
+	t.number++
+	a.number = t.number
+	t.answers[i] = a
+	t.turns = append(t.turns, turn{slot: i, number: a.number})
+	t.bytes += a.size()
 	s.kept = true
-	if len(a.body) == 0 && a.contentType == "" {
-		return
+	for t.bytes > most {
+		o := t.turns[0]
+		t.turns = t.turns[1:]
+		if t.current(o) {
+			t.drop(o.slot, t.at(o.slot))
+		}
+	}
+	if len(t.turns) > 2*len(t.answers)+chunkSize {
+		t.turns = slices.DeleteFunc(t.turns, func(o turn) bool { return !t.current(o) })
 	}
-	t.answers[i] = a
-	t.bytes += len(a.body) + len(a.contentType)
 }
 
+func (t *table) current(o turn) bool { return t.answers[o.slot].number == o.number }
+
 func (t *table) drop(i uint32, s *slot) {
 	if !s.kept {
 		return
 	}
 	s.kept = false
-	a := t.answers[i]
-	t.bytes -= len(a.body) + len(a.contentType)
+	t.bytes -= t.answers[i].size()
 	delete(t.answers, i)
 }
 
--- a/flow/ledger/world_test.go
+++ b/flow/ledger/world_test.go
@@ -77,6 +77,7 @@
 	ids   int
 
 	doc   Roster
+	docs  []Roster // former ones
 	rev   int
 	keys  map[ID]Attempt
 	gone  []string
@@ -122,6 +123,15 @@
 	w.lives[e].alive = false
 }
 
+// revert brings the service back older than it was.
+func (w *world) revert() {
+	if n := len(w.docs); n > 0 {
+		w.doc, w.docs = w.docs[n-1], w.docs[:n-1]
+		w.rev++
+		w.note("store is back at %x", w.doc.Number())
+	}
+}
+
 func (l *life) runs() bool { return l.alive && !l.frozen }
 
 func (w *world) linked(a, b *life) bool { return a == b || a.cut == b.cut }
@@ -224,6 +234,7 @@
 		w.postStore(l, func() {
 			if w.rev == rev {
 				w.rev++
+				w.docs = append(w.docs, w.doc)
 				w.doc = r
 				w.note("store has %x %v by %s", r.Number(), r.Members(), l.member.Entry)
 			}
--- a/node/relay/beater.go
+++ b/node/relay/beater.go
@@ -124,10 +124,22 @@
 		case a := <-b.backs:
 			l = []Address{a}
 		}
-		each(ctx, beatTasks, l, b.beat)
+		b.send(ctx, l)
 	}
 }
 
+// send beats each of l, with one request for all of the own data centre.
+func (b *Beater) send(ctx context.Context, l []Address) {
+	near := b.nearRequest()
+	each(ctx, beatTasks, l, func(c context.Context, a Address) {
+		if a.dataCentre == b.keeper.dataCentre {
+			b.beat(c, a, near)
+			return
+		}
+		b.beat(c, a, b.request(a.dataCentre))
+	})
+}
+
 // Beat implements Relay.
 func (b *Beater) Beat(_ context.Context, r *BeatRequest) (*BeatReply, error) {
 	p := b.note(NewAddress(r.GetEntry(), r.GetAddr(), r.GetDataCentre()), r.GetIncarnation(), func(p *Peer) { p.fromRequest(r) })
@@ -156,8 +168,8 @@
 	return o, nil
 }
 
-func (b *Beater) beat(ctx context.Context, a Address) {
-	o, err := b.client.Beat(ctx, a.addr, b.request(a))
+func (b *Beater) beat(ctx context.Context, a Address, q *BeatRequest) {
+	o, err := b.client.Beat(ctx, a.addr, q)
 	if err != nil {
 		return
 	}
@@ -170,19 +182,21 @@
 	}
 }
 
-func (b *Beater) request(a Address) *BeatRequest {
+// request returns what an entry of any data centre is told.
+func (b *Beater) request(dataCentre string) *BeatRequest {
 	k := b.keeper
-	q := &BeatRequest{
+	return &BeatRequest{
 		Entry: k.self.Entry, DataCentre: k.dataCentre, Incarnation: k.self.Incarnation, Addr: k.self.Addr,
 		Applied: b.carrier.Applied(), Roster: k.Roster(k.dataCentre).Number(), Holding: k.Holding(),
-		PeerRoster: k.Roster(a.dataCentre).Number(), Stopping: k.stopping(),
+		PeerRoster: k.Roster(dataCentre).Number(), Stopping: k.stopping(),
 	}
-	if a.dataCentre != k.dataCentre {
-		return q
-	}
-	r := b.carrier.Report()
+}
+
+// nearRequest returns what the entries of the own data centre are told.
+func (b *Beater) nearRequest() *BeatRequest {
+	q, r := b.request(b.keeper.dataCentre), b.carrier.Report()
 	q.Loads, q.Drained, q.Leaving, q.Failing, q.Members = r.Loads, r.Drained, r.Leaving, r.Failing, r.Members
-	q.Unheard = k.unheard()
+	q.Unheard = b.keeper.unheard()
 	return q
 }
 
--- a/node/relay/roster.go
+++ b/node/relay/roster.go
@@ -11,7 +11,8 @@
 
 const (
 	rosterWatchFor   = 30 * time.Second
-	rosterAgain      = 500 * time.Millisecond
+	rosterAgain      = time.Second
+	rosterAgainMax   = 8 * time.Second
 	othersEvery      = 60 * time.Second
 	unreachedAfter   = 5 * time.Second
 	pullEvery        = 100 * time.Millisecond
@@ -38,25 +39,36 @@
 	}
 }
 
-// watch follows the own roster in the platform's service.
+// watch follows the own roster in the platform's service, more slowly while the service is down.
 func (k *Keeper) watch(ctx context.Context) error {
-	key := rosterKey(k.dataCentre)
+	wait := rosterAgain
 	for ctx.Err() == nil {
-		_, rev, err := k.store.List(ctx, key, "", 1)
-		if err == nil {
-			err = k.refresh(ctx, k.dataCentre)
+		start := k.now()
+		k.follow(ctx)
+		if wait *= 2; k.now().Sub(start) > rosterAgainMax {
+			wait = rosterAgain
 		}
-		for err == nil && ctx.Err() == nil {
-			var e []keyval.Event
-			if e, rev, err = k.store.Watch(ctx, key, rev, rosterWatchFor); err == nil && len(e) > 0 {
-				err = k.refresh(ctx, k.dataCentre)
-			}
-		}
-		pause(ctx, rosterAgain)
+		wait = min(wait, rosterAgainMax)
+		pause(ctx, wait/2+rand.N(wait/2))
 	}
 	return nil
 }
 
+// follow reads and watches the own roster until a call fails.
+func (k *Keeper) follow(ctx context.Context) {
+	key := rosterKey(k.dataCentre)
+	_, rev, err := k.store.List(ctx, key, "", 1)
+	if err == nil {
+		err = k.refresh(ctx, k.dataCentre)
+	}
+	for err == nil && ctx.Err() == nil {
+		var e []keyval.Event
+		if e, rev, err = k.store.Watch(ctx, key, rev, rosterWatchFor); err == nil && len(e) > 0 {
+			err = k.refresh(ctx, k.dataCentre)
+		}
+	}
+}
+
 // refresh reads a data centre's roster from the service.
 func (k *Keeper) refresh(ctx context.Context, dataCentre string) error {
 	t, end := context.WithTimeout(ctx, storeCallsWithin)
@@ -90,7 +102,7 @@
 			_ = k.refresh(ctx, d)
 		}
 	}
-	t := time.NewTicker(othersEvery + time.Duration(rand.Int64N(int64(othersEvery/4))))
+	t := time.NewTicker(othersEvery + rand.N(othersEvery/4))
 	defer t.Stop()
 	for {
 		select {
