--- a/flow/ledger/book.go
+++ b/flow/ledger/book.go
@@ -11,7 +11,7 @@
 	MaxAnswer = 16 << 10
 
 	renewalsMax     = uint8(Abandon/Remember) - 1
-	recordsDefault  = 200_000
+	recordsDefault  = 250_000
 	bytesDefault    = 8 << 20
 	handoverRetryIn = 50 * time.Millisecond
 )
@@ -19,7 +19,7 @@
 // Book is one holder's records of keys; it is changed only by messages and is not safe for concurrent use.
 type Book struct {
 	self       Member
-	table      table
+	table      *table
 	epoch      time.Time
 	maxRecords int
 	maxBytes   int
@@ -78,7 +78,7 @@
 func (b *Book) Holding() int64 { return b.holding }
 
 // Len returns the number of records.
-func (b *Book) Len() int { return len(b.table.index) }
+func (b *Book) Len() int { return b.table.index.n }
 
 // AnswerBytes returns the bytes of the kept answers.
 func (b *Book) AnswerBytes() int { return b.table.bytes }
@@ -186,10 +186,10 @@
 	for ; n > 0 && b.table.head != none; n-- {
 		i := b.table.head
 		s := b.table.at(i)
-		if now-s.at < Remember {
+		if s.age(now) < Remember {
 			return
 		}
-		if s.phase == Claimed && s.renewals < renewalsMax {
+		if s.phase == Claimed && s.renewed() < renewalsMax {
 			s.renewals++
 			b.table.touch(i, s, now)
 			continue
--- a/flow/ledger/handover.go
+++ b/flow/ledger/handover.go
@@ -165,9 +165,9 @@
 
 // sweep drops the records that are neither held under the roster in use nor under its successor r.
 func (b *Book) sweep(r Roster) {
-	for _, i := range b.table.index {
+	for i := range b.table.used {
 		s := b.table.at(i)
-		if !holds(b.self.Entry, b.roster, s.id) && !holds(b.self.Entry, r, s.id) {
+		if s.phase != None && !holds(b.self.Entry, b.roster, s.id) && !holds(b.self.Entry, r, s.id) {
 			b.table.remove(i, s)
 		}
 	}
--- a/flow/ledger/table.go
+++ b/flow/ledger/table.go
@@ -16,12 +16,25 @@
 	id         ID
 	attempt    Attempt
 	digest     Digest
-	at         time.Duration // last change, since the table's first message
+	changed    uint32 // last change in units of stamp since the first message, rounded up
 	prev, next uint32
 	status     int16
 	phase      Phase
-	renewals   uint8
-	kept       bool
+	renewals   uint8 // with keptBit when the answer is kept
+}
+
+const (
+	keptBit = 0x80
+	stamp   = 100 * time.Millisecond
+)
+
+func (s *slot) kept() bool { return s.renewals&keptBit != 0 }
+
+func (s *slot) renewed() uint8 { return s.renewals &^ keptBit }
+
+// age returns how long ago the slot changed, at most a stamp too little.
+func (s *slot) age(now time.Duration) time.Duration {
+	return max(now-time.Duration(s.changed)*stamp, 0)
 }
 
 type answer struct {
@@ -40,7 +53,7 @@
 
 // table keeps records compactly: chunks that never move, an index by id, and the few answers apart.
 type table struct {
-	index      map[ID]uint32
+	index      index
 	chunks     []*[chunkSize]slot
 	used       uint32
 	free       []uint32
@@ -51,15 +64,15 @@
 	bytes      int    // of kept answers
 }
 
-func newTable() table {
-	return table{index: map[ID]uint32{}, answers: map[uint32]answer{}, head: none, tail: none}
+func newTable() *table {
+	return &table{answers: map[uint32]answer{}, head: none, tail: none}
 }
 
 func (t *table) at(i uint32) *slot { return &t.chunks[i>>chunkBits][i&(chunkSize-1)] }
 
 func (t *table) find(id ID) (uint32, *slot) {
-	i, ok := t.index[id]
-	if !ok {
+	i := t.index.find(t, id)
+	if i == none {
 		return none, nil
 	}
 	return i, t.at(i)
@@ -69,7 +82,7 @@
 	i := t.take()
 	s := t.at(i)
 	*s = slot{id: id}
-	t.index[id] = i
+	t.index.add(t, id, i)
 	t.append(i, s, now)
 	return i, s
 }
@@ -88,7 +101,7 @@
 }
 
 func (t *table) append(i uint32, s *slot, now time.Duration) {
-	s.at, s.prev, s.next = now, t.tail, none
+	s.changed, s.prev, s.next = uint32((now+stamp-1)/stamp), t.tail, none
 	if t.tail == none {
 		t.head = i
 	} else {
@@ -119,7 +132,7 @@
 func (t *table) remove(i uint32, s *slot) {
 	t.drop(i, s)
 	t.unlink(s)
-	delete(t.index, s.id)
+	t.index.remove(t, s.id)
 	s.phase = None
 	t.free = append(t.free, i)
 }
@@ -132,7 +145,7 @@
 	t.answers[i] = a
 	t.turns = append(t.turns, turn{slot: i, number: a.number})
 	t.bytes += a.size()
-	s.kept = true
+	s.renewals |= keptBit
 	for t.bytes > most {
 		o := t.turns[0]
 		t.turns = t.turns[1:]
@@ -148,10 +161,10 @@
 func (t *table) current(o turn) bool { return t.answers[o.slot].number == o.number }
 
 func (t *table) drop(i uint32, s *slot) {
-	if !s.kept {
+	if !s.kept() {
 		return
 	}
-	s.kept = false
+	s.renewals &^= keptBit
 	t.bytes -= t.answers[i].size()
 	delete(t.answers, i)
 }
@@ -160,6 +173,6 @@
 	a := t.answers[i]
 	return Record{
 		ID: s.id, Attempt: s.attempt, Digest: s.digest, Phase: s.phase, Status: int(s.status),
-		Kept: s.kept, ContentType: a.contentType, Answer: a.body, Age: now - s.at,
+		Kept: s.kept(), ContentType: a.contentType, Answer: a.body, Age: s.age(now),
 	}
 }
