Replay a wave in virtual time beside the least that its budget allows

Cause of a stall found so: a planner that nobody told of another data centre's release kept its old budget for ever. It now asks again once a document has not been confirmed for half the allowed age.

--- a/fleet/wave/document.go
+++ b/fleet/wave/document.go
@@ -18,7 +18,7 @@
 	wrote    int64 // time of the last write command.
 }
 
-func newDocument() *document { return &document{dirty: true, asked: -repeatMillis} }
+func newDocument() *document { return &document{dirty: true, asked: -forgetMillis} }
 
 // writable tells whether a write may be sent now.
 func (d *document) writable() bool { return d.known && !d.dirty && !d.writing }
@@ -45,7 +45,7 @@
 func (d *document) wroteAs(o Outcome, revision int64) bool {
 	d.writing = false
 	if o != Applied {
-		d.dirty, d.asked = true, -repeatMillis
+		d.dirty, d.asked = true, -forgetMillis
 		return false
 	}
 	if revision <= d.revision && !d.restore {
@@ -55,12 +55,13 @@
 	return true
 }
 
-// ask tells whether a read command is due.
-func (d *document) ask(now int64) bool {
-	if d.writing || !d.dirty || now-d.asked < repeatMillis && d.asked >= 0 {
+// ask tells whether a read command is due: the content is in doubt, or nobody has said for a while that it is the newest.
+func (p *Planner) ask(d *document) bool {
+	stale := p.now-max(d.seen, p.fresh) > p.limits.maxAge/2
+	if d.writing || !d.dirty && !stale || p.now-d.asked < repeatMillis {
 		return false
 	}
-	d.asked = now
+	d.asked = p.now
 	return true
 }
 
@@ -72,12 +73,12 @@
 func (p *Planner) reads() []Cmd {
 	var l []Cmd
 	for i, d := range p.shards {
-		if d.ask(p.now) {
+		if p.ask(d) {
 			l = append(l, ReadShardCmd{Index: i})
 		}
 	}
 	for _, n := range p.serviceNames() {
-		if p.budgets[n].ask(p.now) {
+		if p.ask(p.budgets[n].document) {
 			l = append(l, ReadBudgetCmd{Service: n})
 		}
 	}
--- /dev/null
+++ b/fleet/wave/replay_test.go
@@ -0,0 +1,26 @@
+package wave
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestReplay(t *testing.T) {
+	for _, seed := range []int64{1, 2, 3} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			r := Replay(DayTrace(seed, 10, 2))
+			t.Logf("%+v ratio to least %.3f, to bound %.3f", r, float64(r.Took)/float64(r.Least), float64(r.Took)/float64(r.Bound))
+			is.New(t).True(r.Took > 0)
+			is.New(t).True(r.MaxOut <= 2)
+			is.New(t).True(r.Took*100 <= r.Least*115)
+		})
+	}
+}
+
+func ExampleReplay() {
+	r := Replay(DayTrace(1, 4, 1))
+	fmt.Println(r.MaxOut, r.Lost)
+	// Output: 1 0
+}
