Have the roster confirmed before a keyed request is told not run

Cause: a holder that was cut off and removed says truly that it has no record, though the newer roster's holders have sent the key; its word was taken for proof. Now a refusal says not run only when the platform's service, read after the claim began, still holds the roster under which the holder spoke; with the service down it says unknown. Refusals that wait share one read. Traces now also cut one entry off for 6 s while the others go on.

--- a/flow/ledger/book_test.go
+++ b/flow/ledger/book_test.go
@@ -49,6 +49,8 @@
 		settled(b, 0, "k", "1", Unknown, "")
 		claimed(i, b, 0, "k", "1", 1, Repeat)
 		settled(b, 0, "k", "1", Answered, "late")
+		settled(b, 0, "k", "1", NotRun, "") // the first answer stays
+		settled(b, 0, "k", "1", Unknown, "")
 		i.Equal(string(claimed(i, b, 0, "k", "2", 1, Repeat).Record.Answer), "late")
 	})
 	t.Run("an unsettled claim is remembered for an hour", func(t *testing.T) {
@@ -138,8 +140,24 @@
 	c.Update(fail("a"))
 	i.Equal(last(c.Update(fail("a"))), AskCmd{Holder: r.Members()[1], Roster: r.Number()})
 	l := c.Update(ReplyMsg{Now: worldStart, Holder: "b"})
-	i.Equal(l[0], ReleaseCmd{Holders: r.Members()})
-	i.Equal(l[1].(RefuseCmd).NotRun, true)
+	i.Equal(l, []Cmd{ReleaseCmd{Holders: r.Members()}, ConfirmCmd{}})
+	i.Equal(c.Update(ConfirmMsg{Number: r.Number()})[0].(RefuseCmd).NotRun, true)
+	c = start()
+	c.Update(ReplyMsg{Now: worldStart, Holder: "a"})
+	c.Update(fail("b"))
+	i.Equal(last(c.Update(fail("b"))), ConfirmCmd{})
+	i.Equal(c.Update(ConfirmMsg{Number: r.Number() + 1})[0].(RefuseCmd).NotRun, false) // a newer roster
+	c = start()
+	c.Update(ReplyMsg{Now: worldStart, Holder: "a"})
+	next := r.Next(r.Members(), 1)
+	c.Update(ReplyMsg{Now: worldStart, Holder: "b", Reply: ClaimReply{Verdict: Stale}, Roster: next})
+	c.Update(fail("a"))
+	c.Update(fail("a"))
+	i.Equal(last(c.Update(fail("b"))).(RefuseCmd).NotRun, false) // what was said under another roster does not count
+	c = start()
+	c.Update(ReplyMsg{Now: worldStart, Holder: "a", Reply: ClaimReply{Store: true}})
+	c.Update(fail("b"))
+	i.Equal(last(c.Update(fail("b"))).(RefuseCmd).NotRun, false) // a holder in a lapse does not know
 }
 
 func TestRoster(t *testing.T) {
--- a/flow/ledger/claim.go
+++ b/flow/ledger/claim.go
@@ -78,6 +78,9 @@
 	StoreFailed
 )
 
+// ConfirmMsg tells the number of the roster that the platform's service held after the claim began; zero if it could not be read.
+type ConfirmMsg struct{ Number int64 }
+
 // EndMsg ends the claim before its outcome.
 type EndMsg struct{}
 
@@ -87,6 +90,8 @@
 func (StoreMsg) isMsg() {}
 func (EndMsg) isMsg()   {}
 
+func (ConfirmMsg) isMsg() {}
+
 // Cmd is anything that a Claim asks its runner to do.
 type Cmd interface{ isCmd() }
 
@@ -102,6 +107,10 @@
 // StoreCmd asks for a create-only write of the key in the platform's service.
 type StoreCmd struct{}
 
+// ConfirmCmd asks to read the roster in the platform's service: a holder may have been removed without knowing, and then
+// its word that there is no record says nothing of the newer roster's holders.
+type ConfirmCmd struct{}
+
 // ReleaseCmd asks to tell the holders, until they have it, that this copy is not run; Store tells of the platform's service.
 type ReleaseCmd struct {
 	Holders []Member
@@ -128,6 +137,7 @@
 func (AskCmd) isCmd()     {}
 func (WaitCmd) isCmd()    {}
 func (StoreCmd) isCmd()   {}
+func (ConfirmCmd) isCmd() {}
 func (ReleaseCmd) isCmd() {}
 func (GoCmd) isCmd()      {}
 func (RefuseCmd) isCmd()  {}
@@ -140,6 +150,7 @@
 	askSecond
 	writeStore
 	probeSecond
+	confirming
 	ended
 )
 
@@ -165,6 +176,9 @@
 	if c.step == ended {
 		return nil
 	}
+	if c.step == confirming {
+		return c.confirmed(m)
+	}
 	switch m := m.(type) {
 	case StartMsg:
 		c.start, c.roster = m.Now, m.Roster
@@ -179,7 +193,7 @@
 	case StoreMsg:
 		return c.wrote(m)
 	case EndMsg:
-		return c.refuse(RefuseCmd{Reason: Withdrawn, NotRun: c.granted})
+		return c.refuse(RefuseCmd{Reason: Withdrawn})
 	}
 	return nil
 }
@@ -316,7 +330,22 @@
 	return c.refuse(RefuseCmd{Reason: Unreachable, NotRun: c.granted, RetryAfter: refuseRetryIn})
 }
 
-func (c *Claim) refuse(r RefuseCmd) []Cmd { return c.end(r) }
+// refuse gives back what may have been granted, and has the roster confirmed before it says that no copy was sent.
+func (c *Claim) refuse(r RefuseCmd) []Cmd {
+	if !r.NotRun {
+		return c.end(r)
+	}
+	l := c.end(ConfirmCmd{})
+	c.step, c.why = confirming, r
+	return l
+}
+
+func (c *Claim) confirmed(m Msg) []Cmd {
+	n, ok := m.(ConfirmMsg)
+	c.why.NotRun = ok && n.Number == c.roster.number
+	c.step = ended
+	return []Cmd{c.why}
+}
 
 // end gives back whatever may have been granted before it tells the outcome.
 func (c *Claim) end(last Cmd) []Cmd {
--- a/flow/ledger/random_test.go
+++ b/flow/ledger/random_test.go
@@ -16,6 +16,10 @@
 func act(t *rapid.T, w *world) {
 	l := w.lives[rapid.SampledFrom(worldEntries).Draw(t, "entry")]
 	switch k := rapid.IntRange(0, 99).Draw(t, "step"); {
+	case k < 3:
+		l.cut, l.noStore = 1, true
+		w.note("cut off %s", l.member.Entry)
+		w.calm(12, false)
 	case k < 12:
 		w.calm(rapid.IntRange(1, 12).Draw(t, "rounds"), false)
 	case k < 20:
--- a/flow/ledger/scenario_test.go
+++ b/flow/ledger/scenario_test.go
@@ -144,4 +144,18 @@
 		w.sent(i, w.lives["c"], key, false)
 		w.sent(i, w.lives["c"], "fresh", true)
 	})
+	scenario(t, "a holder that was removed unknowingly does not vouch for its keys", func(i *is.I, w *world) {
+		w.calm(4, true)
+		key := heldBy(w.doc, "a", "b")
+		a := w.lives["a"]
+		a.cut, a.noStore = 1, true
+		w.calm(20, true)
+		w.sent(i, w.lives["c"], key, true)
+		c := a.take(key, 1) // a grants, b cannot be reached; checkNotRun judges the refusal
+		for range 3 {
+			w.flush(&w.calls)
+			c.timeout()
+		}
+		i.True(c.over)
+	})
 }
--- a/flow/ledger/world_test.go
+++ b/flow/ledger/world_test.go
@@ -313,6 +313,8 @@
 			c.wait("")
 		case StoreCmd:
 			c.create()
+		case ConfirmCmd:
+			c.confirm()
 		case ReleaseCmd:
 			c.phase, c.holders, c.store = NotRun, m.Holders, m.Store
 			c.settle()
@@ -389,6 +391,19 @@
 	})
 }
 
+func (c *copyOf) confirm() {
+	l, w := c.at, c.at.w
+	n := c.wait("")
+	w.call(l, nil, func() {
+		d := w.doc.Number()
+		w.call(l, nil, func() {
+			if l.runs() {
+				c.answer(n, func() Msg { return ConfirmMsg{Number: d} })
+			}
+		})
+	})
+}
+
 // send lets a target run the copy; every fourth target says that it certainly did not.
 func (c *copyOf) send() {
 	w := c.at.w
--- a/node/relay/fleet_test.go
+++ b/node/relay/fleet_test.go
@@ -150,10 +150,23 @@
 	w.silent[addr] = s
 }
 
+// service is the platform's service, whose reads can fail.
+type service struct {
+	keyval.Store
+	down atomic.Bool
+}
+
+func (s *service) Get(ctx context.Context, key string) (keyval.Item, error) {
+	if s.down.Load() {
+		return keyval.Item{}, keyval.ErrDown
+	}
+	return s.Store.Get(ctx, key)
+}
+
 // fleet is the entries of one data centre.
 type fleet struct {
 	t     testing.TB
-	store keyval.Store
+	store *service
 	wires *wires
 	addrs []Address
 	nodes []*node
@@ -161,7 +174,7 @@
 }
 
 func newFleet(t testing.TB) *fleet {
-	return &fleet{t: t, store: keyval.NewMemory(), wires: &wires{listeners: map[string]chan net.Conn{}, silent: map[string]bool{}}}
+	return &fleet{t: t, store: &service{Store: keyval.NewMemory()}, wires: &wires{listeners: map[string]chan net.Conn{}, silent: map[string]bool{}}}
 }
 
 // start begins a life of an entry.
--- a/node/relay/keeper.go
+++ b/node/relay/keeper.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	tickEvery = 200 * time.Millisecond
+	tickEvery    = 200 * time.Millisecond
+	confirmBatch = 10_000 // claims that share one read
 )
 
 // Keeper runs the ledger for one entry: it holds records for its data centre and claims keys for the entry's requests.
@@ -39,7 +40,9 @@
 	adopted chan struct{}
 	asks    chan string // data centres whose roster is to be read
 	settles *outbox
-	lease   storeLease
+	// confirms join the requests that wait for a read of a data centre's roster.
+	confirms map[string]*joiner[struct{}, int64]
+	lease    storeLease
 }
 
 // KeeperOption changes a new Keeper.
@@ -65,6 +68,10 @@
 	}
 	k.book = ledger.NewBook(self, k.bookOptions...)
 	k.settles = newOutbox(k)
+	k.confirms = map[string]*joiner[struct{}, int64]{}
+	for _, d := range dataCentres {
+		k.confirms[d] = newJoiner[struct{}, int64](1, confirmBatch)
+	}
 	return k
 }
 
--- a/node/relay/keeper_test.go
+++ b/node/relay/keeper_test.go
@@ -133,6 +133,9 @@
 		start := time.Now()
 		refused(i, n[0], key, "1", ledger.Unreachable, true)
 		i.True(time.Since(start) < time.Second)
+		f.store.down.Store(true)
+		refused(i, n[0], key, "1b", ledger.Unreachable, false) // no one confirms that the holder is one still
+		f.store.down.Store(false)
 		f.inForce(n[0], n[2])
 		granted(i, n[0], key, "2")
 	})
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,8 @@
 
 const (
 	storeWithin = 500 * time.Millisecond
+	// confirmEvery spaces the reads that confirm a roster.
+	confirmEvery = 25 * time.Millisecond
 	// storeLeaseFor is the life of a lease under which keys are created; each is used for the first half of it.
 	storeLeaseFor = 2 * ledger.Remember
 )
@@ -100,6 +103,33 @@
 	return k.store.Delete(t, key, i.Rev()) == nil
 }
 
+// confirm returns the number of the roster that the platform's service holds now, or zero; many that ask share one read.
+func (k *Keeper) confirm(ctx context.Context, dataCentre string) int64 {
+	j, ok := k.confirms[dataCentre]
+	if !ok {
+		return 0
+	}
+	n, err := j.do(ctx, struct{}{}, func(l []struct{}) ([]int64, error) {
+		pause(ctx, confirmEvery)
+		t, end := context.WithTimeout(context.WithoutCancel(ctx), storeWithin)
+		defer end()
+		i, err := k.store.Get(t, rosterKey(dataCentre))
+		if err != nil {
+			return nil, err
+		}
+		r, err := ledger.ParseRoster(i.Value())
+		if err != nil {
+			return nil, err
+		}
+		k.adopt(r)
+		return slices.Repeat([]int64{r.Number()}, len(l)), nil
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 func mustJSON(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/node/relay/ticket.go
+++ b/node/relay/ticket.go
@@ -98,6 +98,8 @@
 		case <-t.C:
 		}
 		return ledger.FailMsg{Now: a.k.now(), Roster: a.k.Roster(a.home)}
+	case ledger.ConfirmCmd:
+		return ledger.ConfirmMsg{Number: a.k.confirm(ctx, a.home)}
 	default:
 		return a.k.storeKey(ctx, a)
 	}
