Size pools by the demand that lasts and hold spare VMs once

Need follows the offered load (rate times time in a slot, so waiting requests count once), with a band around each level; a pool is filled at once only when overload outlives a VM's readiness and earlier bursts; an idle VM goes back once it has cost two moves.

--- /dev/null
+++ b/fleet/spare/buffer.go
@@ -0,0 +1,89 @@
+package spare
+
+import "fmt"
+
+// Buffer is how many spare VMs keep every pool's need through the loss of any racks that the profiles name.
+type Buffer struct {
+	Shared  int // held once and lent to the pools that lose VMs.
+	PerPool int // held by each pool for itself, the least that is enough for it.
+	Share   int // held by each pool for itself, the same share of its need for all.
+}
+
+// Buffers returns the spare VMs that pools of the given needs must hold in racks of perRack VMs to survive the loss of
+// lost racks; every pool is spread evenly over the racks.
+func Buffers(needs []int, perRack, lost int) Buffer {
+	total := 0
+	for _, n := range needs {
+		total += n
+	}
+	b, share := Buffer{}, 0.0
+	racks := (total + perRack - 1) / perRack
+	extra := make([]int, len(needs))
+	for i, n := range needs {
+		extra[i] = alone(n, racks, lost)
+		b.PerPool += extra[i]
+		share = max(share, float64(extra[i])/float64(max(n, 1)))
+	}
+	for _, n := range needs {
+		b.Share += vms(share*float64(n), 1)
+	}
+	for b.Shared < total && !survives(needs, b.Shared, perRack, lost) {
+		b.Shared++
+	}
+	return b
+}
+
+// alone returns how many VMs beyond its need a pool must hold to survive by itself.
+func alone(need, racks, lost int) int {
+	for e := 0; ; e++ {
+		n := need + e
+		crowd := min(lost*((n+racks-1)/max(racks, 1)), n)
+		if n-crowd >= need || e > need+lost*racks {
+			return e
+		}
+	}
+}
+
+// survives tells whether the given number of shared spare VMs makes up for every loss of racks.
+func survives(needs []int, spares, perRack, lost int) bool {
+	s, l, rules := New(), []VM{}, []Rule{}
+	for i, n := range needs {
+		r := Rule{Pool: fmt.Sprintf("p%d", i), SurviveRacks: lost}
+		rules, s.pools[r.Pool] = append(rules, r), &state{need: n}
+		for range n {
+			l = append(l, VM{Pool: r.Pool})
+		}
+	}
+	s.Update(RulesMsg{Rules: append(rules, Rule{Pool: "spare", Spare: true})})
+	racks := (len(l) + spares + perRack - 1) / perRack
+	for i := range spares { // spare VMs stand in different racks as far as there are enough.
+		l = append(l, VM{Pool: "spare", Rack: fmt.Sprintf("r%d", racks-1-i%racks)})
+	}
+	fill := make(map[string]int, racks)
+	for _, v := range l[len(l)-spares:] {
+		fill[v.Rack]++
+	}
+	next := 0
+	for i := range len(l) - spares {
+		for fill[fmt.Sprintf("r%d", next%racks)] >= perRack {
+			next++
+		}
+		l[i].Rack = fmt.Sprintf("r%d", next%racks)
+		fill[l[i].Rack]++
+		next++
+	}
+	s.Update(FleetMsg{VMs: l})
+	_, missing := s.worst()
+	return missing <= 0
+}
+
+// Needs returns the need of each pool that is not spare, in the given hour of the day.
+func (t Trace) Needs(hour int) []int {
+	var l []int
+	for _, p := range t.Pools {
+		if !p.Rule.Spare {
+			l = append(l, p.least(int64(hour)*hourMillis))
+		}
+	}
+	return l
+}
--- a/fleet/spare/message.go
+++ b/fleet/spare/message.go
@@ -16,7 +16,8 @@
 // VM is one VM of the data centre.
 type VM struct {
 	Name, Pool, Rack string
-	Out              bool // takes no new work: draining, rebooting or failed.
+	Out              bool // takes no new work but comes back: draining or rebooting.
+	Failed           bool // dead, not known to come back.
 	Moving           bool // on its way to another pool.
 }
 
@@ -24,7 +25,8 @@
 type Demand struct {
 	Busy     float64 // slots in use, the mean over the tick.
 	Queued   float64 // requests that wait.
-	Arrivals float64 // requests that came.
+	Arrivals float64 // requests that came, those turned away included.
+	Done     float64 // requests that were answered by a target.
 }
 
 // Msg is a message to the sizer.
--- /dev/null
+++ b/fleet/spare/replay.go
@@ -0,0 +1,310 @@
+package spare
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+)
+
+const (
+	replayTickMillis = 1_000
+	dayMillis        = 24 * hourMillis
+	turnMillis       = 8_000 // length of one pool's burst.
+	burstFactor      = 5.0   // demand in a pool's turn, in means.
+	quietFactor      = 1.0 / 20
+	deadlineSeconds  = 30 // a request that waits longer is late.
+)
+
+// PoolTrace is one pool's demand over a day.
+type PoolTrace struct {
+	Rule  Rule
+	Hours [24]float64 // mean slots asked for in each hour.
+	VMs   int         // VMs at the day's start.
+}
+
+// Failure takes VMs down for a while; Rack names all VMs of a rack.
+type Failure struct {
+	VM, Rack  string
+	At, Until int64
+}
+
+// Trace is a day of one data centre.
+type Trace struct {
+	Pools    []PoolTrace
+	VMs      []VM
+	Failures []Failure
+	Turns    bool // each pool in its turn asks for a burst and else for little.
+	Seed     int64
+}
+
+// Policy decides on moves in a replay.
+type Policy interface {
+	Update(msg Msg) []Cmd
+}
+
+// Result is what a replay measured.
+type Result struct {
+	Moves      int
+	LateShare  float64 // share of slot time that was asked for beyond what the pool could run.
+	HeldHours  float64 // VM hours in pools beyond what the hour's mean needs.
+	Least      int     // moves of the plan of least cost that knows the day.
+	LeastHours float64 // VM hours beyond the need of that plan.
+	Whys       map[Why]int
+}
+
+// DayTrace returns a day of one deployment: five pools in one of three data centres. With strike, the first
+// pool's demand rises fourfold from six to noon and the last is busy by night; else the first two are busy each morning.
+func DayTrace(seed int64, strike bool) Trace {
+	r := rand.New(rand.NewSource(seed))
+	t := Trace{Turns: true, Seed: seed}
+	names := []string{"orders", "routes", "batches", "ledgers", "checks"}
+	for i, n := range names {
+		p := PoolTrace{VMs: 3 + i%2, Rule: Rule{
+			Pool: n, Slots: 8, MinVMs: 1, MaxVMs: 8, TargetUse: 0.7, SurviveRacks: 1,
+			MoveWeight: 1, BufferWeight: 1,
+		}}
+		if strike {
+			p.Rule.MoveWeight = 4
+		}
+		base := 6 + 4*r.Float64()
+		for h := range p.Hours {
+			p.Hours[h] = base * dayShape(i, h, strike)
+		}
+		t.Pools = append(t.Pools, p)
+	}
+	t.Pools = append(t.Pools, PoolTrace{VMs: 3, Rule: Rule{Pool: "office", Spare: true}})
+	t.place()
+	t.fail(r)
+	return t
+}
+
+// dayShape returns the factor on the mean of pool i in hour h.
+func dayShape(i, h int, strike bool) float64 {
+	switch {
+	case strike && i == 0 && h >= 6 && h < 12:
+		return 4
+	case !strike && i < 2 && h >= 7 && h < 11:
+		return 2.5
+	case i == 3 && h < 5:
+		return 2.5
+	case h < 6 || h >= 20:
+		return 0.3
+	default:
+		return 1
+	}
+}
+
+// place puts the VMs into racks of four, each pool spread over them.
+func (t *Trace) place() {
+	n := 0
+	for _, p := range t.Pools {
+		n += p.VMs
+	}
+	racks, k := (n+3)/4, 0
+	for _, p := range t.Pools {
+		for i := range p.VMs {
+			t.VMs = append(t.VMs, VM{Name: fmt.Sprintf("%s-%d", p.Rule.Pool, i), Pool: p.Rule.Pool, Rack: fmt.Sprintf("r%d", k%racks)})
+			k++
+		}
+	}
+}
+
+// fail draws a rack's failure and several VMs' failures.
+func (t *Trace) fail(r *rand.Rand) {
+	for range 3 {
+		at := r.Int63n(dayMillis)
+		t.Failures = append(t.Failures, Failure{VM: t.VMs[r.Intn(len(t.VMs))].Name, At: at, Until: at + 120_000 + r.Int63n(1_200_000)})
+	}
+	at := 8*hourMillis + r.Int63n(8*hourMillis)
+	t.Failures = append(t.Failures, Failure{Rack: t.VMs[r.Intn(len(t.VMs))].Rack, At: at, Until: at + hourMillis})
+}
+
+// Demand returns the slots that pool i is asked for at a time of the day.
+func (t Trace) Demand(i int, at int64) float64 {
+	n := 0
+	for _, p := range t.Pools {
+		if !p.Rule.Spare {
+			n++
+		}
+	}
+	if t.Pools[i].Rule.Spare {
+		return 0
+	}
+	m := t.Pools[i].Hours[at/hourMillis%24]
+	switch {
+	case !t.Turns:
+		return m
+	case int(at/turnMillis)%n == i:
+		return m * burstFactor
+	default:
+		return m * quietFactor
+	}
+}
+
+// replay is a data centre's day in virtual time.
+type replay struct {
+	trace  Trace
+	vms    []VM
+	moving map[string]arrival
+	queued []float64
+	result Result
+	asked  float64
+	late   float64
+}
+
+// arrival is when a moving VM serves its new pool.
+type arrival struct {
+	at int64
+	to string
+}
+
+// Replay runs the day under the policy; a VM on its way serves nobody for DefaultReady.
+func Replay(t Trace, p Policy) Result {
+	r := &replay{
+		trace: t, vms: slices.Clone(t.VMs), moving: map[string]arrival{}, queued: make([]float64, len(t.Pools)),
+		result: Result{Whys: map[Why]int{}},
+	}
+	rules := make([]Rule, len(t.Pools))
+	for i, q := range t.Pools {
+		rules[i] = q.Rule
+	}
+	p.Update(RulesMsg{Rules: rules})
+	var seen []VM
+	for at := int64(replayTickMillis); at < dayMillis; at += replayTickMillis {
+		r.live(at)
+		if !slices.Equal(r.vms, seen) {
+			seen = slices.Clone(r.vms)
+			p.Update(FleetMsg{VMs: seen})
+		}
+		for _, c := range p.Update(TickMsg{At: at, Demand: r.serve(at)}) {
+			r.move(c.(MoveCmd), at)
+		}
+	}
+	r.result.LateShare = r.late / r.asked
+	r.result.Least, r.result.LeastHours = t.least()
+	return r.result
+}
+
+// live ends moves and lets failures begin and end.
+func (r *replay) live(at int64) {
+	for i := range r.vms {
+		v := &r.vms[i]
+		v.Failed = slices.ContainsFunc(r.trace.Failures, func(f Failure) bool {
+			return (f.VM == v.Name || f.Rack == v.Rack) && at >= f.At && at < f.Until
+		})
+		if a, ok := r.moving[v.Name]; ok && at >= a.at {
+			delete(r.moving, v.Name)
+			v.Pool, v.Moving, v.Out = a.to, false, false
+		}
+	}
+}
+
+// serve runs one tick of demand and returns what the pools saw.
+func (r *replay) serve(at int64) map[string]Demand {
+	d := make(map[string]Demand, len(r.trace.Pools))
+	for i, p := range r.trace.Pools {
+		if p.Rule.Spare {
+			continue
+		}
+		n, have := 0, 0
+		for _, v := range r.vms {
+			if v.Pool == p.Rule.Pool && !v.Failed && !v.Moving {
+				n++
+			}
+			if v.Pool == p.Rule.Pool {
+				have++
+			}
+		}
+		x, room := r.trace.Demand(i, at), float64(n*p.Rule.Slots)
+		total := x + r.queued[i]
+		busy := min(total, room)
+		r.queued[i] = min(total-busy, deadlineSeconds*room)
+		r.asked += x
+		r.late += total - busy - r.queued[i]
+		r.result.HeldHours += float64(max(0, have-p.least(at))) * replayTickMillis / hourMillis
+		d[p.Rule.Pool] = Demand{Busy: busy, Queued: r.queued[i], Arrivals: x, Done: busy}
+	}
+	return d
+}
+
+func (r *replay) move(c MoveCmd, at int64) {
+	i := slices.IndexFunc(r.vms, func(v VM) bool { return v.Name == c.VM })
+	if i < 0 || r.vms[i].Moving || r.vms[i].Pool != c.From {
+		return
+	}
+	r.vms[i].Moving, r.vms[i].Out = true, true
+	r.vms[i].Pool = c.To
+	r.moving[c.VM] = arrival{at: at + DefaultReady, to: c.To}
+	r.result.Moves++
+	r.result.Whys[c.Why]++
+}
+
+// least returns how many VMs the mean of the hour needs.
+func (p PoolTrace) least(at int64) int {
+	if p.Rule.Spare {
+		return 0
+	}
+	n := int(math.Ceil(p.Hours[at/hourMillis%24]/(float64(p.Rule.Slots)*use(p.Rule)) - 1e-9))
+	return max(n, p.Rule.MinVMs)
+}
+
+// least returns moves and idle hours of the plan of least cost that knows each hour's need, pool by pool and without
+// failures: no plan costs less.
+func (t Trace) least() (int, float64) {
+	moves, hours := 0, 0.0
+	for _, p := range t.Pools {
+		if !p.Rule.Spare {
+			m, h := p.plan()
+			moves, hours = moves+m, hours+h
+		}
+	}
+	return moves, hours
+}
+
+// step is the cheapest way to have some number of VMs at some hour.
+type step struct {
+	cost  float64
+	moves int
+	hours float64
+}
+
+func (p PoolTrace) plan() (int, float64) {
+	now := make([]step, p.Rule.MaxVMs+1)
+	for n := range now {
+		d := n - p.VMs
+		now[n] = step{cost: float64(max(d, -d)) * p.Rule.MoveWeight, moves: max(d, -d)}
+	}
+	for h := range int64(24) {
+		next := make([]step, len(now))
+		for n := range next {
+			next[n] = p.cheapest(now, n, p.least(h*hourMillis))
+		}
+		now = next
+	}
+	b := slices.MinFunc(now, func(a, b step) int {
+		if a.cost < b.cost {
+			return -1
+		}
+		return 1
+	})
+	return b.moves, b.hours
+}
+
+// cheapest returns the cheapest way to spend the next hour with n VMs.
+func (p PoolTrace) cheapest(now []step, n, need int) step {
+	b := step{cost: math.Inf(1)}
+	if n < need {
+		return b
+	}
+	for m, s := range now {
+		d := max(n-m, m-n)
+		s.cost += float64(d)*p.Rule.MoveWeight + float64(n-need)*p.Rule.BufferWeight
+		s.moves += d
+		s.hours += float64(n - need)
+		if s.cost < b.cost {
+			b = s
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/fleet/spare/sizer_test.go
@@ -0,0 +1,190 @@
+package spare
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
+}
+
+// site is a data centre of two pools of three VMs and a spare pool of three, in three racks.
+func site() ([]Rule, []VM) {
+	r := []Rule{
+		{Pool: "orders", Slots: 8, MinVMs: 1, MaxVMs: 5, TargetUse: 0.7, SurviveRacks: 1, MoveWeight: 1, BufferWeight: 1},
+		{Pool: "checks", Slots: 8, MinVMs: 2, MaxVMs: 5, TargetUse: 0.7, SurviveRacks: 1, MoveWeight: 1, BufferWeight: 1},
+		{Pool: "office", Spare: true},
+	}
+	var l []VM
+	for i := range 9 {
+		l = append(l, VM{Name: fmt.Sprintf("vm%d", i), Pool: r[i/3].Pool, Rack: fmt.Sprintf("r%d", i%3)})
+	}
+	return r, l
+}
+
+// drive ticks the policy each second of the given time under constant demand and returns its moves.
+func drive(p Policy, from, seconds int64, orders, checks float64) []MoveCmd {
+	var l []MoveCmd
+	for at := from * 1000; at < (from+seconds)*1000; at += 1000 {
+		d := map[string]Demand{"orders": {Busy: orders, Arrivals: orders, Done: orders}, "checks": {Busy: checks, Arrivals: checks, Done: checks}}
+		for _, c := range p.Update(TickMsg{At: at, Demand: d}) {
+			l = append(l, c.(MoveCmd))
+		}
+	}
+	return l
+}
+
+func checkWhys(t *testing.T, l []MoveCmd, want ...Why) {
+	t.Helper()
+	var got []Why
+	for _, m := range l {
+		got = append(got, m.Why)
+	}
+	is.New(t).Equal(got, want)
+}
+
+func TestSizer(t *testing.T) {
+	begin := func() (*Sizer, []VM) {
+		r, v := site()
+		s := New()
+		s.Update(RulesMsg{Rules: r})
+		s.Update(FleetMsg{VMs: v})
+		checkWhys(t, drive(s, 1, 900, 14, 14))
+		return s, v
+	}
+	t.Run("a burst that ends moves nothing", func(t *testing.T) {
+		s, _ := begin()
+		checkWhys(t, drive(s, 901, 20, 60, 14))
+		checkWhys(t, drive(s, 921, 60, 1, 14))
+	})
+	t.Run("demand that lasts moves spare VMs in", func(t *testing.T) {
+		s, _ := begin()
+		checkWhys(t, drive(s, 901, 40, 26, 14), Short)
+		is.New(t).Equal(s.Need("orders"), 5)
+		checkWhys(t, drive(s, 941, 620, 26, 14), Short) // four VMs run it, if not at the target's use.
+	})
+	t.Run("a lost VM is waited for, then replaced", func(t *testing.T) {
+		s, v := begin()
+		v[0].Failed, v[1].Failed = true, true
+		s.Update(FleetMsg{VMs: v})
+		checkWhys(t, drive(s, 901, 20, 6, 14))
+		checkWhys(t, drive(s, 921, 600, 10, 14), Lost, Lost)
+	})
+	t.Run("a VM that reboots is not replaced", func(t *testing.T) {
+		s, v := begin()
+		v[0].Out, v[1].Out = true, true
+		s.Update(FleetMsg{VMs: v})
+		checkWhys(t, drive(s, 901, 700, 8, 14))
+	})
+	t.Run("an idle VM is given back once it has cost two moves", func(t *testing.T) {
+		s, _ := begin()
+		checkWhys(t, drive(s, 901, 7000, 1, 14))
+		checkWhys(t, drive(s, 7901, 1500, 1, 14), Idle)
+	})
+	t.Run("a crowded pool is spread", func(t *testing.T) {
+		s, v := begin()
+		for i := range v[:6] {
+			v[i].Rack = "r0"
+		}
+		v[6].Rack, v[7].Rack, v[8].Rack = "r0", "r0", "r1"
+		s.Update(FleetMsg{VMs: v})
+		l := drive(s, 901, 40, 14, 14)
+		is.New(t).True(len(l) > 0)
+		is.New(t).True(l[0].Why == Spread && l[0].VM == "vm8")
+	})
+}
+
+// TestSizerTraces drives the sizer and the naive policy by the same random demand and checks each move.
+func TestSizerTraces(t *testing.T) {
+	moves, naive := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		trace := rapid.SliceOfN(rapid.Uint16(), 10, 60).Draw(t, "trace")
+		moves += follow(t, New(), trace, true)
+		naive += follow(t, NewThreshold(), trace, false)
+	})
+	is.New(t).True(moves*2 < naive)
+	t.Logf("moves %d, naive %d", moves, naive)
+}
+
+// follow runs the trace of demand and failures under the policy and counts its moves.
+func follow(t *rapid.T, p Policy, trace []uint16, strict bool) int {
+	rules, v := site()
+	p.Update(RulesMsg{Rules: rules})
+	n, at := 0, int64(1)
+	for _, u := range trace {
+		v[int(u>>8)%9].Failed = u%5 == 0
+		for i := range v {
+			v[i].Moving = false
+		}
+		p.Update(FleetMsg{VMs: v})
+		for _, m := range drive(p, at, int64(u%90)+1, float64(u%50), float64(u/50%40)) {
+			n++
+			apply(t, v, m, strict)
+		}
+		at += int64(u%90) + 1
+	}
+	return n
+}
+
+func apply(t *rapid.T, v []VM, m MoveCmd, strict bool) {
+	for i := range v {
+		if v[i].Name != m.VM {
+			continue
+		}
+		if v[i].Pool != m.From || v[i].Pool == m.To || strict && (v[i].Failed || v[i].Moving) {
+			t.Fatalf("move %+v of %+v", m, v[i])
+		}
+		v[i].Pool, v[i].Moving = m.To, true
+	}
+	n := 0
+	for _, o := range v {
+		if o.Pool == m.To && !o.Failed {
+			n++
+		}
+	}
+	if strict && m.To != "office" && m.Why != Spread && n > 5 {
+		t.Fatalf("move %+v fills %s above its bound", m, m.To)
+	}
+}
+
+func ExampleSizer() {
+	rules, vms := site()
+	s := New()
+	s.Update(RulesMsg{Rules: rules})
+	s.Update(FleetMsg{VMs: vms})
+	drive(s, 1, 600, 14, 14)
+	for _, m := range drive(s, 601, 60, 26, 14) {
+		fmt.Println(m.VM, m.From, m.To, m.Why)
+	}
+	// Output: vm6 office orders short
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, c := range []struct{ vms, pools int }{{50, 5}, {500, 51}, {1500, 51}, {9000, 51}} {
+		b.Run(fmt.Sprintf("vms=%d/pools=%d", c.vms, c.pools), func(b *testing.B) {
+			s, d, l := New(), map[string]Demand{}, []VM{}
+			var r []Rule
+			for i := range c.pools {
+				n := fmt.Sprintf("pool%d", i)
+				r = append(r, Rule{Pool: n, Slots: 8, MinVMs: 1, TargetUse: 0.7, SurviveRacks: 1, MoveWeight: 1, BufferWeight: 0.001, Spare: i == 0})
+				d[n] = Demand{Busy: 1, Arrivals: 1, Done: 1}
+			}
+			for i := range c.vms {
+				l = append(l, VM{Name: fmt.Sprintf("vm%d", i), Pool: r[i%c.pools].Pool, Rack: fmt.Sprintf("r%d", i/4)})
+			}
+			s.Update(RulesMsg{Rules: r})
+			b.ReportAllocs()
+			for i := range b.N {
+				s.Update(FleetMsg{VMs: l})
+				s.Update(TickMsg{At: int64(i) * 1000, Demand: d})
+			}
+		})
+	}
+}
