Tell refused callers to come back at the pace of the slots

Cause: each refused request was told the excess of the wait at that moment, so all came back at once and were refused again. Ruled out: taking an overload to last as long again as it has lasted, which changed nothing in the trace. Conclusion: each refusal is invited after the one before it, at 0.8 of the capacity, 30 s at most.

--- a/flow/sched/sched.go
+++ b/flow/sched/sched.go
@@ -16,7 +16,8 @@
 	tightFor           = time.Second // after a request was shed the service counts as overloaded
 	minRetryAfter      = 20 * time.Millisecond
 	maxRetryAfter      = 30 * time.Second
-	setAsideAtOnce     = 4 // requests that may wait for another target while the ones behind them go
+	invitedShare       = 0.8 // of the capacity is for requests that come back
+	setAsideAtOnce     = 4   // requests that may wait for another target while the ones behind them go
 	maxSpare           = 1024
 )
 
@@ -41,6 +42,7 @@
 	emptied  time.Duration // when the last target went
 	shedAt   time.Duration
 	shedEver bool
+	invited  time.Duration // when the last shed request is to come back
 	urgentAt time.Duration
 	urgents  bool
 	meters   meters
@@ -165,7 +167,17 @@
 // shed ends a request that cannot be answered in time.
 func (s *Scheduler) shed(r *request, why Reason, over time.Duration) {
 	s.shedEver, s.shedAt = true, s.now
-	s.end(r, why, min(max(over, minRetryAfter), maxRetryAfter))
+	s.end(r, why, s.invite(over))
+}
+
+// invite returns when a shed request is to come back: after all that were told so before it, at the pace of the slots.
+func (s *Scheduler) invite(over time.Duration) time.Duration {
+	s.invited = max(s.invited, s.now+max(over, minRetryAfter))
+	if c := s.capacity(); c > 0 {
+		s.invited += time.Duration(float64(time.Second) / (c * invitedShare))
+	}
+	s.invited = min(s.invited, s.now+maxRetryAfter)
+	return s.invited - s.now
 }
 
 // end gives a request its final answer.
--- a/flow/sched/sched_test.go
+++ b/flow/sched/sched_test.go
@@ -169,3 +169,41 @@
 	r.Equal(got["kitchen"], asked["kitchen"])
 	r.True(got["kitchen"]+got["riders"] >= 3100) // of 3,200 that the slots can answer, and what waited at the end
 }
+
+// TestRefusedCallersComeBackToRoom lets callers whose requests were refused come back when they were told to.
+func TestRefusedCallersComeBackToRoom(t *testing.T) {
+	const burst = 5000 // ms, in which twice as much is asked for as the slots answer
+	r := newRig(t, 4)
+	due, id := map[int]int{}, sched.ID(0)
+	var refused, back, after, again int
+	ask := func(ms int) bool {
+		id++
+		r.arrive(id, sched.Normal, time.Second)
+		e, ok := r.ends[id]
+		if ok {
+			r.Equal(e.Reason, sched.ReasonOverload)
+			due[ms+1+int(e.RetryAfter/time.Millisecond)]++
+		}
+		return !ok
+	}
+	for ms := range 60000 {
+		if ms < burst && ms%3 < 2 && !ask(ms) {
+			refused++
+		}
+		for range due[ms] {
+			ok := ask(ms)
+			back++
+			if ms > burst+1000 {
+				after++
+				if !ok {
+					again++
+				}
+			}
+		}
+		r.pass(100*time.Millisecond, answered)
+	}
+	t.Log(refused, back, after, again)
+	r.True(refused > 1000 && after > 500)
+	r.True(back < 2*refused) // nobody has to ask again and again
+	r.Equal(again, 0)        // whoever comes after the burst finds room
+}
