Be ready only with slots to use, and scope keys by team and service

Cause: TestOrderIsServedWhole failed: an entry was healthy before it had a share of any target, so that a team without a quota found nothing to be lent and was told that it was over its quota; also, two teams' equal keys met in one record, and a scheduler that got quotas of no time took every deadline for passed. Ruled out: a quota of none as a limit of zero while no team has one: it would shut small sites out. Conclusion: health follows usable slots, so that a data centre without targets is left by the balancer; bodies that wait are bounded in bytes.

--- a/node/daemon/shares.go
+++ b/node/daemon/shares.go
@@ -11,6 +11,7 @@
 	"burdockreach.dev/flow/share"
 	"burdockreach.dev/node/entry"
 	"burdockreach.dev/node/relay"
+	"burdockreach.dev/plat/conf"
 )
 
 const (
@@ -29,7 +30,11 @@
 	g, x := errgroup.WithContext(ctx)
 	g.Go(func() error {
 		var last int64
-		return every(x, rosterEvery, func(now time.Time) { last = s.follow(now, last) })
+		var q quotaBase
+		return every(x, rosterEvery, func(now time.Time) {
+			last = s.follow(now, last)
+			q = s.quotas(now, q)
+		})
 	})
 	for range borrowers {
 		g.Go(func() error { return s.borrow(x) })
@@ -52,6 +57,35 @@
 	return r.Number()
 }
 
+// quotaBase is what the teams' rates at this entry follow from.
+type quotaBase struct {
+	doc     *conf.Document
+	entries int
+}
+
+// quotas gives this entry an equal part of each team's rate when the configuration or the number of entries has changed.
+func (s *shares) quotas(now time.Time, old quotaBase) quotaBase {
+	b := quotaBase{doc: s.d.conf.Document()}
+	for _, n := range s.d.set.DataCentres() {
+		b.entries += len(s.d.keeper.Roster(n).Members())
+	}
+	if b == old || b.entries == 0 {
+		return old
+	}
+	var rates map[string]float64 // nil, which lets everybody in, until a team has a quota
+	for _, t := range b.doc.Teams() {
+		if t.QuotaPerSec == 0 {
+			continue
+		}
+		if rates == nil {
+			rates = make(map[string]float64)
+		}
+		rates[t.Name] = float64(t.QuotaPerSec) / float64(b.entries)
+	}
+	s.d.entry.SetQuotas(now, rates)
+	return b
+}
+
 // settled passes on that another entry keeps to a roster.
 func (s *shares) settled(p relay.Peer, number int64) {
 	if number > 0 {
--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -37,9 +37,16 @@
 	}
 	if !e.begin() {
 		notRun(fasthttp.StatusServiceUnavailable, "accept", "the entry is stopping").after(time.Second).write(x, id)
+		x.SetConnectionClose()
 		return
 	}
-	defer e.end()
+	defer e.end(x)
+	if n := int64(len(x.Request.Body())); e.bodies.Add(n) > e.set.MaxQueueBytes() {
+		e.bodies.Add(-n)
+		e.refused(x, order{}, id, notRun(fasthttp.StatusServiceUnavailable, "accept", "too many bytes of bodies are waiting").after(time.Second))
+		return
+	}
+	defer e.bodies.Add(-int64(len(x.Request.Body())))
 	o, r := e.check(x, e.conf.Document())
 	if r != nil {
 		e.refused(x, o, id, r)
--- a/node/entry/claim.go
+++ b/node/entry/claim.go
@@ -67,7 +67,7 @@
 	}
 	x, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	v, claim, kept, why := c.e.keys.Claim(x, c.o.key, c.request, c.digest())
+	v, claim, kept, why := c.e.keys.Claim(x, c.scope(), c.request, c.digest())
 	switch v {
 	case Granted:
 		c.claim = claim
@@ -88,6 +88,14 @@
 	return &Refusal{Outcome: o, Step: "claim", Reason: reason, status: fasthttp.StatusConflict}
 }
 
+// scope returns the key as the holders know it: keys of different teams or services are different.
+func (c *call) scope() string {
+	return c.o.key + scopeMark + c.o.team + scopeMark + c.o.service
+}
+
+// scopeMark stands in no key.
+const scopeMark = "\x1f"
+
 // digest covers all that makes two requests the same.
 func (c *call) digest() []byte {
 	h := sha256.New()
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -26,6 +26,9 @@
 	reapEvery    = time.Second
 	healthPath   = "/health"
 	readBuffer   = 16 << 10 // bytes; the longest request header
+	readTimeout  = 30 * time.Second
+	writeTimeout = 30 * time.Second
+	idleTimeout  = 75 * time.Second
 )
 
 // Documents gives the configuration in force.
@@ -60,11 +63,13 @@
 	services sync.Map // name → *service
 	table    atomic.Pointer[table]
 	count    counts
+	bodies   atomic.Int64 // bytes of the bodies of requests in flight
 
 	tableMu sync.Mutex
 	leaving map[string]mark // VMs that refused as leaving
 	listed  *view.View      // the view that the services' lists were made from
 	roster  share.RosterMsg // the newest one
+	quotas  sched.QuotasMsg
 
 	stopMu   sync.Mutex
 	stopping bool // the health page is unhealthy
@@ -145,6 +150,7 @@
 	return &fasthttp.Server{
 		Handler: e.serve, ErrorHandler: e.broken, Name: "burdockreach",
 		MaxRequestBodySize: e.set.MaxBodyBytes(), ReadBufferSize: readBuffer,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		Concurrency: e.set.MaxCallerConns(), NoDefaultContentType: true, NoDefaultDate: true,
 		NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: quietLogger{},
 	}
@@ -220,9 +226,19 @@
 	return m
 }
 
+// usable reports whether the entry has slots of some service's targets, or knows that no service is configured.
+func (e *Entry) usable() bool {
+	if d := e.conf.Document(); len(d.Services()) == 0 {
+		return d.Number() > 0
+	}
+	ok := false
+	e.eachService(func(v *service) { ok = ok || v.stats().Slots() > 0 })
+	return ok
+}
+
 // Ready reports whether the entry takes new work.
 func (e *Entry) Ready() bool {
 	e.stopMu.Lock()
 	defer e.stopMu.Unlock()
-	return !e.stopping && e.admitted() && e.conf.Document().Number() > 0 && e.view.View().Len() > 0
+	return !e.stopping && e.admitted() && e.usable()
 }
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -69,6 +69,13 @@
 	replies.Put(ch)
 }
 
+// update passes a message on to the scheduler.
+func (v *service) update(m sched.Msg) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.perform(v.s.Update(m))
+}
+
 // perform hands each command to the call that waits for it; v.mu is held.
 func (v *service) perform(cmds []sched.Cmd) {
 	for _, c := range cmds {
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -25,11 +25,14 @@
 	return true
 }
 
-// end counts a request out.
-func (e *Entry) end() {
+// end counts a request out; while the entry stops, its connection is closed after the answer.
+func (e *Entry) end(x *fasthttp.RequestCtx) {
 	e.stopMu.Lock()
 	defer e.stopMu.Unlock()
 	e.inFlight--
+	if e.stopping {
+		x.SetConnectionClose()
+	}
 	if e.closed && e.inFlight == 0 {
 		select {
 		case e.empty <- struct{}{}:
--- a/node/entry/table.go
+++ b/node/entry/table.go
@@ -35,12 +35,24 @@
 	if v, ok := e.services.Load(name); ok {
 		return v.(*service)
 	}
-	v := newService(name, e.self, e.asks)
+	v := newService(name, e.self, e.asks, sched.WithBound(e.set.MaxQueueRequests()))
 	v.lend(e.roster)
+	if !e.quotas.Now.IsZero() {
+		v.update(e.quotas)
+	}
 	e.services.Store(name, v)
 	return v
 }
 
+// SetQuotas sets the rates, in requests a second, that teams may use at this entry.
+func (e *Entry) SetQuotas(now time.Time, rates map[string]float64) {
+	m := sched.QuotasMsg{Now: now, Rates: rates}
+	e.tableMu.Lock()
+	e.quotas = m
+	e.tableMu.Unlock()
+	e.eachService(func(v *service) { v.update(m) })
+}
+
 // eachService calls f with every service.
 func (e *Entry) eachService(f func(v *service)) {
 	e.services.Range(func(_, v any) bool {
