Spread the comebacks of a team over its quota

Cause: all refused requests of a team were told the same time. Conclusion: each is invited a request's time after the one before.

--- a/flow/admit/gate.go
+++ b/flow/admit/gate.go
@@ -43,6 +43,7 @@
 type team struct {
 	rate       float64 // requests a second
 	finish     float64 // virtual seconds
+	invited    float64 // virtual seconds at which the next refused request is to come back
 	seen       time.Duration
 	active     bool
 	prev, next *team
@@ -122,14 +123,21 @@
 	if l.spare {
 		return Lent, 0
 	}
-	wait := time.Duration((t.finish - g.virtual - g.burst) / speed * float64(time.Second))
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	wait := g.invite(t, speed)
 	if speed < 1 {
 		return Crowded, wait
 	}
 	return Over, wait
 }
 
+// invite returns when a refused request of the team is to come back: after those refused before it, at the team's rate.
+func (g *Gate) invite(t *team, speed float64) time.Duration {
+	at := max(t.finish-g.burst, t.invited)
+	t.invited = min(at+1/t.rate, g.virtual+maxRetryAfter.Seconds())
+	wait := time.Duration((at - g.virtual) / speed * float64(time.Second))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
 // speed returns how fast virtual time runs: at 1 each active team gets its own rate.
 func (g *Gate) speed(l Load) float64 {
 	if l.capacity <= 0 || g.active <= 0 {
--- a/flow/admit/gate_test.go
+++ b/flow/admit/gate_test.go
@@ -92,6 +92,32 @@
 	})
 }
 
+func TestRefusedRequestsComeBackAtTheTeamsRate(t *testing.T) {
+	i, g := is.New(t), admit.New()
+	g.SetRates(map[string]float64{"a": 10})
+	busy := admit.NewLoad(false, false, 0)
+	due := map[time.Duration]int{}
+	first, all := 0, 0
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		n := due[now]
+		if now == 0 {
+			n = 100
+		}
+		for range n {
+			v, after := g.Arrive(now, "a", busy)
+			if !v.In() {
+				due[now+after.Truncate(10*time.Millisecond)+10*time.Millisecond]++
+				all++
+				if now == 0 {
+					first++
+				}
+			}
+		}
+	}
+	i.True(first >= 89)
+	i.Equal(all, first) // nobody is refused twice
+}
+
 // naive finds the active teams by looking at all of them.
 type naive struct {
 	rates, finish map[string]float64
