--- a/plat/conf/commit.go
+++ b/plat/conf/commit.go
@@ -119,6 +119,7 @@
 	blind  bool    // it may be in the log under that number.
 	wrote  bool    // it may be, or may have been, in the log under some number.
 	repeat bool    // an earlier call may have written it.
+	sought bool    // the service's log has been searched for it.
 }
 
 // step makes one try; done with no error when the change is in the log. Not done and no error means to go on at once.
@@ -161,6 +162,9 @@
 	if !v.anchored {
 		return a.heal(ctx)
 	}
+	if n, err := a.search(ctx); n > 0 || err != nil {
+		return n, err == nil, err
+	}
 	d := a.source.holder.Document()
 	c := a.change
 	c.Number, c.Prev = d.n+1, d.chain
@@ -171,6 +175,25 @@
 	return 0, false, nil
 }
 
+// search looks for a repeated change in all that the service keeps of the log, as the holder may have begun with a snapshot; it
+// returns the change's number, or 0.
+func (a *attempt) search(ctx context.Context) (Number, error) {
+	if !a.repeat || a.sought {
+		return 0, nil
+	}
+	have, err := a.source.changes(ctx, 0)
+	if err != nil {
+		return 0, err
+	}
+	a.sought = true
+	for n, p := range have {
+		if p.change.Op == a.change.Op && n <= a.source.holder.Document().n {
+			return n, nil
+		}
+	}
+	return 0, nil
+}
+
 // heal writes the changes that the service lacks before the next one is written.
 func (a *attempt) heal(ctx context.Context) (Number, bool, error) {
 	wrote, err := a.source.heal(ctx, DefaultTail)
--- /dev/null
+++ b/plat/conf/script_test.go
@@ -0,0 +1,86 @@
+package conf_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/plat/conf"
+	"burdockreach.dev/plat/keyval"
+)
+
+// scripted is a store whose next put is done by a function.
+type scripted struct {
+	keyval.Store
+	put func(ctx context.Context, key string, v []byte) error
+}
+
+func (s *scripted) Put(ctx context.Context, key string, v []byte, cond keyval.Revision, l keyval.LeaseID) (keyval.Revision, error) {
+	if f := s.put; f != nil {
+		s.put = nil
+		return 0, f(ctx, key, v)
+	}
+	return s.Store.Put(ctx, key, v, cond, l)
+}
+
+// TestUnsettledAcrossRestore loses the answer of a write that another entry saw, then the write, then its number to a rival.
+func TestUnsettledAcrossRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, h, peer := keyval.NewMemory(), conf.NewHolder(), conf.NewHolder()
+		fill(t, m, h, 1)
+		mine := conf.Change{Op: "mine", Kind: conf.PutPool, Expect: 1, Pool: &conf.PoolSpec{Name: "p0", Spare: true}}
+		rival := mine
+		rival.Op = "rival"
+		s := &scripted{Store: m, put: func(ctx context.Context, key string, v []byte) error {
+			saved := m.Save()
+			_, err := m.Put(ctx, key, v, keyval.Absent, 0)
+			is.NoErr(err)
+			follow(t, m, peer, func() { is.NoErr(peer.Wait(ctx, 2)) })
+			m.Restore(saved)
+			_, err = conf.NewCommitter(m, conf.NewHolder()).Commit(ctx, rival)
+			is.NoErr(err)
+			return keyval.ErrUnknown
+		}}
+		_, err := conf.NewCommitter(s, h).Commit(t.Context(), mine)
+		is.True(errors.Is(err, conf.ErrUnsettled)) // it does not fit any more, and yet the peer brings it back
+		follow(t, m, peer, func() { time.Sleep(10 * time.Second) })
+		n, ok := peer.FindOp("mine")
+		is.True(ok)
+		is.Equal(n, conf.Number(3)) // behind the rival's
+		_, ok = peer.FindOp("rival")
+		is.True(ok)
+	})
+}
+
+// TestRepeatAtNewcomer repeats a change that lies behind the snapshot with which an entry began.
+func TestRepeatAtNewcomer(t *testing.T) {
+	is := is.New(t)
+	m, h := keyval.NewMemory(), conf.NewHolder()
+	fill(t, m, h, 600)
+	is.NoErr(conf.NewCompactor(m, h).Step(t.Context()))
+	c, _ := h.At(400)
+	n, err := conf.NewCommitter(m, conf.NewHolder()).Repeat(t.Context(), conf.Change{Op: c.Op, Kind: c.Kind, Pool: c.Pool})
+	is.NoErr(err)
+	is.Equal(n, conf.Number(400)) // found, not made again
+}
+
+func TestAuditFillsAHole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, h := keyval.NewMemory(), conf.NewHolder()
+		fill(t, m, h, 8)
+		follow(t, m, h, func() {
+			time.Sleep(time.Second)
+			is.NoErr(m.Delete(t.Context(), conf.LogKey(5), keyval.Any))
+			time.Sleep(2 * conf.DefaultAudit)
+		})
+		i, err := m.Get(t.Context(), conf.LogKey(5))
+		is.NoErr(err)
+		is.True(i.Found())
+	})
+}
--- a/plat/conf/size_test.go
+++ b/plat/conf/size_test.go
@@ -26,7 +26,7 @@
 	}
 	d.n = math.MaxInt64 / 2
 	full := false
-	for i := 0; !full; i++ {
+	for i := 0; !full && i < 2_000; i++ {
 		pools := make([]string, 0, maxWavePools)
 		for k := max(0, i-9); k <= i; k++ {
 			pools = append(pools, name(k))
@@ -42,6 +42,7 @@
 			!put(Change{Kind: Approve, Approval: &ApprovalSpec{Team: name(i), Service: name(i)}}) ||
 			!put(Change{Kind: PutWave, Wave: &WaveSpec{ID: name(i), Pools: pools}})
 	}
+	is.True(full) // it was refused in the end
 	b, err := d.Marshal()
 	is.NoErr(err)
 	is.True(len(b) <= d.bytes())        // the bound holds
