--- a/flow/share/replay.go
+++ b/flow/share/replay.go
@@ -216,6 +216,10 @@
 	r.in(r.now+r.hop, func() {
 		var k int
 		_, _ = fmt.Sscanf(c.Target, "vm-%d", &k)
+		if k == 0 && r.silent > 0 && r.now >= r.silent {
+			r.done(i, c, r.patience(q, c.Attempt), sched.Unknown)
+			return
+		}
 		if r.busy[k] >= r.slots {
 			r.out.refused++
 			r.done(i, c, r.now+r.hop, sched.NotRun)
@@ -234,6 +238,15 @@
 	})
 }
 
+// patience returns when a runner gives a silent target up: an idempotent request keeps half of its time for another one.
+func (r *replay) patience(q Request, attempt int) time.Duration {
+	by := max(q.at+q.timeout, r.now)
+	if q.idempotent && attempt == 1 {
+		return r.now + (by-r.now)/2
+	}
+	return by
+}
+
 func (r *replay) done(i int, c sched.SendCmd, at time.Duration, x sched.Result) {
 	r.in(at, func() {
 		if x == sched.Unknown {
--- a/flow/share/replay_test.go
+++ b/flow/share/replay_test.go
@@ -70,6 +70,15 @@
 	i.True(r.Refused() > 100*(l.Refused()+1))
 }
 
+func TestSilentTargetCostsLittleMoreThanItself(t *testing.T) {
+	i := is.New(t)
+	x := share.FiveFold(1, share.WithEntries(1), share.WithSilentTarget(5*time.Second), share.WithTurns(6))
+	r := share.Replay(x, share.Fixed)
+	t.Log(&r, r.Ended(sched.ReasonUnknown), x.Requests())
+	i.True(r.Goodput() >= leastGoodput*0.75)
+	i.True(r.InTime(sched.Urgent) >= 0.99)
+}
+
 func TestReplayIsRepeatable(t *testing.T) {
 	x := share.FiveFold(3, share.WithTurns(1), share.WithSkew(2))
 	a, b := share.Replay(x, share.Lending), share.Replay(x, share.Lending)
--- a/flow/share/trace.go
+++ b/flow/share/trace.go
@@ -29,6 +29,7 @@
 	requests                []Request
 	bursts                  []span
 	end                     time.Duration
+	silent                  time.Duration // from when the first target takes requests and never answers, 0 for never
 }
 
 type span struct{ from, to time.Duration }
@@ -49,6 +50,7 @@
 	mean             time.Duration
 	urgent, back     float64 // shares of the requests
 	exponential      bool
+	silent           time.Duration
 	skew             float64 // how many times as much the busiest entry gets as the next one
 }
 
@@ -78,6 +80,9 @@
 	return func(s *Shape) { s.urgent, s.back = urgent, background }
 }
 
+// WithSilentTarget makes the first target take requests and never answer, from the time on.
+func WithSilentTarget(from time.Duration) ShapeOption { return func(s *Shape) { s.silent = from } }
+
 // WithSkew sets how many times as much the busiest entry gets as the next one; the busiest changes with each turn.
 func WithSkew(f float64) ShapeOption { return func(s *Shape) { s.skew = f } }
 
@@ -94,7 +99,7 @@
 }
 
 func (s Shape) trace() Trace {
-	t := Trace{entries: s.entries, targets: s.targets, slots: 8, hop: 250 * time.Microsecond}
+	t := Trace{entries: s.entries, targets: s.targets, slots: 8, hop: 250 * time.Microsecond, silent: s.silent}
 	r := rand.New(rand.NewPCG(s.seed, 1))
 	perSecond := s.load * float64(s.targets*t.slots) / s.mean.Seconds()
 	for k := range s.turns {
