--- /dev/null
+++ b/bench/live/change.go
@@ -0,0 +1,91 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/plat/conf"
+)
+
+const (
+	changePoll   = 2 * time.Millisecond
+	changeWithin = 20 * time.Second
+)
+
+// Changes is how long accepted changes took to be in force at every entry.
+type Changes struct{ took []time.Duration }
+
+// Len returns the number of changes.
+func (c Changes) Len() int { return len(c.took) }
+
+// Quantile returns the time within which the share f of the changes was in force.
+func (c Changes) Quantile(f float64) time.Duration {
+	if len(c.took) == 0 {
+		return 0
+	}
+	return c.took[min(len(c.took)-1, int(f*float64(len(c.took))))]
+}
+
+// Changes withdraws and renews the team's approval n times and measures until every entry answers by it.
+func (s *Site) Changes(ctx context.Context, n int) (Changes, error) {
+	c := conf.NewCommitter(s.cloud.Store(), conf.NewHolder())
+	var out Changes
+	for k := range n {
+		h := conf.Change{Op: fmt.Sprint("toggle-", k), By: "bench", Kind: conf.Withdraw, Approval: &conf.ApprovalSpec{Team: team, Service: service}}
+		want := fasthttp.StatusForbidden
+		if k%2 == 1 {
+			h.Kind, want = conf.Approve, fasthttp.StatusOK
+		}
+		if _, err := c.Commit(ctx, h); err != nil {
+			return out, err
+		}
+		at := time.Now()
+		if err := s.everywhere(ctx, want); err != nil {
+			return out, err
+		}
+		out.took = append(out.took, time.Since(at))
+	}
+	slices.Sort(out.took)
+	return out, nil
+}
+
+// everywhere returns when every entry answers with the status.
+func (s *Site) everywhere(ctx context.Context, status int) error {
+	x, cancel := context.WithTimeout(ctx, changeWithin)
+	defer cancel()
+	g, x := errgroup.WithContext(x)
+	for _, e := range s.entries {
+		g.Go(func() error {
+			for {
+				if ask(e) == status {
+					return nil
+				}
+				select {
+				case <-x.Done():
+					return eris.Wrapf(x.Err(), "change at %s", e)
+				case <-time.After(changePoll):
+				}
+			}
+		})
+	}
+	return g.Wait()
+}
+
+// ask sends one request and returns its status, or 0.
+func ask(entry string) int {
+	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(a)
+	q.SetRequestURI("http://" + entry + "/call/" + service + "/x")
+	q.Header.Set("Authorization", "Bearer "+token)
+	if err := fasthttp.DoTimeout(q, a, time.Second); err != nil {
+		return 0
+	}
+	return a.StatusCode()
+}
--- /dev/null
+++ b/bench/live/load.go
@@ -0,0 +1,195 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	warmUp    = time.Second
+	measure   = 3 * time.Second
+	rounds    = 5
+	callers   = 64
+	lowest    = int64(time.Microsecond)
+	highest   = int64(10 * time.Second)
+	precision = 3 // digits
+	openShare = 0.5
+)
+
+// Kind is what callers send.
+type Kind string
+
+const (
+	// Read is a GET without a key.
+	Read Kind = "GET"
+	// Order is a POST with an idempotency key, which two entries must hold before it is sent.
+	Order Kind = "POST"
+)
+
+// Figures are one measured rate with its latencies.
+type Figures struct {
+	PerSecond float64
+	P50, P99  time.Duration
+	Failed    int64
+}
+
+// Pair is the entry's figures beside the bare relay's.
+type Pair struct {
+	Entry, Relay Figures
+}
+
+// RateRatio returns the entry's rate as a share of the relay's.
+func (p Pair) RateRatio() float64 { return p.Entry.PerSecond / p.Relay.PerSecond }
+
+// P99Ratio returns the entry's p99 as a multiple of the relay's.
+func (p Pair) P99Ratio() float64 { return float64(p.Entry.P99) / float64(p.Relay.P99) }
+
+// Highest measures entry and relay by turns as fast as the callers can go, and returns the median round of each.
+func (s *Site) Highest(ctx context.Context, k Kind) (Pair, error) { return s.byTurns(ctx, k, 0) }
+
+// Steady measures both at the same given rate, in requests a second.
+func (s *Site) Steady(ctx context.Context, k Kind, rate float64) (Pair, error) {
+	return s.byTurns(ctx, k, rate)
+}
+
+func (s *Site) byTurns(ctx context.Context, k Kind, rate float64) (Pair, error) {
+	var es, rs []Figures
+	for n := range rounds {
+		e, err := run(ctx, s.entries[0], "/call/"+service+"/x", k, rate, fmt.Sprintf("e%d-%.0f", n, rate))
+		if err != nil {
+			return Pair{}, err
+		}
+		r, err := run(ctx, s.relay, "/x", k, rate, fmt.Sprintf("r%d-%.0f", n, rate))
+		if err != nil {
+			return Pair{}, err
+		}
+		es, rs = append(es, e), append(rs, r)
+	}
+	return Pair{Entry: median(es), Relay: median(rs)}, nil
+}
+
+// median returns the figures of the median rate, and the median of each latency.
+func median(l []Figures) Figures {
+	m := Figures{}
+	for _, f := range l {
+		m.Failed += f.Failed
+	}
+	slices.SortFunc(l, func(a, b Figures) int { return int(a.PerSecond - b.PerSecond) })
+	m.PerSecond = l[len(l)/2].PerSecond
+	slices.SortFunc(l, func(a, b Figures) int { return int(a.P50 - b.P50) })
+	m.P50 = l[len(l)/2].P50
+	slices.SortFunc(l, func(a, b Figures) int { return int(a.P99 - b.P99) })
+	m.P99 = l[len(l)/2].P99
+	return m
+}
+
+// caller is one connection's loop.
+type caller struct {
+	h      *hdrhistogram.Histogram
+	failed int64
+}
+
+func run(ctx context.Context, addr, path string, k Kind, rate float64, mark string) (Figures, error) {
+	c := &fasthttp.HostClient{Addr: addr, MaxConns: 2 * callers, MaxIdemponentCallAttempts: 1}
+	defer c.CloseIdleConnections()
+	from := time.Now().Add(warmUp)
+	to := from.Add(measure)
+	var ids atomic.Int64
+	l := make([]*caller, callers)
+	var g errgroup.Group
+	for n := range l {
+		l[n] = &caller{h: hdrhistogram.New(lowest, highest, precision)}
+		g.Go(func() error { return l[n].loop(ctx, c, path, k, pace(rate, n), from, to, mark, &ids) })
+	}
+	if err := g.Wait(); err != nil {
+		return Figures{}, err
+	}
+	h := hdrhistogram.New(lowest, highest, precision)
+	var failed int64
+	for _, x := range l {
+		h.Merge(x.h)
+		failed += x.failed
+	}
+	return Figures{
+		PerSecond: float64(h.TotalCount()) / measure.Seconds(), Failed: failed,
+		P50: time.Duration(h.ValueAtQuantile(50)), P99: time.Duration(h.ValueAtQuantile(99)),
+	}, nil
+}
+
+// pacer says when the next request of a caller is due; without one it is due at once.
+type pacer struct {
+	next time.Time
+	gap  time.Duration
+}
+
+func pace(rate float64, n int) *pacer {
+	if rate <= 0 {
+		return nil
+	}
+	gap := time.Duration(float64(callers) / rate * float64(time.Second))
+	return &pacer{next: time.Now().Add(gap * time.Duration(n) / callers), gap: gap}
+}
+
+// due waits for the next request's time and returns it, so that a late one counts from when it was due.
+func (p *pacer) due() time.Time {
+	if p == nil {
+		return time.Now()
+	}
+	t := p.next
+	p.next = t.Add(p.gap)
+	time.Sleep(time.Until(t))
+	return t
+}
+
+func (w *caller) loop(ctx context.Context, c *fasthttp.HostClient, path string, k Kind, p *pacer, from, to time.Time, mark string, ids *atomic.Int64) error {
+	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(a)
+	q.SetRequestURI("http://" + c.Addr + path)
+	q.Header.SetMethod(string(k))
+	q.Header.Set("Authorization", "Bearer "+token)
+	if k == Order {
+		q.SetBodyString(`{"tray":"soup","count":2}`)
+	}
+	for ctx.Err() == nil {
+		at := p.due()
+		if at.After(to) {
+			return nil
+		}
+		if k == Order {
+			q.Header.Set("Idempotency-Key", fmt.Sprintf("%s-%d", mark, ids.Add(1)))
+		}
+		err := c.Do(q, a)
+		if at.Before(from) {
+			continue
+		}
+		if err != nil || a.StatusCode() != fasthttp.StatusOK {
+			w.failed++
+			continue
+		}
+		if err := w.h.RecordValue(int64(time.Since(at))); err != nil {
+			return eris.Wrap(err, "record")
+		}
+	}
+	return nil
+}
+
+// Relay is the bare relay: one handler with one client.
+func Relay(ctx context.Context, addr, to string) error {
+	c := &fasthttp.HostClient{Addr: to, MaxConns: slots}
+	s := &fasthttp.Server{Handler: func(x *fasthttp.RequestCtx) {
+		if err := c.Do(&x.Request, &x.Response); err != nil {
+			x.Error(err.Error(), fasthttp.StatusBadGateway)
+		}
+	}}
+	defer context.AfterFunc(ctx, func() { _ = s.Shutdown() })()
+	return eris.Wrap(s.ListenAndServe(addr), "serve")
+}
--- /dev/null
+++ b/bench/live/procs.go
@@ -0,0 +1,193 @@
+package live
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/fakes/cloud"
+	"burdockreach.dev/plat/conf"
+	"burdockreach.dev/plat/hosts"
+)
+
+const (
+	service    = "orders"
+	team       = "kitchen"
+	token      = "kitchen-token"
+	dataCentre = "dc1"
+	pool       = "kitchen-pool"
+	slots      = 1000 // of the one target, so that slots do not bound the rate
+	readyIn    = 20 * time.Second
+	stopIn     = 10 * time.Second
+)
+
+// Site is a platform, a target, entries and a bare relay on loopback.
+type Site struct {
+	bin, dir string
+	group    *errgroup.Group
+	cancel   context.CancelFunc
+	cloud    *cloud.Server
+	procs    []*exec.Cmd
+	target   string
+	entries  []string // callers' addresses
+	relay    string
+}
+
+// Start starts everything; bin is the folder of the built programs and self the path of this one, which runs the relay.
+func Start(ctx context.Context, bin, self string, entries int) (*Site, error) {
+	d, err := os.MkdirTemp("", "bench")
+	if err != nil {
+		return nil, eris.Wrap(err, "make a folder")
+	}
+	x, cancel := context.WithCancel(ctx)
+	s := &Site{bin: bin, dir: d, group: &errgroup.Group{}, cancel: cancel}
+	if err := s.start(x, self, entries); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context, self string, entries int) error {
+	var err error
+	if s.target, err = free(ctx); err != nil {
+		return err
+	}
+	s.cloud = cloud.New(cloud.WithVMs(hosts.Wire{
+		ID: "w1", Addr: s.target, DataCentre: dataCentre, Rack: "r1", Pool: pool, State: hosts.Live, Kind: hosts.Worker, Boot: 1,
+	}))
+	addr, err := free(ctx)
+	if err != nil {
+		return err
+	}
+	s.group.Go(func() error { return s.cloud.Serve(ctx, addr) })
+	<-s.cloud.Ready()
+	if err := s.configure(ctx); err != nil {
+		return err
+	}
+	if err := s.run(ctx, filepath.Join(s.bin, "standin"), "target", "-name", "w1", "-addr", s.target,
+		"-slots", fmt.Sprint(slots), "-conns", fmt.Sprint(slots), "-run", "0s"); err != nil {
+		return err
+	}
+	if s.relay, err = free(ctx); err != nil {
+		return err
+	}
+	if err := s.run(ctx, self, "-relay", s.relay, "-to", s.target); err != nil {
+		return err
+	}
+	for k := range entries {
+		if err := s.entry(ctx, k); err != nil {
+			return err
+		}
+	}
+	return s.await(ctx)
+}
+
+// run starts one process.
+func (s *Site) run(ctx context.Context, name string, args ...string) error {
+	c := exec.CommandContext(ctx, name, args...)
+	c.Stderr = os.Stderr
+	c.Cancel = func() error { return c.Process.Signal(syscall.SIGTERM) }
+	c.WaitDelay = stopIn
+	if err := c.Start(); err != nil {
+		return eris.Wrapf(err, "start %s", name)
+	}
+	s.procs = append(s.procs, c)
+	return nil
+}
+
+func (s *Site) entry(ctx context.Context, k int) error {
+	var a [3]string
+	for i := range a {
+		var err error
+		if a[i], err = free(ctx); err != nil {
+			return err
+		}
+	}
+	b, err := json.Marshal(map[string]any{
+		"name": fmt.Sprintf("e%d", k+1), "dataCentre": dataCentre, "dataCentres": []string{dataCentre},
+		"callerAddr": a[0], "peerAddr": a[1], "operatorAddr": a[2], "platformAddr": s.cloud.Addr(), "logLevel": "warn", "drainWaitMs": 2000,
+	})
+	if err != nil {
+		return eris.Wrap(err, "encode settings")
+	}
+	f := filepath.Join(s.dir, fmt.Sprintf("e%d.json", k+1))
+	if err := os.WriteFile(f, b, 0o600); err != nil {
+		return eris.Wrap(err, "write settings")
+	}
+	s.entries = append(s.entries, a[0])
+	return s.run(ctx, filepath.Join(s.bin, "burdockreach"), "entry", "-settings", f)
+}
+
+func (s *Site) configure(ctx context.Context) error {
+	c := conf.NewCommitter(s.cloud.Store(), conf.NewHolder())
+	sum := sha256.Sum256([]byte(token))
+	for n, h := range []conf.Change{
+		{Kind: conf.PutProfile, Profile: &conf.ProfileSpec{Name: "gold", MinVMs: 1, MaxVMs: 4, MaxOut: 1, DeadlineMillis: 5000}},
+		{Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: pool}},
+		{Kind: conf.PutService, Service: &conf.ServiceSpec{Name: service, Profile: "gold", Pool: pool, Slots: slots, Conns: slots}},
+		{Kind: conf.PutTeam, Team: &conf.TeamSpec{Name: team, TokenDigest: hex.EncodeToString(sum[:])}},
+		{Kind: conf.Approve, Approval: &conf.ApprovalSpec{Team: team, Service: service}},
+	} {
+		h.Op, h.By = fmt.Sprint("bench-", n), "bench"
+		if _, err := c.Commit(ctx, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// await returns when every process answers.
+func (s *Site) await(ctx context.Context) error {
+	x, cancel := context.WithTimeout(ctx, readyIn)
+	defer cancel()
+	urls := []string{"http://" + s.relay + "/"}
+	for _, e := range s.entries {
+		urls = append(urls, "http://"+e+"/health")
+	}
+	for _, u := range urls {
+		for {
+			st, _, err := fasthttp.GetTimeout(nil, u, time.Second)
+			if err == nil && st == fasthttp.StatusOK {
+				break
+			}
+			if x.Err() != nil {
+				return eris.Wrapf(x.Err(), "wait for %s", u)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// Stop ends every process that Start started and returns when they are gone.
+func (s *Site) Stop() {
+	s.cancel()
+	for _, c := range s.procs {
+		_ = c.Wait()
+	}
+	_ = s.group.Wait()
+	_ = os.RemoveAll(s.dir)
+}
+
+// free returns a loopback address that nothing listens on.
+func free(ctx context.Context) (string, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "find a free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
