--- a/flow/sched/trace_test.go
+++ b/flow/sched/trace_test.go
@@ -118,7 +118,7 @@
 	a := sched.ArriveMsg{
 		Now: m.now, ID: m.next, Team: rapid.SampledFrom([]string{"kitchen", "riders", "other"}).Draw(m.T, "team"),
 		Class: sched.Class(rapid.IntRange(0, 2).Draw(m.T, "class")), Idempotent: rapid.Bool().Draw(m.T, "idempotent"),
-		Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 300).Draw(m.T, "ms")) * time.Millisecond),
+		Deadline: m.now.Add(time.Duration(rapid.SampledFrom([]int{-1, 0, 5, 20, 100, 300, 2000, 60000}).Draw(m.T, "ms")) * time.Millisecond),
 	}
 	m.reqs[a.ID] = &state{m: a}
 	m.update(a)
@@ -172,7 +172,7 @@
 }
 
 func (m *model) tick() {
-	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 40).Draw(m.T, "pass")) * time.Millisecond)
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 3, 10, 40, 40, 1500, 31000}).Draw(m.T, "pass")) * time.Millisecond)
 	m.update(sched.TickMsg{Now: m.now})
 }
 
@@ -215,7 +215,7 @@
 		m.finish(i, sched.Answered, false)
 	}
 	for range 3 {
-		m.now = m.now.Add(time.Second)
+		m.now = m.now.Add(time.Minute)
 		m.update(sched.TickMsg{Now: m.now})
 		for _, i := range m.inFlight() {
 			m.finish(i, sched.Answered, false)
--- a/flow/share/replay.go
+++ b/flow/share/replay.go
@@ -23,6 +23,19 @@
 	Queueing
 )
 
+// String returns the policy's name.
+func (p Policy) String() string {
+	switch p {
+	case Lending:
+		return "lending"
+	case Refusing:
+		return "refusing"
+	case Queueing:
+		return "queueing"
+	}
+	return "fixed"
+}
+
 const loadEvery = 10 * time.Millisecond
 
 // replay is the state of a Replay in virtual time.
