Doubt a target's resting connections once one goes silent

Cause: connections that something between the ends has lost track of go silent together, and each would cost one request. Ruled out: a probe request on each, which targets do not offer. Conclusion: resting connections are closed after a loss, and what cannot be repeated goes only on a connection that is new or answered within a second.

--- a/node/conns/conns.go
+++ b/node/conns/conns.go
@@ -23,8 +23,9 @@
 const (
 	defaultIdle      = 2 * time.Second
 	defaultConnect   = time.Second
-	defaultMaxAnswer = 8 << 20 // bytes
-	bufferSize       = 4 << 10 // bytes
+	defaultMaxAnswer = 8 << 20     // bytes
+	bufferSize       = 4 << 10     // bytes
+	lately           = time.Second // within which a connection must have answered to carry what cannot be repeated
 )
 
 // MarkHeader carries the request's id to the target, which repeats it in its answer.
@@ -85,25 +86,41 @@
 	return n, err
 }
 
-// Send writes q once and reads the whole answer into a by the deadline; reused tells whether the connection had been used before.
+// Send writes q once and reads the whole answer into a by the deadline; once means that q cannot be repeated, so that it goes
+// only on a connection that is new or has answered lately.
 //
 // The error wraps ErrNotSent or ErrLost; after an error, a holds nothing.
-func (p *Pool) Send(ctx context.Context, q *fasthttp.Request, a *fasthttp.Response, deadline time.Time) (reused bool, err error) {
-	c, reused, err := p.take(ctx, deadline)
+func (p *Pool) Send(ctx context.Context, q *fasthttp.Request, a *fasthttp.Response, deadline time.Time, once bool) error {
+	rest := p.idle
+	if once {
+		rest = min(rest, lately)
+	}
+	c, err := p.take(ctx, deadline, rest)
 	if err != nil {
-		return false, err
+		return err
 	}
 	if err = p.exchange(c, q, a, deadline); err != nil {
 		p.drop(c)
+		p.suspect()
 		a.Reset()
-		return reused, err
+		return err
 	}
 	if a.ConnectionClose() {
 		p.drop(c)
-		return reused, nil
+		return nil
 	}
 	p.put(c)
-	return reused, nil
+	return nil
+}
+
+// suspect closes the resting connections after one was lost, since what lost track of it may have lost track of them.
+func (p *Pool) suspect() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.free {
+		p.forget(c)
+	}
+	p.free = p.free[:0]
 }
 
 func (p *Pool) exchange(c *conn, q *fasthttp.Request, a *fasthttp.Response, deadline time.Time) error {
@@ -144,26 +161,25 @@
 	return nil
 }
 
-func (p *Pool) take(ctx context.Context, deadline time.Time) (*conn, bool, error) {
+// take returns a connection that has rested less than rest, or a new one.
+func (p *Pool) take(ctx context.Context, deadline time.Time, rest time.Duration) (*conn, error) {
 	now := time.Now()
 	for {
-		c, err := p.pop(now)
+		c, err := p.pop()
 		if err != nil {
-			return nil, false, err
+			return nil, err
 		}
 		if c == nil {
-			break
+			return p.dial(ctx, now, deadline)
 		}
-		if now.Sub(c.last) < p.idle && c.quiet() {
-			return c, true, nil
+		if now.Sub(c.last) < rest && c.quiet() {
+			return c, nil
 		}
 		p.drop(c)
 	}
-	c, err := p.dial(ctx, now, deadline)
-	return c, false, err
 }
 
-func (p *Pool) pop(now time.Time) (*conn, error) {
+func (p *Pool) pop() (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/node/conns/conns_test.go
+++ b/node/conns/conns_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,15 +61,15 @@
 	}
 }
 
-func send(p *Pool, mark string, wait time.Duration) (bool, string, error) {
+func send(p *Pool, mark string, wait time.Duration) (string, error) {
 	var q fasthttp.Request
 	var a fasthttp.Response
 	q.Header.SetMethod("POST")
 	q.SetRequestURI("http://t/x")
 	q.Header.Set(MarkHeader, mark)
 	q.SetBodyString("order")
-	reused, err := p.Send(context.Background(), &q, &a, time.Now().Add(wait))
-	return reused, string(a.Body()), err
+	err := p.Send(context.Background(), &q, &a, time.Now().Add(wait), true)
+	return string(a.Body()), err
 }
 
 func TestSendTellsWhatBecameOfTheRequest(t *testing.T) {
@@ -97,7 +98,7 @@
 			})
 			p := New(a)
 			defer p.Close()
-			_, body, err := send(p, "m", 5*time.Second)
+			body, err := send(p, "m", 5*time.Second)
 			i.True(errors.Is(err, c.want)) // outcome
 			if err == nil {
 				i.Equal(body, "ok")
@@ -115,7 +116,7 @@
 	i.NoErr(err)
 	a := l.Addr().String()
 	i.NoErr(l.Close())
-	_, _, err = send(New(a), "m", time.Second)
+	_, err = send(New(a), "m", time.Second)
 	i.True(errors.Is(err, ErrNotSent))
 }
 
@@ -135,7 +136,7 @@
 	for k := range 3 {
 		var err error
 		g := errgroup.Group{}
-		g.Go(func() error { _, _, err = send(p, "m", 5*time.Second); return nil })
+		g.Go(func() error { _, err = send(p, "m", 5*time.Second); return nil })
 		<-closed
 		i.NoErr(g.Wait())
 		i.NoErr(err)
@@ -170,15 +171,53 @@
 	})
 	p := New(a)
 	defer p.Close()
-	_, _, err := send(p, "one", 50*time.Millisecond)
+	_, err := send(p, "one", 50*time.Millisecond)
 	i.True(errors.Is(err, ErrLost)) // gave up while the target still ran it
 	i.Equal(p.Open(), 0)            // and never uses that connection again
 	close(late)
-	_, body, err := send(p, "two", 5*time.Second)
+	body, err := send(p, "two", 5*time.Second)
 	i.True(errors.Is(err, ErrLost)) // the target's wrong mark is not passed on
 	i.Equal(body, "")
 }
 
+// TestSilentConnectionsCostOneRequest stalls every open connection while new ones work.
+func TestSilentConnectionsCostOneRequest(t *testing.T) {
+	i := is.New(t)
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	var stalled atomic.Bool
+	together := make(chan struct{}, resting)
+	a := peer(t, func(c net.Conn, _ *bufio.Reader, n int) error {
+		if n > 0 && stalled.Load() {
+			return nil // an old connection goes silent; the next read waits for good
+		}
+		together <- struct{}{}
+		for len(together) < resting && !stalled.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		_, err := io.WriteString(c, whole)
+		return err
+	})
+	p := New(a)
+	defer p.Close()
+	var g errgroup.Group
+	for range resting {
+		g.Go(func() error { _, err := send(p, "m", 5*time.Second); return err })
+	}
+	i.NoErr(g.Wait())
+	i.Equal(p.Open(), resting)
+	stalled.Store(true)
+	for len(together) > 0 {
+		<-together
+	}
+	_, err := send(p, "m", 50*time.Millisecond)
+	i.True(errors.Is(err, ErrLost))
+	_, err = send(p, "m", 5*time.Second)
+	i.NoErr(err) // on a new connection
+}
+
+// resting is the number of connections that rest before they are stalled.
+const resting = 4
+
 func BenchmarkSend(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -193,7 +232,7 @@
 	q.SetRequestURI("http://t/x")
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := p.Send(context.Background(), &q, &a, time.Now().Add(time.Second)); err != nil {
+		if err := p.Send(context.Background(), &q, &a, time.Now().Add(time.Second), false); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -138,7 +138,7 @@
 	h := &c.x.Request.Header
 	h.SetHost(t.addr)
 	h.Set(headerDeadline, strconv.FormatInt(time.Until(c.deadline).Milliseconds(), 10))
-	_, err := t.conns.Send(ctx, &c.x.Request, &c.x.Response, limit)
+	err := t.conns.Send(ctx, &c.x.Request, &c.x.Response, limit, !c.o.idempotent)
 	switch {
 	case errors.Is(err, conns.ErrNotSent):
 		c.e.health.sick(m.Target, true, time.Now())
