Beat each address once and trust a peer's own word for its data centre

Cause: seeds from the settings name an entry by its address, so that it was beaten twice, and an entry could beat itself; and an entry of another data centre among the seeds would have been taken into the roster. Tests of connections that go silent for good, of a circuit that closes again and of a flight handed to one who leaves were added, because removing those guards had failed none.

--- a/node/relay/beater.go
+++ b/node/relay/beater.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -149,7 +150,7 @@
 		k.ask(k.dataCentre)
 	}
 	o := &BeatReply{
-		Entry: k.self.Entry, Incarnation: k.self.Incarnation, Applied: b.carrier.Applied(), Roster: own.Number(),
+		Entry: k.self.Entry, DataCentre: k.dataCentre, Incarnation: k.self.Incarnation, Applied: b.carrier.Applied(), Roster: own.Number(),
 		Holding: k.Holding(), Stopping: k.stopping(), Leaving: b.carrier.Report().Leaving,
 	}
 	if own.Number() > r.GetPeerRoster() {
@@ -173,7 +174,7 @@
 	if err != nil {
 		return
 	}
-	b.note(NewAddress(o.GetEntry(), a.addr, a.dataCentre), o.GetIncarnation(), func(p *Peer) { p.fromReply(o) })
+	b.note(NewAddress(o.GetEntry(), a.addr, o.GetDataCentre()), o.GetIncarnation(), func(p *Peer) { p.fromReply(o) })
 	if len(o.GetChanges()) > 0 || len(o.GetSnapshot()) > 0 {
 		b.carrier.Offer(o.GetChanges(), o.GetSnapshot())
 	}
@@ -223,7 +224,7 @@
 	return p
 }
 
-// near returns every other entry of the own data centre.
+// near returns every other entry of the own data centre, each address once.
 func (b *Beater) near() []Address {
 	k := b.keeper
 	all := map[string]Address{}
@@ -232,30 +233,27 @@
 	defer b.mu.Unlock()
 	for _, a := range b.known {
 		if a.dataCentre == k.dataCentre {
-			all[a.entry] = a
+			all[a.addr] = a
 		}
 	}
 	for _, m := range r.Members() {
-		all[m.Entry] = NewAddress(m.Entry, m.Addr, k.dataCentre)
+		all[m.Addr] = NewAddress(m.Entry, m.Addr, k.dataCentre)
 	}
 	now := k.now()
 	for e, p := range b.heard {
 		if now.Sub(p.at) > heardFor {
 			delete(b.heard, e)
 		} else if p.address.dataCentre == k.dataCentre {
-			all[e] = p.address
+			all[p.address.addr] = p.address
 		}
 	}
-	delete(all, k.self.Entry)
+	delete(all, k.self.Addr)
 	return ordered(all)
 }
 
 func ordered(m map[string]Address) []Address {
-	l := make([]Address, 0, len(m))
-	for _, a := range m {
-		l = append(l, a)
-	}
-	slices.SortFunc(l, func(x, y Address) int { return strings.Compare(x.entry, y.entry) })
+	l := slices.Collect(maps.Values(m))
+	slices.SortFunc(l, func(x, y Address) int { return strings.Compare(x.addr, y.addr) })
 	return l
 }
 
--- a/node/relay/fleet_test.go
+++ b/node/relay/fleet_test.go
@@ -77,17 +77,20 @@
 	mu        sync.Mutex
 	listeners map[string]chan net.Conn
 	silent    map[string]bool // addresses to which nothing arrives any more
+	dials     int
+	deaf      int // connections up to this one carry nothing any more
 }
 
 type wire struct {
 	net.Conn
 	w    *wires
 	addr string
+	dial int
 }
 
 func (c wire) Write(b []byte) (int, error) {
 	c.w.mu.Lock()
-	s := c.w.silent[c.addr]
+	s := c.w.silent[c.addr] || c.dial <= c.w.deaf
 	c.w.mu.Unlock()
 	if s {
 		return len(b), nil
@@ -141,7 +144,8 @@
 	}
 	a, b := net.Pipe()
 	l <- b
-	return wire{Conn: a, w: w, addr: addr}, nil
+	w.dials++
+	return wire{Conn: a, w: w, addr: addr, dial: w.dials}, nil
 }
 
 func (w *wires) hush(addr string, s bool) {
@@ -150,6 +154,13 @@
 	w.silent[addr] = s
 }
 
+// forget lets every open connection go silent for good, while new ones work.
+func (w *wires) forget() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = w.dials
+}
+
 // service is the platform's service, whose reads can fail.
 type service struct {
 	keyval.Store
--- a/node/relay/joiner_test.go
+++ b/node/relay/joiner_test.go
@@ -43,3 +43,11 @@
 		i.True(calls < 200)
 	})
 }
+
+// TestJoinerHandsOn holds that a flight handed to one who leaves goes on.
+func TestJoinerHandsOn(t *testing.T) {
+	j, r := newJoiner[int, int](0, 8), &ride[int, int]{lead: make(chan bool, 1)}
+	r.lead <- true
+	j.leave(r)
+	is.New(t).Equal(j.free, 1)
+}
--- a/node/relay/keeper_test.go
+++ b/node/relay/keeper_test.go
@@ -9,23 +9,27 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"burdockreach.dev/flow/ledger"
 )
 
 var body = []byte("digest of a request")
 
-// keyHeldBy returns a key of the east that just these entries hold.
-func keyHeldBy(n *node, a, b string) string {
+// keysHeldBy returns keys of the east that just these entries hold.
+func keysHeldBy(n *node, a, b string, count int) (l []string) {
 	r := n.Roster("east")
-	for k := 0; ; k++ {
+	for k := 0; len(l) < count; k++ {
 		key := fmt.Sprintf("east/%d", k)
 		if f, s := r.Holders(key); f == a && s == b || f == b && s == a {
-			return key
+			l = append(l, key)
 		}
 	}
+	return l
 }
 
+func keyHeldBy(n *node, a, b string) string { return keysHeldBy(n, a, b, 1)[0] }
+
 func granted(i *is.I, n *node, key, attempt string) *Ticket {
 	i.Helper()
 	t, err := n.Take(n.ctx, key, body, attempt)
@@ -102,6 +106,7 @@
 	inBubble(t, "a copy that did not run leaves the key free", three, func(i *is.I, _ *fleet, n []*node) {
 		granted(i, n[0], "east/x", "1").Settle(ledger.NotRun, 0, "", nil)
 		time.Sleep(time.Second)
+		i.NoErr(n[0].settles.drain(n[0].ctx))
 		granted(i, n[1], "east/x", "2")
 		repeated(i, n[2], "east/x", "3", ledger.Claimed)
 	})
@@ -199,7 +204,21 @@
 		i.True(time.Since(start) <= callWithin) // the circuit is open
 		f.wires.hush(n[1].self.Addr, false)
 		time.Sleep(3 * time.Second)
-		granted(i, n[0], key, "3") // over new connections
+		for _, k := range keysHeldBy(n[0], "b", "c", 4) {
+			granted(i, n[0], k, "3") // the circuit is closed again
+		}
+	})
+	inBubble(t, "open connections that go silent while new ones work", []string{"a", "b", "c"}, func(i *is.I, f *fleet, n []*node) {
+		g := errgroup.Group{}
+		for range 8 { // so that several connections are open
+			g.Go(func() error {
+				_, err := n[0].client.Borrow(n[0].ctx, n[1].self.Addr, &BorrowRequest{})
+				return err
+			})
+		}
+		i.NoErr(g.Wait())
+		f.wires.forget()
+		granted(i, n[0], keyHeldBy(n[0], "b", "c"), "1")
 	})
 }
 
