--- a/plat/conf/commit.go
+++ b/plat/conf/commit.go
@@ -63,6 +63,21 @@
 	return c.run(ctx, &attempt{source: c.source, change: change, repeat: true})
 }
 
+// Find returns the number under which the operation is in the log, or 0 when it is not there now; a write of it that is still
+// under way may bring it there later. ErrDown and ErrUnknown of keyval mean that the service could not be read.
+func (c *Committer) Find(ctx context.Context, op string) (Number, error) {
+	if n, ok := c.source.holder.FindOp(op); ok {
+		return n, nil
+	}
+	if _, err := c.source.pull(ctx); err != nil {
+		return 0, err
+	}
+	if n, ok := c.source.holder.FindOp(op); ok {
+		return n, nil
+	}
+	return c.source.find(ctx, op)
+}
+
 func (c *Committer) run(ctx context.Context, a *attempt) (Number, error) {
 	select {
 	case c.turn <- struct{}{}:
@@ -175,23 +190,14 @@
 	return 0, false, nil
 }
 
-// search looks for a repeated change in all that the service keeps of the log, as the holder may have begun with a snapshot; it
-// returns the change's number, or 0.
+// search looks once for a repeated change in all that the service keeps of the log; it returns the change's number, or 0.
 func (a *attempt) search(ctx context.Context) (Number, error) {
 	if !a.repeat || a.sought {
 		return 0, nil
 	}
-	have, err := a.source.changes(ctx, 0)
-	if err != nil {
-		return 0, err
-	}
-	a.sought = true
-	for n, p := range have {
-		if p.change.Op == a.change.Op && n <= a.source.holder.Document().n {
-			return n, nil
-		}
-	}
-	return 0, nil
+	n, err := a.source.find(ctx, a.change.Op)
+	a.sought = err == nil
+	return n, err
 }
 
 // heal writes the changes that the service lacks before the next one is written.
--- a/plat/conf/script_test.go
+++ b/plat/conf/script_test.go
@@ -67,6 +67,13 @@
 	n, err := conf.NewCommitter(m, conf.NewHolder()).Repeat(t.Context(), conf.Change{Op: c.Op, Kind: c.Kind, Pool: c.Pool})
 	is.NoErr(err)
 	is.Equal(n, conf.Number(400)) // found, not made again
+	late := conf.NewCommitter(m, conf.NewHolder())
+	n, err = late.Find(t.Context(), c.Op)
+	is.NoErr(err)
+	is.Equal(n, conf.Number(400))
+	n, err = late.Find(t.Context(), "none")
+	is.NoErr(err)
+	is.Equal(n, conf.Number(0))
 }
 
 func TestAuditFillsAHole(t *testing.T) {
--- a/plat/conf/source.go
+++ b/plat/conf/source.go
@@ -150,6 +150,21 @@
 	return c, nil
 }
 
+// find looks for the operation in all that the service keeps of the log up to the holder's document, as the holder may have
+// begun with a snapshot; it returns the change's number, or 0.
+func (s source) find(ctx context.Context, op string) (Number, error) {
+	have, err := s.changes(ctx, 0)
+	if err != nil {
+		return 0, err
+	}
+	for n, p := range have {
+		if p.change.Op == op && n <= s.holder.Document().n {
+			return n, nil
+		}
+	}
+	return 0, nil
+}
+
 // pullSnapshot offers the snapshot's document and returns it, nil if there is none.
 func (s source) pullSnapshot(ctx context.Context) (*Document, error) {
 	d, _, err := s.snapshot(ctx)
--- a/plat/lease/lease_test.go
+++ b/plat/lease/lease_test.go
@@ -40,48 +40,47 @@
 	return s.r.Intn(n)
 }
 
-// fault sleeps and returns whether the call takes effect and whether its answer arrives.
-func (s *rough) fault() (applied, answered bool) {
+// pause sleeps for a short time, or now and then, as a process that was stopped, for up to twice a lease.
+func (s *rough) pause() {
 	d := time.Duration(s.n(100)) * time.Millisecond
-	if s.n(20) == 0 {
-		d = time.Duration(s.n(20)) * time.Second // the process or the call was paused.
+	if s.n(10) == 0 {
+		d = time.Duration(s.n(int(2 * ttl)))
 	}
 	time.Sleep(d)
-	k := s.n(12)
-	return k != 0, k > 2 // an answer means that the call took effect, also when it is late.
 }
 
-func (s *rough) Put(ctx context.Context, key string, v []byte, cond keyval.Revision, l keyval.LeaseID) (keyval.Revision, error) {
-	applied, answered := s.fault()
-	var rev keyval.Revision
-	var err error
-	if applied {
-		rev, err = s.Store.Put(context.WithoutCancel(ctx), key, v, cond, l)
-	}
-	if !answered {
-		return 0, keyval.ErrUnknown
+// do performs the write between two pauses, or loses it, or its answer.
+func (s *rough) do(write func() error) error {
+	s.pause()
+	defer s.pause()
+	switch s.n(12) {
+	case 0:
+		return keyval.ErrUnknown
+	case 1, 2:
+		_ = write()
+		return keyval.ErrUnknown
 	}
+	return write()
+}
+
+func (s *rough) Put(ctx context.Context, key string, v []byte, cond keyval.Revision, l keyval.LeaseID) (rev keyval.Revision, err error) {
+	err = s.do(func() error {
+		rev, err = s.Store.Put(context.WithoutCancel(ctx), key, v, cond, l)
+		return err
+	})
 	return rev, err
 }
 
-func (s *rough) Grant(ctx context.Context, d time.Duration) (keyval.LeaseID, error) {
-	id, err := s.Store.Grant(context.WithoutCancel(ctx), d)
-	if _, answered := s.fault(); !answered {
-		return 0, keyval.ErrUnknown
-	}
+func (s *rough) Grant(ctx context.Context, d time.Duration) (id keyval.LeaseID, err error) {
+	err = s.do(func() error {
+		id, err = s.Store.Grant(context.WithoutCancel(ctx), d)
+		return err
+	})
 	return id, err
 }
 
 func (s *rough) Renew(ctx context.Context, l keyval.LeaseID) error {
-	applied, answered := s.fault()
-	var err error
-	if applied {
-		err = s.Store.Renew(context.WithoutCancel(ctx), l)
-	}
-	if !answered {
-		return keyval.ErrUnknown
-	}
-	return err
+	return s.do(func() error { return s.Store.Renew(context.WithoutCancel(ctx), l) })
 }
 
 // act is what a holder does: it takes the document over under its fence, then writes under the revision that it read.
