Prove a lost data centre, a frozen leader and a target that leaves in an outage

Cause: a refusal because a key's home could not be asked said that an earlier copy may have run, with 409 and nothing on when to come back. The test expected "not run" there: that was the test's fault, since an earlier copy may have run; it now demands 503 unknown with zero runs at the targets. Answers are checked against the targets' digests: whole, and the request's own.

--- a/node/daemon/keys.go
+++ b/node/daemon/keys.go
@@ -14,31 +14,40 @@
 type keys struct{ k *relay.Keeper }
 
 // Claim implements entry.Keys.
-func (k keys) Claim(ctx context.Context, key, attempt string, digest []byte) (entry.Verdict, entry.Claim, entry.Kept, string) {
+func (k keys) Claim(ctx context.Context, key, attempt string, digest []byte) entry.Decision {
 	t, err := k.k.Take(ctx, key, digest, attempt)
 	var again *relay.RepeatError
 	var refused *relay.RefusedError
 	switch {
 	case err == nil:
-		return entry.Granted, ticket{t}, entry.Kept{}, ""
+		return entry.Decision{Verdict: entry.Granted, Claim: ticket{t}}
 	case errors.As(err, &again):
 		return repeat(again)
-	case errors.As(err, &refused) && refused.Reason() == ledger.OtherRequest:
-		return entry.Mismatched, nil, entry.Kept{}, refused.Error()
-	case errors.As(err, &refused) && !refused.NotRun():
-		return entry.Lost, nil, entry.Kept{}, refused.Error()
+	case errors.As(err, &refused):
+		return refusal(refused)
 	}
-	return entry.Unheld, nil, entry.Kept{}, err.Error()
+	return entry.Decision{Verdict: entry.Unasked, Why: err.Error()}
 }
 
-func repeat(r *relay.RepeatError) (entry.Verdict, entry.Claim, entry.Kept, string) {
+func refusal(r *relay.RefusedError) entry.Decision {
+	d := entry.Decision{Verdict: entry.Unasked, Why: r.Error(), RetryAfter: r.RetryAfter()}
+	switch {
+	case r.Reason() == ledger.OtherRequest:
+		d.Verdict = entry.Mismatched
+	case r.NotRun():
+		d.Verdict = entry.Unheld
+	}
+	return d
+}
+
+func repeat(r *relay.RepeatError) entry.Decision {
 	if b, ok := r.Answer(); ok && r.Phase() == ledger.Answered {
-		return entry.Repeated, nil, entry.Kept{Status: r.Status(), ContentType: r.ContentType(), Body: b}, ""
+		return entry.Decision{Verdict: entry.Repeated, Kept: entry.Kept{Status: r.Status(), ContentType: r.ContentType(), Body: b}}
 	}
 	if !r.Phase().Settled() {
-		return entry.Running, nil, entry.Kept{}, r.Error()
+		return entry.Decision{Verdict: entry.Running, Why: r.Error()}
 	}
-	return entry.Lost, nil, entry.Kept{}, r.Error()
+	return entry.Decision{Verdict: entry.Lost, Why: r.Error()}
 }
 
 // ticket settles a claim.
--- a/node/entry/broken.go
+++ b/node/entry/broken.go
@@ -44,8 +44,8 @@
 type noKeys struct{}
 
 // Claim refuses.
-func (noKeys) Claim(context.Context, string, string, []byte) (Verdict, Claim, Kept, string) {
-	return Unheld, nil, Kept{}, "no holder of keys is configured"
+func (noKeys) Claim(context.Context, string, string, []byte) Decision {
+	return Decision{Verdict: Unheld, Why: "no holder of keys is configured"}
 }
 
 // noBurner counts nothing.
@@ -76,7 +76,9 @@
 		return
 	case OutcomeUnknown:
 		e.count.unknown.Add(1)
-		e.burn(o, burn.Failed)
+		if r.Step != stepClaim {
+			e.burn(o, burn.Failed)
+		}
 	default:
 		e.count.ended.Add(1)
 		if r.status >= fasthttp.StatusInternalServerError {
--- a/node/entry/claim.go
+++ b/node/entry/claim.go
@@ -25,6 +25,8 @@
 	Mismatched
 	// Unheld means that the key could not be claimed; nothing was sent.
 	Unheld
+	// Unasked means that this copy was not sent and that it cannot be known now whether an earlier one was.
+	Unasked
 )
 
 // Kept is the answer of an earlier copy.
@@ -48,8 +50,17 @@
 
 // Keys claims idempotency keys in all of the fleet.
 type Keys interface {
-	// Claim asks the key's holders; the claim is set for Granted and the kept answer for Repeated.
-	Claim(ctx context.Context, key, attempt string, digest []byte) (Verdict, Claim, Kept, string)
+	// Claim asks the key's holders.
+	Claim(ctx context.Context, key, attempt string, digest []byte) Decision
+}
+
+// Decision is what came of a claim.
+type Decision struct {
+	Verdict    Verdict
+	Claim      Claim // for Granted
+	Kept       Kept  // for Repeated
+	Why        string
+	RetryAfter time.Duration
 }
 
 // mayStart refuses a further send under a claim that has grown too old.
@@ -57,7 +68,7 @@
 	if c.claim == nil || time.Now().Before(c.claim.Until()) {
 		return nil
 	}
-	return notRun(fasthttp.StatusServiceUnavailable, "claim", "the claim of the key grew too old before a target took the request").after(time.Second)
+	return notRun(fasthttp.StatusServiceUnavailable, stepClaim, "the claim of the key grew too old before a target took the request").after(time.Second)
 }
 
 // claimKey claims the request's key before its first send; a refusal or a kept answer ends the request.
@@ -67,25 +78,35 @@
 	}
 	x, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	v, claim, kept, why := c.e.keys.Claim(x, c.scope(), c.request, c.digest())
-	switch v {
+	d := c.e.keys.Claim(x, c.scope(), c.request, c.digest())
+	switch d.Verdict {
 	case Granted:
-		c.claim = claim
+		c.claim = d.Claim
 		return nil
 	case Repeated:
-		return &Refusal{Outcome: OutcomeRepeat, Step: "claim", kept: &kept}
+		return &Refusal{Outcome: OutcomeRepeat, Step: stepClaim, kept: &d.Kept}
 	case Running:
 		return conflict(OutcomeUnknown, "an earlier copy of this key is still running").after(time.Second)
 	case Lost:
-		return conflict(OutcomeUnknown, "an earlier copy of this key may have run: "+why)
+		return conflict(OutcomeUnknown, "an earlier copy of this key may have run: "+d.Why)
 	case Mismatched:
 		return conflict(OutcomeNotRun, "the key was used for another request")
+	case Unasked:
+		r := notRun(fasthttp.StatusServiceUnavailable, stepClaim, "this copy was not sent; whether an earlier one ran cannot be asked now: "+d.Why)
+		r.Outcome = OutcomeUnknown
+		return r.after(d.RetryAfter)
 	}
-	return notRun(fasthttp.StatusServiceUnavailable, "claim", why).after(time.Second)
+	return notRun(fasthttp.StatusServiceUnavailable, stepClaim, d.Why).after(max(d.RetryAfter, minClaimRetry))
 }
 
+const (
+	// stepClaim is the step at which the holders of a key are asked.
+	stepClaim     = "claim"
+	minClaimRetry = 100 * time.Millisecond
+)
+
 func conflict(o Outcome, reason string) *Refusal {
-	return &Refusal{Outcome: o, Step: "claim", Reason: reason, status: fasthttp.StatusConflict}
+	return &Refusal{Outcome: o, Step: stepClaim, Reason: reason, status: fasthttp.StatusConflict}
 }
 
 // scope returns the key as the holders know it: keys of different teams or services are different.
--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -121,3 +121,104 @@
 		_ = k
 	}
 }
+
+// TestLeavingTargetWithServiceDown makes a target leave while the platform's service is down.
+func TestLeavingTargetWithServiceDown(t *testing.T) {
+	i := is.New(t)
+	r := rig.New(t, small())
+	l := r.StartLoad(8, all(r))
+	time.Sleep(300 * time.Millisecond)
+	r.Cloud.Fault(cloud.Fault{Mode: cloud.Down})
+	x := r.Targets["dc1-w1"]
+	x.Drain()
+	time.Sleep(4 * time.Second)
+	n := x.Brief()
+	i.True(n.WhileLeaving > 0)
+	i.True(n.LeavingLastMs <= leavingWithin.Milliseconds()) // the last request that came to it after it left
+	answered, notRun, unknown := r.Judge(l.Stop())
+	t.Logf("answered %d, not run %d, unknown %d; %d came while leaving, the last after %d ms", answered, notRun, unknown, n.WhileLeaving, n.LeavingLastMs)
+	i.Equal(unknown, 0)
+}
+
+// leavingWithin is the time after which a leaving target gets nothing new.
+const leavingWithin = 2 * time.Second
+
+// TestFrozenLeaderStopsNothingTwice freezes the leader past its lease in the middle of a wave and lets it go on later.
+func TestFrozenLeaderStopsNothingTwice(t *testing.T) {
+	i := is.New(t)
+	p := small()
+	p.Entries, p.Targets = 3, 4
+	r := rig.New(t, p)
+	w := r.Watch()
+	l := r.StartLoad(8, all(r))
+	r.Wave("w1")
+	r.Await("the wave's first stop", func() bool { return out(r) > 0 })
+	e := r.Leader("dc1")
+	e.Freeze()
+	time.Sleep(5 * time.Second)
+	e.Thaw()
+	r.Await("every VM rebooted once", func() bool {
+		for _, x := range r.Targets {
+			if x.Brief().Boot < 2 {
+				return false
+			}
+		}
+		return true
+	})
+	answered, notRun, unknown := r.Judge(l.Stop())
+	w.Stop()
+	_, _, _, cut := r.Counts()
+	t.Logf("answered %d, not run %d, unknown %d", answered, notRun, unknown)
+	i.Equal(cut, int64(0))
+	for n, x := range r.Targets {
+		i.Equal(x.Brief().Boot, int64(2)) // rebooted exactly once
+		_ = n
+	}
+}
+
+// out counts the targets that take no work.
+func out(r *rig.Rig) int {
+	n := 0
+	for _, x := range r.Targets {
+		if s := x.Brief(); s.Draining || s.Away {
+			n++
+		}
+	}
+	return n
+}
+
+// TestDataCentreLost freezes every entry of a data centre and takes its targets away; the other one goes on.
+func TestDataCentreLost(t *testing.T) {
+	i := is.New(t)
+	p := small()
+	p.DataCentres = 2
+	r := rig.New(t, p)
+	near := r.Entries[:2]
+	l := r.StartLoad(8, func() []*rig.Entry { return near })
+	time.Sleep(500 * time.Millisecond)
+	for _, e := range r.Entries[2:] {
+		e.Freeze()
+	}
+	for n, x := range r.Targets {
+		if n[:3] == "dc2" {
+			x.Reboot(false)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	a := near[0].Ask(rig.Request{Method: "POST", Path: "/grant", Key: "dc1/at-home", Body: "50"})
+	i.Equal(a.Outcome, "answered") // a key that names this data centre as its home
+	b := near[1].Ask(rig.Request{Method: "POST", Path: "/grant", Key: "dc2/away", Body: "50"})
+	i.Equal(b.Outcome, "unknown") // its home cannot be asked whether an earlier copy ran; this one is not sent
+	i.Equal(b.Status, 503)
+	i.Equal(r.Runs()["dc2/away"], 0)
+	c := near[1].Ask(rig.Request{Method: "GET", Path: "/menu"})
+	i.Equal(c.Outcome, "answered")
+	for _, e := range r.Entries[2:] {
+		e.Thaw()
+	}
+	r.Await("the lost data centre's keys", func() bool {
+		return near[1].Ask(rig.Request{Method: "POST", Path: "/grant", Key: "dc2/away", Body: "50"}).Outcome == "answered"
+	})
+	answered, notRun, unknown := r.Judge(l.Stop())
+	t.Logf("answered %d, not run %d, unknown %d", answered, notRun, unknown)
+}
--- a/proof/rig/caller.go
+++ b/proof/rig/caller.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 )
@@ -16,6 +19,8 @@
 	Outcome string // the header Burdock-Outcome; empty when no whole answer came
 	Mark    string // the header Burdock-Request
 	Body    string
+	Asked   string // digest of the request's body, as the target saw it
+	Sent    string // digest of the answer's body, as the target sent it
 	Err     error
 }
 
@@ -51,6 +56,7 @@
 	h := &a.Header
 	return Answer{
 		Status: a.StatusCode(), Outcome: string(h.Peek("Burdock-Outcome")), Mark: string(h.Peek("Burdock-Request")), Body: string(a.Body()),
+		Asked: string(h.Peek("Fake-Digest")), Sent: string(h.Peek("Fake-Answer-Digest")),
 	}
 }
 
@@ -107,7 +113,10 @@
 func (l *Load) one(key string, turn int, to []*Entry) {
 	const copies = 3
 	for i := range copies {
-		a := to[(turn+i)%len(to)].Ask(Request{Method: "POST", Path: "/order", Key: key, Body: "order " + key, Wait: 5 * time.Second})
+		a := to[(turn+i)%len(to)].Ask(Request{
+			Method: "POST", Path: "/order", Key: key, Body: order(key), Wait: 5 * time.Second,
+			Head: map[string]string{"Fake-Answer-Bytes": strconv.Itoa(turn * 997 % largestAnswer)},
+		})
 		l.mu.Lock()
 		l.answers[key] = append(l.answers[key], a)
 		l.mu.Unlock()
@@ -118,6 +127,27 @@
 	}
 }
 
+// largestAnswer bounds the answers of a load, in bytes; some are too large to be kept for repeats.
+const largestAnswer = 20_000
+
+func order(key string) string { return "order " + key }
+
+// foul returns what is wrong with an answer of the target to the key's request: that it is cut, or another request's.
+func foul(key string, a Answer) string {
+	own := strconv.FormatUint(xxhash.Sum64String(order(key)), 16)
+	switch {
+	case a.Status >= fasthttp.StatusInternalServerError:
+		return ""
+	case a.Outcome == "answered" && a.Sent != strconv.FormatUint(xxhash.Sum64String(a.Body), 16):
+		return "a part of an answer"
+	case a.Outcome == "answered" && a.Asked != own:
+		return "another request's answer"
+	case a.Outcome == "repeat" && len(a.Body) > len(own)*8 && !strings.Contains(a.Body, own):
+		return "another request's answer"
+	}
+	return ""
+}
+
 // Stop ends the load and returns every answer by key.
 func (l *Load) Stop() map[string][]Answer {
 	l.cancel()
@@ -152,6 +182,9 @@
 			case "answered", "repeat":
 				answered++
 				only = false
+				if w := foul(k, a); w != "" {
+					r.T.Errorf("key %s got %s", k, w)
+				}
 				if runs[k] != 1 {
 					r.T.Errorf("key %s was answered and ran %d times", k, runs[k])
 				}
--- a/proof/rig/operate.go
+++ b/proof/rig/operate.go
@@ -102,3 +102,24 @@
 	}
 	e.Thaw()
 }
+
+// Leader returns the entry that leads the data centre.
+func (r *Rig) Leader(dataCentre string) *Entry {
+	r.T.Helper()
+	var found *Entry
+	r.Await("leader of "+dataCentre, func() bool {
+		for _, e := range r.running() {
+			var l oper.Entries
+			if e.DataCentre != dataCentre || e.operate("GET", "/op/entries", nil, &l) != nil {
+				continue
+			}
+			for _, o := range l.Items {
+				if o.Self && o.Leader {
+					found = e
+				}
+			}
+		}
+		return found != nil
+	})
+	return found
+}
