Pass on in beats which entries the platform's list calls gone

Cause: only the leader reads the list, so that at the other entries a part of the keys both of whose holders had died would have stayed closed, and with it the roster. Members' beats now carry the gone entries that matter; the tests tell one entry only. A life heard within 2 s is not taken for the one that the lagging list means.

--- a/flow/ledger/member.go
+++ b/flow/ledger/member.go
@@ -12,6 +12,8 @@
 	UnheardAfter = 4 * time.Second
 	// proposeEvery spaces the proposals of entries that stand behind the first.
 	proposeEvery = time.Second
+	// listLasts is how long the platform's list counts after it was read.
+	listLasts = 30 * time.Second
 )
 
 // BeatMsg is what one entry of the data centre last said of itself; an entry tells its own Membership too.
@@ -21,6 +23,7 @@
 	Holding  int64 // number of the newest roster in force at the entry
 	Stopping bool
 	Unheard  []string // members that the entry has not heard for UnheardAfter
+	Gone     []string // entries that the platform's list says are gone, if this entry reads it
 }
 
 // VMsMsg brings the entries that the platform's list says are gone.
@@ -45,13 +48,14 @@
 	adopted    time.Time
 	wanted     time.Time // since when a change is wanted
 	peers      map[string]peer
-	gone       map[string]bool
+	gone       []string
+	listed     time.Time // when gone was read
 	stopping   bool
 }
 
 // NewMembership returns the decision of one entry.
 func NewMembership(self Member, dataCentre string) *Membership {
-	return &Membership{self: self, dataCentre: dataCentre, peers: map[string]peer{}, gone: map[string]bool{}}
+	return &Membership{self: self, dataCentre: dataCentre, peers: map[string]peer{}}
 }
 
 // Beat notes what an entry says of itself.
@@ -69,11 +73,32 @@
 }
 
 // VMs notes which entries are gone for good.
-func (s *Membership) VMs(m VMsMsg) {
-	s.gone = map[string]bool{}
-	for _, g := range m.Gone {
-		s.gone[g] = true
+func (s *Membership) VMs(m VMsMsg) { s.gone, s.listed = m.Gone, m.Now }
+
+// Gone returns the members of the last two rosters, and of more, that this entry's own list says are gone.
+func (s *Membership) Gone(now time.Time, more []Member) []string {
+	if now.Sub(s.listed) > listLasts {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(s.gone), func(e string) bool {
+		_, a := find(s.roster.members, e)
+		_, b := find(s.roster.previous, e)
+		_, c := find(more, e)
+		return !a && !b && !c
+	})
+}
+
+// isGone reports whether this entry's list, or that of an entry heard lately, says that the entry is gone.
+func (s *Membership) isGone(entry string, now time.Time) bool {
+	if now.Sub(s.listed) <= listLasts && slices.Contains(s.gone, entry) {
+		return true
+	}
+	for _, p := range s.peers {
+		if now.Sub(p.beat.Now) < UnheardAfter && slices.Contains(p.beat.Gone, entry) {
+			return true
+		}
 	}
+	return false
 }
 
 // Adopt notes the roster in use.
@@ -102,17 +127,28 @@
 	return now.Sub(last) >= UnheardAfter
 }
 
-// Over reports whether the member's life is certainly over: the platform says so, or a later life was heard.
-func (s *Membership) Over(m Member) bool {
+// Over reports whether the member's life is certainly over: a later life was heard, or it is gone.
+//
+// A life that was heard lately is not the one that the lagging list means.
+func (s *Membership) Over(m Member, now time.Time) bool {
+	if m.Entry == s.self.Entry {
+		return s.self.Incarnation > m.Incarnation
+	}
 	p, ok := s.peers[m.Entry]
-	return s.gone[m.Entry] || ok && p.beat.Member.Incarnation > m.Incarnation ||
-		m.Entry == s.self.Entry && s.self.Incarnation > m.Incarnation
+	switch {
+	case ok && p.beat.Member.Incarnation > m.Incarnation:
+		return true
+	case ok && p.beat.Member.Is(m) && now.Sub(p.beat.Now) < UnheardAfter/2:
+		return false
+	default:
+		return s.isGone(m.Entry, now)
+	}
 }
 
 // Tick returns a proposal when the roster should change and may.
 func (s *Membership) Tick(m TickMsg) []ProposeCmd {
 	next := s.next(m.Now)
-	if len(next) == 0 || slices.Equal(next, s.roster.members) || !s.may(next) {
+	if len(next) == 0 || slices.Equal(next, s.roster.members) || !s.may(next, m.Now) {
 		s.wanted = time.Time{}
 		return nil
 	}
@@ -145,7 +181,7 @@
 func (s *Membership) next(now time.Time) []Member {
 	var n []Member
 	for _, m := range s.roster.members {
-		if !s.Over(m) && !s.stops(m) && !s.cut(m, now) {
+		if !s.Over(m, now) && !s.stops(m) && !s.cut(m, now) {
 			n = append(n, m)
 		}
 	}
@@ -187,7 +223,7 @@
 	for _, p := range s.peers {
 		b := p.beat
 		fresh := now.Sub(b.Now) < UnheardAfter/2 && !b.Stopping
-		if fresh && !s.gone[b.Member.Entry] && b.Member.Entry != s.self.Entry && !lists(s.roster.members, b.Member) {
+		if fresh && b.Member.Entry != s.self.Entry && !lists(s.roster.members, b.Member) {
 			j = append(j, b.Member)
 		}
 	}
@@ -196,10 +232,10 @@
 }
 
 // may reports whether the last change is complete at all members that stay, and whether enough of them stay.
-func (s *Membership) may(next []Member) bool {
+func (s *Membership) may(next []Member, now time.Time) bool {
 	stay, alive := 0, 0
 	for _, m := range s.roster.members {
-		if !s.Over(m) && !s.stops(m) {
+		if !s.Over(m, now) && !s.stops(m) {
 			alive++
 		}
 		if !lists(next, m) {
--- a/flow/ledger/world_test.go
+++ b/flow/ledger/world_test.go
@@ -206,14 +206,16 @@
 	if l.noStore {
 		return
 	}
-	l.membership.VMs(VMsMsg{Now: l.w.now, Gone: l.w.gone})
+	if l.member.Entry < "c" { // the others learn it from beats
+		l.membership.VMs(VMsMsg{Now: l.w.now, Gone: l.w.gone})
+	}
 	l.read, l.rev, l.stored = true, l.w.rev, l.w.doc.Number()
 	l.learn(l.w.doc)
 }
 
 func (l *life) tellGone() {
 	for _, m := range append(l.book.Lost(), l.roster.Previous()...) {
-		if l.membership.Over(m) {
+		if l.membership.Over(m, l.w.now) {
 			l.book.Gone(GoneMsg{Now: l.w.now, Member: m})
 		}
 	}
@@ -277,6 +279,7 @@
 	w := l.w
 	m := BeatMsg{
 		Now: w.now, Member: l.member, Holding: l.book.Holding(), Stopping: l.membership.Stopping(), Unheard: l.membership.Unheard(w.now),
+		Gone: l.membership.Gone(w.now, l.book.Lost()),
 	}
 	r := l.roster
 	for _, o := range w.lives {
--- a/node/relay/beater.go
+++ b/node/relay/beater.go
@@ -197,7 +197,7 @@
 func (b *Beater) nearRequest() *BeatRequest {
 	q, r := b.request(b.keeper.dataCentre), b.carrier.Report()
 	q.Loads, q.Drained, q.Leaving, q.Failing, q.Members = r.Loads, r.Drained, r.Leaving, r.Failing, r.Members
-	q.Unheard = b.keeper.unheard()
+	q.Unheard, q.Gone = b.keeper.missing()
 	return q
 }
 
--- a/node/relay/fleet_test.go
+++ b/node/relay/fleet_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -224,10 +225,13 @@
 	return n
 }
 
-// gone tells every entry what the platform's list says.
+// gone tells the entry that started last and lives what the platform's list says; the others learn it from beats.
 func (f *fleet) gone(l ...string) {
-	for _, n := range f.nodes {
-		n.Gone(l)
+	for _, n := range slices.Backward(f.nodes) {
+		if n.ctx.Err() == nil {
+			n.Gone(l)
+			return
+		}
 	}
 }
 
--- a/node/relay/keeper.go
+++ b/node/relay/keeper.go
@@ -107,7 +107,8 @@
 	return k.book.Len(), k.book.AnswerBytes()
 }
 
-// Gone tells which entries the platform's list says are gone for good.
+// Gone tells which entries the platform's list says are gone for good; one entry that reads the list is enough, and it may
+// be the leader, because beats pass it on. What it said counts for 30 s.
 func (k *Keeper) Gone(entries []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -265,10 +266,12 @@
 	k.membership.Beat(m)
 }
 
-func (k *Keeper) unheard() []string {
+// missing returns the members that this entry has not heard, and those that the platform's list says are gone.
+func (k *Keeper) missing() (unheard, gone []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.membership.Unheard(k.now())
+	now := k.now()
+	return k.membership.Unheard(now), k.membership.Gone(now, k.book.Lost())
 }
 
 func (k *Keeper) stopping() bool {
--- a/node/relay/keeper_test.go
+++ b/node/relay/keeper_test.go
@@ -107,6 +107,7 @@
 		granted(i, n[0], "east/x", "1").Settle(ledger.NotRun, 0, "", nil)
 		time.Sleep(time.Second)
 		i.NoErr(n[0].settles.drain(n[0].ctx))
+		i.Equal(n[0].settles.dropped, 0)
 		granted(i, n[1], "east/x", "2")
 		repeated(i, n[2], "east/x", "3", ledger.Claimed)
 	})
@@ -117,6 +118,15 @@
 		i.True(errors.As(err, &r))
 		i.Equal(r.Reason(), ledger.OtherRequest)
 	})
+	inBubble(t, "a planned stop waits until the records are handed over", three, func(i *is.I, f *fleet, n []*node) {
+		f.wires.hush(n[1].self.Addr, true)
+		f.wires.hush(n[2].self.Addr, true) // a can pull from nobody
+		c, end := context.WithTimeout(n[1].ctx, 3*time.Second)
+		defer end()
+		i.True(errors.Is(n[1].Leave(c), context.DeadlineExceeded))
+		_, in := n[0].Roster("east").Member("b")
+		i.True(!in)
+	})
 	inBubble(t, "a planned stop hands over first", three, func(i *is.I, f *fleet, n []*node) {
 		key := keyHeldBy(n[0], "b", "c")
 		answer(granted(i, n[0], key, "1"), key)
--- a/node/relay/peer.go
+++ b/node/relay/peer.go
@@ -32,7 +32,7 @@
 	stopping                  bool
 	loads                     []*ServiceLoad
 	drained, leaving, failing []string
-	unheard                   []string
+	unheard, gone             []string
 	reported                  time.Time
 }
 
@@ -77,12 +77,12 @@
 }
 
 func (p Peer) beatMsg() ledger.BeatMsg {
-	return ledger.BeatMsg{Now: p.at, Member: p.member(), Holding: p.holding, Stopping: p.stopping, Unheard: p.unheard}
+	return ledger.BeatMsg{Now: p.at, Member: p.member(), Holding: p.holding, Stopping: p.stopping, Unheard: p.unheard, Gone: p.gone}
 }
 
 func (p *Peer) fromRequest(r *BeatRequest) {
 	p.applied, p.roster, p.holding, p.stopping = r.GetApplied(), r.GetRoster(), r.GetHolding(), r.GetStopping()
-	p.unheard, p.leaving = r.GetUnheard(), r.GetLeaving()
+	p.unheard, p.gone, p.leaving = r.GetUnheard(), r.GetGone(), r.GetLeaving()
 	p.loads, p.drained, p.failing, p.reported = r.GetLoads(), r.GetDrained(), r.GetFailing(), p.at
 }
 
--- a/node/relay/roster.go
+++ b/node/relay/roster.go
@@ -158,7 +158,9 @@
 }
 
 func (k *Keeper) ownBeat(now time.Time) ledger.BeatMsg {
-	return ledger.BeatMsg{Now: now, Member: k.self, Holding: k.book.Holding(), Unheard: k.membership.Unheard(now)}
+	return ledger.BeatMsg{
+		Now: now, Member: k.self, Holding: k.book.Holding(), Stopping: k.membership.Stopping(), Unheard: k.membership.Unheard(now),
+	}
 }
 
 // tellGone tells the records which former holders are gone.
@@ -166,7 +168,7 @@
 	r := k.rosters[k.dataCentre]
 	for _, l := range [][]ledger.Member{r.Previous(), k.book.Lost()} {
 		for _, m := range l {
-			if k.membership.Over(m) {
+			if k.membership.Over(m, now) {
 				k.book.Gone(ledger.GoneMsg{Now: now, Member: m})
 			}
 		}
