--- a/flow/sched/trace_test.go
+++ b/flow/sched/trace_test.go
@@ -228,19 +228,22 @@
 	m.must(t.Busy() == 0 && t.Queued(sched.Urgent)+t.Queued(sched.Normal)+t.Queued(sched.Background) == 0, "something is left")
 }
 
-func TestEveryRequestEndsOnceAndTruly(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
-		if rapid.Bool().Draw(t, "quotas") {
-			m.update(sched.QuotasMsg{Now: m.now, Rates: map[string]float64{"kitchen": 50, "riders": 5}})
-		}
-		m.retarget()
-		acts := []func(){m.arrive, m.arrive, m.arrive, m.done, m.done, m.tick, m.cancel, m.retarget, m.reshare}
-		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			acts[rapid.IntRange(0, len(acts)-1).Draw(t, "act")]()
-		}
-		m.settle()
-	})
+func TestEveryRequestEndsOnceAndTruly(t *testing.T) { rapid.Check(t, trace) }
+
+func FuzzEveryRequestEndsOnceAndTruly(f *testing.F) { f.Fuzz(rapid.MakeFuzz(trace)) }
+
+// trace runs random messages and ends all requests.
+func trace(t *rapid.T) {
+	m := newModel(t)
+	if rapid.Bool().Draw(t, "quotas") {
+		m.update(sched.QuotasMsg{Now: m.now, Rates: map[string]float64{"kitchen": 50, "riders": 5}})
+	}
+	m.retarget()
+	acts := []func(){m.arrive, m.arrive, m.arrive, m.done, m.done, m.tick, m.cancel, m.retarget, m.reshare}
+	for range rapid.IntRange(1, 200).Draw(t, "steps") {
+		acts[rapid.IntRange(0, len(acts)-1).Draw(t, "act")]()
+	}
+	m.settle()
 }
 
 // pair is a scheduler and its naive version under the same trace.
