Place jobs by what was learned of their kind

Sizes and run times are learned by kind; queues go by latest start, which is earlier the less is known; urgent jobs make others yield; a job that fails on three good workers is given up and a worker that fails three jobs set aside.

Also in spare: a move that does not show in the fleet yet counts as made. Cause: only its own VM was kept from being asked for again, so a pool that was still short on paper would have been given another VM each second.

--- /dev/null
+++ b/fleet/place/placer_test.go
@@ -0,0 +1,268 @@
+package place
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
+}
+
+// site returns a placer with n workers of 8 cores, two a rack.
+func site(n int) *Placer {
+	p := New()
+	var l []Worker
+	for i := range n {
+		l = append(l, Worker{Name: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/2), Size: Size{Cores: 8, MemoryMB: 8000}})
+	}
+	p.Update(WorkersMsg{Workers: l})
+	return p
+}
+
+func job(id string, cores float64) Job {
+	return Job{ID: id, Kind: "k" + id, Team: "t", Declared: Size{Cores: cores, MemoryMB: 1000 * cores}, RunMillis: 1000, FinishBy: 100_000}
+}
+
+// tick places jobs and returns the starts by job.
+func tick(p *Placer, at int64) map[string]StartCmd {
+	l := map[string]StartCmd{}
+	for _, c := range p.Update(TickMsg{At: at}) {
+		if s, ok := c.(StartCmd); ok {
+			l[s.Task.Job] = s
+		}
+	}
+	return l
+}
+
+func TestPlacer(t *testing.T) {
+	t.Run("a job that can never run is given up at once", func(t *testing.T) {
+		j := job("a", 1)
+		j.Declared.Accelerators = 1
+		is.New(t).Equal(site(2).Update(SubmitMsg{Jobs: []Job{j}}), []Cmd{GiveUpCmd{Job: "a", Reason: NoWorker}})
+	})
+	t.Run("a job larger than any worker is given up when a whole one was too small", func(t *testing.T) {
+		p := site(2)
+		p.Update(SubmitMsg{Jobs: []Job{job("a", 5)}})
+		for at := int64(1); at < 3; at++ {
+			s := tick(p, at)["a"]
+			c := p.Update(EndedMsg{At: at, Task: s.Task, How: TooBig})
+			is.New(t).Equal(len(c) == 1, s.Size.MemoryMB == 8000)
+		}
+		is.New(t).Equal(p.Waiting(), 0)
+	})
+	t.Run("a bad job is given up, its workers stay good", func(t *testing.T) {
+		p := site(5)
+		p.Update(SubmitMsg{Jobs: []Job{job("a", 1)}})
+		var c []Cmd
+		for at := int64(1); at <= badJobWorkers; at++ {
+			c = p.Update(EndedMsg{At: at, Task: tick(p, at)["a"].Task, How: Failed})
+		}
+		is.New(t).Equal(c, []Cmd{GiveUpCmd{Job: "a", Reason: Broken}})
+		for i := range 5 {
+			is.New(t).True(!p.IsAside(fmt.Sprintf("w%d", i)))
+		}
+	})
+	t.Run("a bad worker is set aside and tried again with one job", func(t *testing.T) {
+		p := site(4)
+		failAll := func(at int64) int {
+			n := 0
+			for _, s := range tick(p, at) {
+				how := Done
+				if s.Worker == "w0" {
+					n, how = n+1, Failed
+				}
+				p.Update(EndedMsg{At: at, Task: s.Task, How: how})
+			}
+			return n
+		}
+		for i := range 30 {
+			p.Update(SubmitMsg{Jobs: []Job{job(fmt.Sprint(i), 1)}})
+		}
+		for at := range int64(10) {
+			failAll(at + 1)
+		}
+		is.New(t).True(p.IsAside("w0"))
+		is.New(t).Equal(p.Waiting(), 0) // every job ran elsewhere.
+		for i := range 32 {
+			p.Update(SubmitMsg{Jobs: []Job{job(fmt.Sprint("b", i), 1)}})
+		}
+		is.New(t).True(failAll(asideMillis+20) <= 1)
+	})
+	t.Run("urgent work starts at once in a full pool", func(t *testing.T) {
+		p := site(2)
+		for i := range 4 {
+			p.Update(SubmitMsg{Jobs: []Job{{ID: fmt.Sprint(i), Kind: "k", Declared: Size{Cores: 4, MemoryMB: 1000}, FinishBy: 1}}})
+		}
+		is.New(t).Equal(len(tick(p, 1)), 4)
+		u := job("u", 2)
+		u.Urgent = true
+		p.Update(SubmitMsg{At: 2, Jobs: []Job{u}})
+		is.New(t).Equal(len(tick(p, 2)), 1)
+	})
+	t.Run("without memory others are checkpointed first", func(t *testing.T) {
+		p := site(1)
+		p.Update(SubmitMsg{Jobs: []Job{job("a", 8)}})
+		s := tick(p, 1)["a"]
+		u := job("u", 2)
+		u.Urgent = true
+		p.Update(SubmitMsg{At: 2, Jobs: []Job{u}})
+		is.New(t).Equal(p.Update(TickMsg{At: 2}), []Cmd{CheckpointCmd{Task: s.Task, Worker: "w0"}})
+		is.New(t).Equal(len(p.Update(TickMsg{At: 3})), 0) // asked once.
+		p.Update(EndedMsg{At: 4, Task: s.Task, How: Stopped})
+		is.New(t).Equal(tick(p, 4)["u"].Worker, "w0")
+	})
+	t.Run("a team's quota bounds its cores", func(t *testing.T) {
+		p := site(4)
+		p.Update(QuotaMsg{Cores: map[string]float64{"t": 5}})
+		p.Update(SubmitMsg{Jobs: []Job{job("a", 2), job("b", 2), job("c", 2)}})
+		is.New(t).Equal(len(tick(p, 1)), 2)
+	})
+	t.Run("less known kinds start earlier", func(t *testing.T) {
+		var known, unknown kind
+		for range 5 {
+			known.run.add(1000)
+		}
+		is.New(t).True(known.runMillis(1000) < unknown.runMillis(1000))
+	})
+	t.Run("a lapsed lease starts no second copy of a job that must run once", func(t *testing.T) {
+		p := site(2)
+		j := job("a", 1)
+		j.RunOnce = true
+		p.Update(SubmitMsg{Jobs: []Job{j, job("b", 1)}})
+		s := tick(p, 1)
+		p.Update(LapsedMsg{At: 2, Task: s["a"].Task})
+		p.Update(LapsedMsg{At: 2, Task: s["b"].Task})
+		l := tick(p, 3)
+		is.New(t).Equal(len(l), 1)
+		is.New(t).Equal(l["b"].Task.Attempt, 2)
+		p.Update(EndedMsg{At: 4, Task: s["b"].Task, How: Failed}) // word of the fenced attempt changes nothing.
+		is.New(t).Equal(p.Running(), 2)
+		p.Update(EndedMsg{At: 5, Task: s["a"].Task, How: Stopped})
+		is.New(t).Equal(tick(p, 6)["a"].Task.Attempt, 2)
+	})
+}
+
+// checker follows the commands and sees that no worker is given more than it has and no job runs twice.
+type checker struct {
+	*rapid.T
+	running map[Task]StartCmd
+	slow    map[Task]bool
+	maybe   map[string]int // running copies by job, lapsed ones included.
+	once    map[string]bool
+}
+
+func (c *checker) see(l []Cmd) {
+	for _, m := range l {
+		switch m := m.(type) {
+		case StartCmd:
+			c.running[m.Task] = m
+			if c.maybe[m.Task.Job]++; c.once[m.Task.Job] && c.maybe[m.Task.Job] > 1 {
+				c.Fatalf("%+v is a second copy", m.Task)
+			}
+		case ThrottleCmd:
+			c.slow[m.Task] = m.On
+		}
+	}
+	used := map[string]Size{}
+	for _, s := range c.running {
+		u := used[s.Worker]
+		k := 1.0
+		if c.slow[s.Task] {
+			k = throttledShare
+		}
+		used[s.Worker] = Size{Cores: u.Cores + k*s.Size.Cores, MemoryMB: u.MemoryMB + s.Size.MemoryMB}
+	}
+	for w, u := range used {
+		if u.Cores > 8+1e-6 || u.MemoryMB > 8000+1e-6 {
+			c.Fatalf("%s is given %+v", w, u)
+		}
+	}
+}
+
+func TestTraces(t *testing.T) {
+	starts := 0
+	rapid.Check(t, func(t *rapid.T) {
+		p := site(3)
+		c := &checker{T: t, running: map[Task]StartCmd{}, slow: map[Task]bool{}, maybe: map[string]int{}, once: map[string]bool{}}
+		at, ids := int64(1), []Task(nil)
+		for _, u := range rapid.SliceOfN(rapid.Uint32Range(0, 1<<20), 100, 300).Draw(t, "trace") {
+			at += int64(u % 700)
+			n := u / 8
+			var old Task
+			if len(ids) > 0 {
+				old = ids[int(n)%len(ids)]
+			}
+			_, runs := c.running[old]
+			switch u % 8 {
+			case 0, 1, 2:
+				j := job(fmt.Sprint("j", len(c.once)), float64(n%8+1)/2)
+				j.Kind, j.Urgent, j.RunOnce = fmt.Sprint(n%3), n%5 == 0, n%2 == 0
+				c.once[j.ID] = j.RunOnce
+				c.see(p.Update(SubmitMsg{At: at, Jobs: []Job{j}}))
+			case 3, 4:
+				if runs {
+					p.Update(UsageMsg{Task: old, Used: Size{Cores: float64(n%6) + 0.5, MemoryMB: float64(n%6)*900 + 100}})
+					delete(c.running, old)
+					c.maybe[old.Job]--
+					c.see(p.Update(EndedMsg{At: at, Task: old, How: End(n / 16 % 4)}))
+				}
+			case 5:
+				if runs && !c.once[old.Job] {
+					delete(c.running, old) // the lease's end frees the worker.
+				}
+				c.see(p.Update(LapsedMsg{At: at, Task: old}))
+			case 6:
+				c.see(p.Update(CancelMsg{Jobs: []string{fmt.Sprint("j", n%20)}}))
+			case 7:
+				l := p.Update(TickMsg{At: at})
+				c.see(l)
+				for _, m := range l {
+					if s, ok := m.(StartCmd); ok {
+						ids, starts = append(ids, s.Task), starts+1
+					}
+				}
+			}
+		}
+	})
+	is.New(t).True(starts > 100)
+	t.Log("starts:", starts)
+}
+
+func ExamplePlacer() {
+	p := New()
+	p.Update(WorkersMsg{Workers: []Worker{{Name: "w1", Rack: "r1", Size: Size{Cores: 4, MemoryMB: 1000}}}})
+	p.Update(SubmitMsg{Jobs: []Job{{ID: "ledger", Kind: "ledger", Declared: Size{Cores: 2, MemoryMB: 500}}}})
+	for _, c := range p.Update(TickMsg{At: 1}) {
+		fmt.Println(c.(StartCmd).Task.Job, c.(StartCmd).Worker)
+	}
+	// Output: ledger w1
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{50, 9000} {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			p := New()
+			var l []Worker
+			for i := range n {
+				l = append(l, Worker{Name: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/4), Size: Size{Cores: 32, MemoryMB: 65_536}})
+			}
+			p.Update(WorkersMsg{Workers: l})
+			b.ResetTimer()
+			for i := range b.N {
+				id := fmt.Sprint(i)
+				p.Update(SubmitMsg{Jobs: []Job{{ID: id, Kind: fmt.Sprint(i % 50), Declared: Size{Cores: float64(1 + i%8), MemoryMB: 4000}, FinishBy: int64(i)}}})
+				p.Update(TickMsg{At: int64(i)})
+				if i >= 4*n {
+					p.Update(EndedMsg{At: int64(i), Task: Task{Job: fmt.Sprint(i - 4*n), Attempt: 1}, How: Done})
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fleet/place/replay.go
@@ -0,0 +1,244 @@
+package place
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+)
+
+const (
+	replayTickMillis  = 500
+	replayUsageMillis = 5_000 // lag of a task's usage.
+	replayFailMillis  = 1_000 // after which a broken job, or any job on a broken worker, fails.
+	replaySaveMillis  = 800   // that a checkpoint takes.
+	hourMillis        = 3_600_000
+)
+
+// TraceJob is one job with the truth about it.
+type TraceJob struct {
+	Job
+	At       int64
+	True     Size
+	TrueRun  int64
+	Broken   bool  // fails on every worker.
+	Undoable bool  // no worker of the pool can run it.
+	saved    int64 // run time that a checkpoint holds.
+}
+
+// Trace is a night of one pool.
+type Trace struct {
+	Workers []Worker
+	Broken  map[string]bool // workers that fail everything.
+	Jobs    []TraceJob
+	Until   int64
+}
+
+// Policy places jobs in a replay.
+type Policy interface {
+	Update(msg Msg) []Cmd
+}
+
+// Result is what a replay measured.
+type Result struct {
+	Finished   int
+	InTime     int
+	Runnable   int // jobs that could be run at all.
+	Failures   int // attempts that failed.
+	Starts     int
+	WastedRun  int64 // milliseconds of core time in attempts that did not end well.
+	UrgentWait int64 // longest wait of an urgent job for its start, in milliseconds.
+	Doubled    int   // jobs that had two running copies.
+}
+
+// NightTrace returns a night: kinds of jobs whose true sizes and run times are from a quarter to three times the declared
+// ones, some broken jobs and workers, some jobs that no worker can run, and urgent jobs into a full pool.
+func NightTrace(seed int64, workers, jobs int) Trace {
+	r := rand.New(rand.NewSource(seed))
+	t := Trace{Broken: map[string]bool{}, Until: 5 * hourMillis}
+	for i := range workers {
+		w := Worker{Name: fmt.Sprintf("w%04d", i), Rack: fmt.Sprintf("r%d", i/4), Size: Size{Cores: 32, MemoryMB: 65_536}}
+		t.Workers = append(t.Workers, w)
+		t.Broken[w.Name] = r.Intn(25) == 0
+	}
+	for i := range jobs {
+		t.Jobs = append(t.Jobs, nightJob(r, i, jobs))
+	}
+	slices.SortStableFunc(t.Jobs, func(a, b TraceJob) int { return int(a.At - b.At) })
+	return t
+}
+
+func nightJob(r *rand.Rand, i, jobs int) TraceJob {
+	k := r.Intn(8)
+	size := []float64{0.25, 0.3, 0.5, 0.5, 1, 1, 1.5, 3}[k]
+	run := []float64{3, 0.5, 1, 0.25, 2, 1, 0.5, 1.5}[k]
+	d := Size{Cores: float64(2 + k), MemoryMB: float64(2048 * (1 + k%4))}
+	j := TraceJob{Job: Job{
+		ID: fmt.Sprintf("job%05d", i), Kind: fmt.Sprintf("kind%d", k), Team: fmt.Sprintf("team%d", r.Intn(5)),
+		Declared: d, RunMillis: 120_000, FinishBy: hourMillis + r.Int63n(4*hourMillis), RunOnce: r.Intn(4) == 0,
+	}}
+	noise := 0.85 + 0.3*r.Float64()
+	j.True = Size{Cores: d.Cores * size * noise, MemoryMB: d.MemoryMB * size * noise}
+	j.TrueRun = int64(120_000 * run * noise)
+	switch {
+	case r.Intn(50) == 0:
+		j.Broken = true
+	case r.Intn(100) == 0:
+		j.Undoable, j.Declared.Accelerators = true, 1
+	case r.Intn(50) == 0:
+		j.Urgent, j.Kind = true, "urgent"
+		j.True = Size{Cores: 2, MemoryMB: 1024}
+		j.Declared, j.TrueRun = j.True, 20_000
+		j.At = r.Int63n(2 * hourMillis)
+		j.FinishBy = j.At + 60_000
+	}
+	return j
+}
+
+// live is one running attempt of a replay.
+type live struct {
+	Task
+	job                 *TraceJob
+	worker              string
+	given               Size
+	start, left, ending int64
+	slow                bool
+}
+
+// replay is a pool's night in virtual time.
+type replay struct {
+	policy  Policy
+	trace   Trace
+	jobs    map[string]*TraceJob
+	running []*live
+	first   map[string]bool
+	now     int64
+	result  Result
+}
+
+// Replay runs the night under the policy.
+func Replay(t Trace, p Policy) Result {
+	r := &replay{policy: p, trace: t, jobs: map[string]*TraceJob{}, first: map[string]bool{}}
+	p.Update(WorkersMsg{Workers: t.Workers})
+	for i := range t.Jobs {
+		j := t.Jobs[i]
+		r.jobs[j.ID] = &j
+		if !j.Broken && !j.Undoable {
+			r.result.Runnable++
+		}
+	}
+	next := 0
+	for r.now = 0; r.now < t.Until; r.now += replayTickMillis {
+		var l []Job
+		for ; next < len(t.Jobs) && t.Jobs[next].At <= r.now; next++ {
+			l = append(l, t.Jobs[next].Job)
+		}
+		if len(l) > 0 {
+			r.perform(p.Update(SubmitMsg{At: r.now, Jobs: l}))
+		}
+		r.advance()
+		r.perform(p.Update(TickMsg{At: r.now}))
+	}
+	return r.result
+}
+
+// advance lets the running attempts go on by one tick; workers that are asked for more cores than they have are slower.
+func (r *replay) advance() {
+	load := map[string]float64{}
+	for _, v := range r.running {
+		load[v.worker] += v.cores()
+	}
+	var left []*live
+	for _, v := range r.running {
+		speed := min(1, 32/max(load[v.worker], 1))
+		if v.slow {
+			speed *= throttledShare
+		}
+		v.left -= int64(replayTickMillis * speed)
+		if how, ends := r.ends(v); ends {
+			r.end(v, how)
+			continue
+		}
+		if (r.now-v.start)%replayUsageMillis == 0 && r.now > v.start {
+			r.policy.Update(UsageMsg{Task: v.Task, Used: v.job.True})
+		}
+		left = append(left, v)
+	}
+	r.running = left
+}
+
+func (v *live) cores() float64 {
+	if v.slow {
+		return v.job.True.Cores * throttledShare
+	}
+	return v.job.True.Cores
+}
+
+func (r *replay) ends(v *live) (End, bool) {
+	age := r.now - v.start
+	switch {
+	case v.ending > 0 && r.now >= v.ending:
+		return Stopped, true
+	case (v.job.Broken || r.trace.Broken[v.worker]) && age >= replayFailMillis:
+		return Failed, true
+	case v.job.True.MemoryMB > v.given.MemoryMB && age >= v.job.TrueRun/10:
+		return TooBig, true
+	default:
+		return Done, v.left <= 0
+	}
+}
+
+func (r *replay) end(v *live, how End) {
+	switch how {
+	case Done:
+		r.result.Finished++
+		if r.now <= v.job.FinishBy {
+			r.result.InTime++
+		}
+	case Stopped:
+		v.job.saved = max(0, v.job.TrueRun-v.left)
+	default:
+		r.result.Failures++
+		r.result.WastedRun += int64(float64(r.now-v.start) * v.job.True.Cores)
+	}
+	r.perform(r.policy.Update(EndedMsg{At: r.now, Task: v.Task, How: how}))
+}
+
+func (r *replay) perform(l []Cmd) {
+	for _, c := range l {
+		switch c := c.(type) {
+		case StartCmd:
+			r.begin(c)
+		case ThrottleCmd:
+			r.each(c.Task, func(v *live) { v.slow = c.On })
+		case CheckpointCmd:
+			r.each(c.Task, func(v *live) { v.ending = r.now + replaySaveMillis })
+		case StopCmd:
+			r.each(c.Task, func(v *live) { v.ending = r.now })
+		}
+	}
+}
+
+func (r *replay) begin(c StartCmd) {
+	j := r.jobs[c.Task.Job]
+	r.result.Starts++
+	for _, v := range r.running {
+		if v.Job == c.Task.Job {
+			r.result.Doubled++
+		}
+	}
+	if j.Urgent && !r.first[j.ID] {
+		r.first[j.ID] = true
+		r.result.UrgentWait = max(r.result.UrgentWait, r.now-j.At)
+	}
+	r.running = append(r.running, &live{
+		Task: c.Task, job: j, worker: c.Worker, given: c.Size, start: r.now, left: j.TrueRun - j.saved,
+	})
+}
+
+func (r *replay) each(t Task, f func(*live)) {
+	for _, v := range r.running {
+		if v.Task == t {
+			f(v)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/place/replay_test.go
@@ -0,0 +1,18 @@
+package place
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestReplayNight(t *testing.T) {
+	d := NightTrace(1, 20, 2400)
+	a, b := Replay(d, New()), Replay(d, NewFirstFit())
+	t.Logf("placer    %+v", a)
+	t.Logf("first fit %+v", b)
+	is.New(t).True(a.InTime > b.InTime)
+	is.New(t).Equal(a.Doubled, 0)
+	is.New(t).True(a.UrgentWait <= 1500)
+	is.New(t).True(a.WastedRun < b.WastedRun)
+}
--- a/fleet/spare/message.go
+++ b/fleet/spare/message.go
@@ -13,7 +13,7 @@
 	BufferWeight float64 // cost of one spare VM for an hour.
 }
 
-// VM is one VM of the data centre.
+// VM is one VM of the data centre; the pool of one that moves is the one that it moves to.
 type VM struct {
 	Name, Pool, Rack string
 	Out              bool // takes no new work but comes back: draining or rebooting.
--- a/fleet/spare/naive.go
+++ b/fleet/spare/naive.go
@@ -16,6 +16,7 @@
 		return n.sizer.Update(msg)
 	}
 	s := n.sizer
+	s.forget(t.At)
 	for _, r := range s.rules {
 		d := t.Demand[r.Pool]
 		need := int(math.Ceil((d.Busy + d.Queued) / (float64(r.Slots) * use(r))))
--- a/fleet/spare/sizer.go
+++ b/fleet/spare/sizer.go
@@ -31,10 +31,16 @@
 	vms             []VM
 	pools           map[string]*state
 	racks           *layout
-	asked           map[string]int64 // when a VM's move was last asked for.
+	asked           map[string]asking // the last moves, by VM, which may not show in the fleet yet.
 	looked          lookout
 }
 
+// asking is a move that was asked for.
+type asking struct {
+	at int64
+	to string
+}
+
 // state is what was learned of one pool.
 type state struct {
 	at      int64
@@ -63,7 +69,7 @@
 func New(opts ...Option) *Sizer {
 	s := &Sizer{
 		ready: DefaultReady, patience: DefaultPatience,
-		pools: map[string]*state{}, racks: newLayout(nil), asked: map[string]int64{},
+		pools: map[string]*state{}, racks: newLayout(nil), asked: map[string]asking{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -96,20 +102,39 @@
 		slices.SortFunc(s.rules, func(a, b Rule) int { return strings.Compare(a.Pool, b.Pool) })
 	case FleetMsg:
 		s.vms = slices.Clone(m.VMs)
-		s.racks = newLayout(s.vms)
-		s.looked.done = false
+		s.lay()
 	case TickMsg:
 		return s.tick(m)
 	}
 	return nil
 }
 
-func (s *Sizer) tick(m TickMsg) []Cmd {
-	for vm, at := range s.asked {
-		if m.At-at > 4*s.ready {
+// lay counts the VMs by pool and rack, those whose move was asked for as where they go.
+func (s *Sizer) lay() {
+	s.racks = newLayout(s.vms)
+	s.looked.done = false
+	for _, v := range s.vms {
+		if a, ok := s.asked[v.Name]; ok && v.Pool != a.to && !v.Failed {
+			s.racks.shift(v, a.to)
+		}
+	}
+}
+
+// forget lets go of moves that are long made, or were not made.
+func (s *Sizer) forget(at int64) {
+	n := len(s.asked)
+	for vm, a := range s.asked {
+		if at-a.at > 4*s.ready {
 			delete(s.asked, vm)
 		}
 	}
+	if len(s.asked) < n {
+		s.lay()
+	}
+}
+
+func (s *Sizer) tick(m TickMsg) []Cmd {
+	s.forget(m.At)
 	for _, r := range s.rules {
 		if r.Spare {
 			continue
@@ -268,7 +293,7 @@
 		why = Lost
 	}
 	for _, from := range s.donors(r, at) {
-		if v, ok := s.racks.pick(from, r.Pool, s.isFree(at)); ok {
+		if v, ok := s.racks.pick(from, r.Pool, s.isFree()); ok {
 			return s.move(l, v, r.Pool, why, at)
 		}
 	}
@@ -302,7 +327,7 @@
 	if !ok {
 		return l
 	}
-	if v, ok := s.racks.crowded(r.Pool, s.isFree(at)); ok {
+	if v, ok := s.racks.crowded(r.Pool, s.isFree()); ok {
 		s.pools[r.Pool].idle = at
 		return s.move(l, v, to, Idle, at)
 	}
@@ -319,15 +344,15 @@
 }
 
 // isFree returns a test for VMs that no recent move concerns.
-func (s *Sizer) isFree(at int64) func(VM) bool {
+func (s *Sizer) isFree() func(VM) bool {
 	return func(v VM) bool {
-		t, asked := s.asked[v.Name]
-		return !v.Out && !v.Failed && !v.Moving && (!asked || at-t > 4*s.ready)
+		_, asked := s.asked[v.Name]
+		return !v.Out && !v.Failed && !v.Moving && !asked
 	}
 }
 
 func (s *Sizer) move(l []Cmd, v VM, to string, why Why, at int64) []Cmd {
-	s.asked[v.Name] = at
+	s.asked[v.Name] = asking{at: at, to: to}
 	s.racks.shift(v, to)
 	s.looked.done = false
 	return append(l, MoveCmd{VM: v.Name, From: v.Pool, To: to, Why: why})
--- a/fleet/spare/sizer_test.go
+++ b/fleet/spare/sizer_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -29,13 +30,19 @@
 	return r, l
 }
 
-// drive ticks the policy each second of the given time under constant demand and returns its moves.
-func drive(p Policy, from, seconds int64, orders, checks float64) []MoveCmd {
+// drive ticks the policy each second of the given time under constant demand and returns its moves, which are made at once
+// if v is given.
+func drive(p Policy, v []VM, from, seconds int64, orders, checks float64) []MoveCmd {
 	var l []MoveCmd
 	for at := from * 1000; at < (from+seconds)*1000; at += 1000 {
 		d := map[string]Demand{"orders": {Busy: orders, Arrivals: orders, Done: orders}, "checks": {Busy: checks, Arrivals: checks, Done: checks}}
 		for _, c := range p.Update(TickMsg{At: at, Demand: d}) {
-			l = append(l, c.(MoveCmd))
+			m := c.(MoveCmd)
+			l = append(l, m)
+			if i := slices.IndexFunc(v, func(o VM) bool { return o.Name == m.VM }); i >= 0 {
+				v[i].Pool = m.To
+				p.Update(FleetMsg{VMs: v})
+			}
 		}
 	}
 	return l
@@ -56,37 +63,52 @@
 		s := New()
 		s.Update(RulesMsg{Rules: r})
 		s.Update(FleetMsg{VMs: v})
-		checkWhys(t, drive(s, 1, 900, 14, 14))
+		checkWhys(t, drive(s, v, 1, 900, 14, 14))
 		return s, v
 	}
 	t.Run("a burst that ends moves nothing", func(t *testing.T) {
-		s, _ := begin()
-		checkWhys(t, drive(s, 901, 20, 60, 14))
-		checkWhys(t, drive(s, 921, 60, 1, 14))
+		s, v := begin()
+		checkWhys(t, drive(s, v, 901, 20, 60, 14))
+		checkWhys(t, drive(s, v, 921, 60, 1, 14))
 	})
 	t.Run("demand that lasts moves spare VMs in", func(t *testing.T) {
-		s, _ := begin()
-		checkWhys(t, drive(s, 901, 40, 26, 14), Short)
+		s, v := begin()
+		checkWhys(t, drive(s, v, 901, 40, 26, 14), Short)
 		is.New(t).Equal(s.Need("orders"), 5)
-		checkWhys(t, drive(s, 941, 620, 26, 14), Short) // four VMs run it, if not at the target's use.
+		checkWhys(t, drive(s, v, 941, 620, 26, 14), Short) // four VMs run it, if not at the target's use.
+	})
+	t.Run("a move that does not show yet is not asked for again", func(t *testing.T) {
+		s, v := begin()
+		checkWhys(t, drive(s, nil, 901, 40, 26, 14), Short)
+		for at := int64(941); at < 960; at++ {
+			s.Update(FleetMsg{VMs: v})
+			checkWhys(t, drive(s, nil, at, 1, 26, 14))
+		}
+	})
+	t.Run("requests that wait count once", func(t *testing.T) {
+		s, _ := begin()
+		for at := int64(901); at < 1500; at++ {
+			d := map[string]Demand{"orders": {Busy: 14, Queued: 40, Arrivals: 14, Done: 14}, "checks": {Busy: 14, Arrivals: 14, Done: 14}}
+			is.New(t).Equal(len(s.Update(TickMsg{At: at * 1000, Demand: d})), 0)
+		}
 	})
 	t.Run("a lost VM is waited for, then replaced", func(t *testing.T) {
 		s, v := begin()
 		v[0].Failed, v[1].Failed = true, true
 		s.Update(FleetMsg{VMs: v})
-		checkWhys(t, drive(s, 901, 20, 6, 14))
-		checkWhys(t, drive(s, 921, 600, 10, 14), Lost, Lost)
+		checkWhys(t, drive(s, v, 901, 20, 6, 14))
+		checkWhys(t, drive(s, v, 921, 600, 10, 14), Lost, Lost)
 	})
 	t.Run("a VM that reboots is not replaced", func(t *testing.T) {
 		s, v := begin()
 		v[0].Out, v[1].Out = true, true
 		s.Update(FleetMsg{VMs: v})
-		checkWhys(t, drive(s, 901, 700, 8, 14))
+		checkWhys(t, drive(s, v, 901, 700, 8, 14))
 	})
 	t.Run("an idle VM is given back once it has cost two moves", func(t *testing.T) {
-		s, _ := begin()
-		checkWhys(t, drive(s, 901, 7000, 1, 14))
-		checkWhys(t, drive(s, 7901, 1500, 1, 14), Idle)
+		s, v := begin()
+		checkWhys(t, drive(s, v, 901, 7000, 1, 14))
+		checkWhys(t, drive(s, v, 7901, 1500, 1, 14), Idle)
 	})
 	t.Run("a crowded pool is spread", func(t *testing.T) {
 		s, v := begin()
@@ -95,7 +117,7 @@
 		}
 		v[6].Rack, v[7].Rack, v[8].Rack = "r0", "r0", "r1"
 		s.Update(FleetMsg{VMs: v})
-		l := drive(s, 901, 40, 14, 14)
+		l := drive(s, v, 901, 40, 14, 14)
 		is.New(t).True(len(l) > 0)
 		is.New(t).True(l[0].Why == Spread && l[0].VM == "vm8")
 	})
@@ -124,7 +146,7 @@
 			v[i].Moving = false
 		}
 		p.Update(FleetMsg{VMs: v})
-		for _, m := range drive(p, at, int64(u%90)+1, float64(u%50), float64(u/50%40)) {
+		for _, m := range drive(p, nil, at, int64(u%90)+1, float64(u%50), float64(u/50%40)) {
 			n++
 			apply(t, v, m, strict)
 		}
@@ -159,8 +181,8 @@
 	s := New()
 	s.Update(RulesMsg{Rules: rules})
 	s.Update(FleetMsg{VMs: vms})
-	drive(s, 1, 600, 14, 14)
-	for _, m := range drive(s, 601, 60, 26, 14) {
+	drive(s, vms, 1, 600, 14, 14)
+	for _, m := range drive(s, vms, 601, 60, 26, 14) {
 		fmt.Println(m.VM, m.From, m.To, m.Why)
 	}
 	// Output: vm6 office orders short
--- a/fleet/spare/survive.go
+++ b/fleet/spare/survive.go
@@ -113,7 +113,7 @@
 			}
 		}
 	}
-	v, ok := s.racks.pick(to, worst, s.isFree(at))
+	v, ok := s.racks.pick(to, worst, s.isFree())
 	if worst == "" || !ok || s.racks.counts[worst][v.Rack] >= most-1 {
 		return l
 	}
--- a/fleet/wave/planner_test.go
+++ b/fleet/wave/planner_test.go
@@ -83,7 +83,9 @@
 			for _, l := range w.leaders {
 				l.planner.takeHosts(HostsMsg{At: w.now, Hosts: w.lists[l.dc][0]})
 				w.tell(l, FreshMsg{At: w.now})
+				w.tell(l, TickMsg{At: w.now})
 			}
+			w.performAll()
 		}
 		w.checkStops(t, false)
 	})
@@ -105,6 +107,14 @@
 	})
 }
 
+func (w *world) performAll() {
+	for _, l := range w.leaders {
+		for range 40 {
+			w.perform(l, 0, 0)
+		}
+	}
+}
+
 // checkQuiet lets the leaders learn of the wave by refresh alone and sees that they write nothing, but do once they know all.
 func (w *world) checkQuiet(t *testing.T, refresh func(*leader)) {
 	t.Helper()
@@ -148,19 +158,20 @@
 	t.Run("an entry that the list shows late holds a drain up", func(t *testing.T) {
 		w := settled()
 		w.setWave(false)
+		for range 5 { // at one moment: the list is still the one without the new entry, which nobody has heard.
+			for _, o := range w.entries {
+				w.pull(o)
+			}
+			w.round(w.leaders[0], 0)
+		}
 		e := &entry{name: "a-late", dc: "a", view: pool.NewView(worldShards), flying: map[string]int{}}
 		for _, v := range w.vms {
 			if serves(v.pool) {
+				is.New(t).True(w.member(v.name).State != pool.Rebooting)
 				e.flying[v.name] = 1
 			}
 		}
 		w.entries = append(w.entries, e)
-		for range 5 { // at one moment: the list is still the one without the new entry.
-			for _, o := range w.entries[:4] {
-				w.pull(o)
-			}
-			w.round(w.leaders[0], 0)
-		}
 		w.run(5, true)
 		w.checkStops(t, true)
 	})
@@ -223,6 +234,36 @@
 	})
 }
 
+func TestMoves(t *testing.T) {
+	ask := func(w *world) {
+		w.tell(w.leaders[0], MoveMsg{At: w.now, Moves: []Move{{VM: "a0", From: "orders", To: "grants"}, {VM: "a6", From: "office", To: "orders"}}})
+	}
+	t.Run("drained, then moved", func(t *testing.T) {
+		w := settled()
+		w.entries[0].flying["a0"] = 1
+		ask(w)
+		w.run(4, true)
+		is.New(t).Equal(w.member("a0").State, pool.Draining) // a request is in flight.
+		is.New(t).Equal(w.member("a6").Pool, "orders")       // nothing is sent to spare VMs.
+		clear(w.entries[0].flying)
+		w.run(4, true)
+		is.New(t).Equal(w.member("a0").Pool, "grants")
+		is.New(t).Equal(w.vm("a0").pool, "grants") // the platform's side too.
+		is.New(t).Equal(w.budgets["orders"].doc.Out(), 0)
+		is.New(t).Equal(w.faults, nil)
+	})
+	t.Run("no room in the budget that loses the VM", func(t *testing.T) {
+		w := settled()
+		w.crash(w.vm("a1"))
+		w.crash(w.vm("a2"))
+		w.run(2, true)
+		ask(w)
+		w.run(4, true)
+		is.New(t).Equal(w.member("a0").Pool, "orders")
+		is.New(t).Equal(w.member("a6").Pool, "orders")
+	})
+}
+
 func TestRejoin(t *testing.T) {
 	w := settled()
 	v := w.vms[0]
