--- a/flow/route/pool_test.go
+++ b/flow/route/pool_test.go
@@ -148,6 +148,9 @@
 	m := map[string]int{}
 	p.Taken(m)
 	i.Equal(m["vm-0"], 1)
+	p.Done(0, x, route.Good, 0) // it has been done already
+	i.Equal(p.Busy(), 0)
+	i.Equal(p.Free(), 0)
 	p.Pass(time.Second)
 	_, ok = p.Pick(time.Second, "", false)
 	i.True(ok)
--- a/flow/sched/trace_test.go
+++ b/flow/sched/trace_test.go
@@ -165,6 +165,19 @@
 	m.must(n == 0, "a wrong DoneMsg has %d effects", n)
 }
 
+// repeat sends the arrival of an open request again.
+func (m *model) repeat() {
+	for i := sched.ID(1); i <= m.next; i++ {
+		if r := m.reqs[i]; !r.over || r.target != "" {
+			a := r.m
+			a.Now, a.Deadline = m.now, m.now.Add(time.Second)
+			n := len(m.s.Update(a))
+			m.must(n == 0, "a repeated arrival has %d effects", n)
+			return
+		}
+	}
+}
+
 func (m *model) cancel() {
 	if m.next > 0 {
 		m.update(sched.CancelMsg{Now: m.now, ID: sched.ID(rapid.Uint64Range(1, uint64(m.next)).Draw(m.T, "cancelled"))})
@@ -239,7 +252,7 @@
 		m.update(sched.QuotasMsg{Now: m.now, Rates: map[string]float64{"kitchen": 50, "riders": 5}})
 	}
 	m.retarget()
-	acts := []func(){m.arrive, m.arrive, m.arrive, m.done, m.done, m.tick, m.cancel, m.retarget, m.reshare}
+	acts := []func(){m.arrive, m.arrive, m.arrive, m.done, m.done, m.tick, m.cancel, m.repeat, m.retarget, m.reshare}
 	for range rapid.IntRange(1, 200).Draw(t, "steps") {
 		acts[rapid.IntRange(0, len(acts)-1).Draw(t, "act")]()
 	}
