Count on when the service comes back older

Cause: after an older state of a shard came back and another writer gave it a new revision, stops got numbers and ops that the platform had seen already, so it restarted nothing and the wave stood still. A shard that is older than it was known, by the planner or by an entry's view, is now written above that version, with stops counting on from it. Ruled out: keeping the known content against a newer revision, which would undo the other writer's moves.

--- a/fleet/place/machine.go
+++ b/fleet/place/machine.go
@@ -31,7 +31,6 @@
 	peak      Size
 	throttled bool
 	ending    bool // a checkpoint or stop is on its way.
-	lapsed    bool
 }
 
 func (m *machine) free() Size {
--- a/fleet/place/placer.go
+++ b/fleet/place/placer.go
@@ -237,7 +237,7 @@
 		}
 	}
 	few := len(p.names) < badJobWorkers
-	if good < badJobWorkers && !(few && e.failures >= badJobWorkers) {
+	if good < badJobWorkers && (!few || e.failures < badJobWorkers) {
 		if few {
 			clear(e.failedOn)
 		}
--- a/fleet/place/placer_test.go
+++ b/fleet/place/placer_test.go
@@ -95,6 +95,37 @@
 		}
 		is.New(t).True(failAll(asideMillis+20) <= 1)
 	})
+	t.Run("failures on bad workers are not the job's", func(t *testing.T) {
+		p := site(5)
+		p.Update(SubmitMsg{Jobs: []Job{job("a", 1)}})
+		for at := int64(1); at <= badJobWorkers; at++ {
+			s := tick(p, at)["a"]
+			p.workers[s.Worker].wait = asideMillis
+			is.New(t).Equal(len(p.Update(EndedMsg{At: at, Task: s.Task, How: Failed})), 0)
+		}
+		is.New(t).Equal(p.Waiting(), 1)
+	})
+	t.Run("sizes are learned", func(t *testing.T) {
+		p := site(1)
+		for at := int64(1); at < 6; at++ {
+			j := job(fmt.Sprint(at), 8)
+			j.Kind = "k"
+			p.Update(SubmitMsg{Jobs: []Job{j}})
+			for _, s := range tick(p, at) {
+				is.New(t).Equal(s.Size.Cores < 2, at > fewSamples)
+				p.Update(UsageMsg{Task: s.Task, Used: Size{Cores: 1, MemoryMB: 100}})
+				p.Update(EndedMsg{At: at, Task: s.Task, How: Done})
+			}
+		}
+	})
+	t.Run("a canceled job is stopped", func(t *testing.T) {
+		p := site(1)
+		p.Update(SubmitMsg{Jobs: []Job{job("a", 5), job("b", 5)}})
+		s := tick(p, 1)["a"]
+		is.New(t).Equal(p.Update(CancelMsg{Jobs: []string{"a", "b"}}), []Cmd{StopCmd{Task: s.Task, Worker: "w0"}})
+		p.Update(EndedMsg{At: 2, Task: s.Task, How: Stopped})
+		is.New(t).Equal(len(tick(p, 3)), 0)
+	})
 	t.Run("urgent work starts at once in a full pool", func(t *testing.T) {
 		p := site(2)
 		for i := range 4 {
--- a/fleet/pool/shard.go
+++ b/fleet/pool/shard.go
@@ -110,6 +110,9 @@
 	return build(s.index, s.count, s.number+1, l), nil
 }
 
+// All yields every member by name.
+func (s Shard) All() iter.Seq[Member] { return slices.Values(s.members) }
+
 // Busy yields the members that are not plainly serving.
 func (s Shard) Busy() iter.Seq[Member] {
 	return func(yield func(Member) bool) {
--- a/fleet/wave/message.go
+++ b/fleet/wave/message.go
@@ -89,11 +89,13 @@
 	Hosts []Host
 }
 
-// HeardMsg is word from an entry of the data centre; Drained lists the VMs that it sees as draining and has nothing in flight to.
+// HeardMsg is word from an entry of the data centre; Drained lists the VMs that it sees as draining and has nothing in flight to,
+// and Numbers the versions of its view's shards, by which the planner knows a service that came back older.
 type HeardMsg struct {
 	At      int64
 	Entry   string
 	Drained []Drained
+	Numbers []int64
 }
 
 // Drained says that the entry, whose view held version Number of the VM's shard, has nothing in flight to the VM.
--- a/fleet/wave/planner_test.go
+++ b/fleet/wave/planner_test.go
@@ -281,19 +281,40 @@
 }
 
 func TestOlderStore(t *testing.T) {
-	w := settled()
-	old := w.shards["a"][0]
-	w.setWave(false)
-	w.run(40, true)
-	number := w.shards["a"][0].doc.Number()
-	is.New(t).True(number > old.doc.Number())
-	w.shards["a"][0] = old // the store comes back with an older state and revision.
-	w.leaders[0].planner.shards[0].dirty = true
-	w.run(40, true)
-	is.New(t).True(w.shards["a"][0].doc.Number() > number) // entries never see a version twice.
-	for _, v := range w.vms {
-		is.New(t).Equal(w.member(v.name).Wave, "w1")
+	// back brings an older state of one shard back, with its own revision or with one that another writer gave it.
+	back := func(t *testing.T, revision func(w *world, old int64) int64) {
+		w := settled()
+		old := w.shards["a"][0]
+		w.setWave(false)
+		w.run(40, true)
+		number := w.shards["a"][0].doc.Number()
+		is.New(t).True(number > old.doc.Number())
+		w.shards["a"][0] = cell[pool.Shard]{doc: old.doc, revision: revision(w, old.revision)}
+		w.leaders[0].planner.shards[0].dirty = true // as after a write that the older state refused.
+		w.run(1, true)
+		is.New(t).True(w.shards["a"][0].doc.Number() > number) // entries never see a version twice.
+		w.run(60, true)
+		for _, v := range w.vms {
+			is.New(t).Equal(w.member(v.name).Wave, "w1")
+		}
 	}
+	t.Run("with its revision", func(t *testing.T) {
+		back(t, func(_ *world, old int64) int64 { return old })
+	})
+	t.Run("and a new leader", func(t *testing.T) {
+		back(t, func(w *world, old int64) int64 {
+			for _, l := range w.leaders {
+				w.restart(l)
+			}
+			return old
+		})
+	})
+	t.Run("written again by another", func(t *testing.T) {
+		back(t, func(w *world, _ int64) int64 {
+			w.rev++
+			return w.rev
+		})
+	})
 }
 
 func TestRackOrder(t *testing.T) {
--- a/fleet/wave/sight.go
+++ b/fleet/wave/sight.go
@@ -29,6 +29,11 @@
 
 func (p *Planner) takeHeard(m HeardMsg) {
 	p.heard[m.Entry] = m.At
+	for i, n := range m.Numbers {
+		if i < len(p.floors) {
+			p.floors[i] = max(p.floors[i], n)
+		}
+	}
 	for _, d := range m.Drained {
 		if p.said[d.VM] == nil {
 			p.said[d.VM] = map[string]int64{}
--- a/fleet/wave/step.go
+++ b/fleet/wave/step.go
@@ -16,6 +16,9 @@
 		if !d.writable() || len(changes[i].puts)+len(changes[i].drops) == 0 && !behind {
 			continue
 		}
+		if s.Number() < p.floors[i] {
+			changes[i] = change{puts: p.lift(s, p.floors[i])}
+		}
 		n, err := s.Above(p.floors[i]).Change(changes[i].puts, changes[i].drops)
 		if err != nil {
 			continue
@@ -26,6 +29,23 @@
 	return l
 }
 
+// lift returns the members of a shard that has come back older than it was known: their stops count on from the version that
+// was seen, so that no reservation or op of the lost versions is taken for a later one, and drains are put back.
+func (p *Planner) lift(s pool.Shard, floor int64) []pool.Member {
+	var l []pool.Member
+	for m := range s.All() {
+		switch {
+		case m.State == pool.Draining:
+			m = p.putBack(m)
+		case m.Op != "":
+			continue
+		}
+		m.Seq = max(m.Seq, floor)
+		l = append(l, m)
+	}
+	return l
+}
+
 // change is what one shard's next write puts and drops.
 type change struct {
 	puts  []pool.Member
--- a/fleet/wave/world_test.go
+++ b/fleet/wave/world_test.go
@@ -161,7 +161,7 @@
 }
 
 func (e *entry) word(at int64) HeardMsg {
-	m := HeardMsg{At: at, Entry: e.name}
+	m := HeardMsg{At: at, Entry: e.name, Numbers: e.view.Numbers()}
 	for _, p := range []string{"orders", "grants", "office"} {
 		for _, t := range e.view.InPool(p) {
 			if t.State == pool.Draining && e.flying[t.VM] == 0 {
