Bound what beats cost in a large data centre

Cause: beats went to 6 peers and to each other data centre twice a second, each with the loads of all services: at 20 entries and 51 services about 20 KB a second, of 3 allowed. A loopback test kills a server between claim and settlement.

--- a/node/relay/beater.go
+++ b/node/relay/beater.go
@@ -7,17 +7,20 @@
 	"strings"
 	"sync"
 	"time"
+
+	"google.golang.org/protobuf/proto"
 )
 
 const (
 	beatEvery = 500 * time.Millisecond
-	// beatFan is the number of peers of the own data centre that one round beats; rounds take turns.
-	beatFan = 6
-	// beatFar is the number of entries of each other data centre that one round beats.
-	beatFar    = 1
-	farRounds  = 2 // rounds between beats to other data centres
-	openRounds = 4 // rounds between beats to a peer whose circuit is open
-	beatTasks  = 16
+	// beatFan is the least number of peers of the own data centre that one round beats; rounds take turns.
+	beatFan = 2
+	// beatTurns is the number of rounds in which every peer of the own data centre has had its turn, whatever their number.
+	beatTurns    = 10
+	farRounds    = 2 // rounds between beats to another data centre
+	reportRounds = 4 // rounds between reports of loads to a leader
+	openRounds   = 4 // rounds between beats to a peer whose circuit is open
+	beatTasks    = 16
 	// heardFor is how long a peer that no list names is remembered.
 	heardFor = 30 * time.Second
 )
@@ -47,6 +50,7 @@
 	client  *Client
 	carrier Carrier
 	every   time.Duration
+	leader  func() string
 	onBeat  func(Peer, []byte)
 
 	mu    sync.Mutex
@@ -64,13 +68,16 @@
 // WithEvery sets the time between rounds of beats.
 func WithEvery(d time.Duration) BeaterOption { return func(b *Beater) { b.every = d } }
 
+// WithLeader names the entry that leads the data centre; loads then go to it alone, every fourth round, and to all while the name is empty.
+func WithLeader(f func() string) BeaterOption { return func(b *Beater) { b.leader = f } }
+
 // OnBeat is called after each beat that comes in, with the sender and its delta of the membership document; it must not block.
 func OnBeat(f func(p Peer, members []byte)) BeaterOption { return func(b *Beater) { b.onBeat = f } }
 
 // NewBeater returns the beater of the keeper's entry.
 func NewBeater(k *Keeper, c *Client, r Carrier, o ...BeaterOption) *Beater {
 	b := &Beater{
-		keeper: k, client: c, carrier: r, every: beatEvery, onBeat: func(Peer, []byte) {},
+		keeper: k, client: c, carrier: r, every: beatEvery, leader: func() string { return "" }, onBeat: func(Peer, []byte) {},
 		heard: map[string]Peer{}, kicks: make(chan struct{}, 1), backs: make(chan Address, 8),
 	}
 	for _, f := range o {
@@ -129,18 +136,34 @@
 	}
 }
 
-// send beats each of l, with one request for all of the own data centre.
+// send beats each of l, with one request for all of the own data centre, and one with loads for those that need them.
 func (b *Beater) send(ctx context.Context, l []Address) {
-	near := b.nearRequest()
+	lead := b.leader()
+	full := b.nearRequest()
+	near := full
+	if lead != "" {
+		near = proto.CloneOf(full)
+		near.Loads, near.NoLoads = nil, true
+	}
 	each(ctx, beatTasks, l, func(c context.Context, a Address) {
-		if a.dataCentre == b.keeper.dataCentre {
+		switch {
+		case a.dataCentre != b.keeper.dataCentre:
+			b.beat(c, a, b.request(a.dataCentre))
+		case a.entry == lead && b.reports():
+			b.beat(c, a, full)
+		default:
 			b.beat(c, a, near)
-			return
 		}
-		b.beat(c, a, b.request(a.dataCentre))
 	})
 }
 
+// reports reports whether a leader is told loads in this round.
+func (b *Beater) reports() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.round%reportRounds == 0
+}
+
 // Beat implements Relay.
 func (b *Beater) Beat(_ context.Context, r *BeatRequest) (*BeatReply, error) {
 	p := b.note(NewAddress(r.GetEntry(), r.GetAddr(), r.GetDataCentre()), r.GetIncarnation(), func(p *Peer) { p.fromRequest(r) })
@@ -257,9 +280,9 @@
 	return l
 }
 
-// targets returns whom the next round beats.
+// targets returns whom the next round beats: some of the own data centre, the leader when it is due, and one other data centre's entry.
 func (b *Beater) targets() []Address {
-	near := b.near()
+	near, lead := b.near(), b.leader()
 	b.mu.Lock()
 	b.round++
 	n := b.round
@@ -270,11 +293,15 @@
 		}
 	}
 	b.mu.Unlock()
-	l := turn(near, n, beatFan)
-	if n%farRounds == 0 {
-		for _, d := range far {
-			l = append(l, turn(d, n/farRounds, beatFar)...)
-		}
+	l := turn(near, n, max(beatFan, (len(near)+beatTurns-1)/beatTurns))
+	due := func(a Address) bool { return a.entry == lead }
+	if i := slices.IndexFunc(near, due); i >= 0 && n%reportRounds == 0 && !slices.ContainsFunc(l, due) {
+		l = append(l, near[i])
+	}
+	if n%farRounds == 0 && len(far) > 0 {
+		k := n / farRounds
+		d := slices.Sorted(maps.Keys(far))
+		l = append(l, turn(far[d[k%len(d)]], k/len(d), 1)...)
 	}
 	return slices.DeleteFunc(l, func(a Address) bool { return n%openRounds != 0 && b.client.Open(a.addr) })
 }
--- a/node/relay/bench_test.go
+++ b/node/relay/bench_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -52,16 +55,16 @@
 
 // BenchmarkBeatSize tells the bytes of a beat with 51 services and lists of drained VMs.
 func BenchmarkBeatSize(b *testing.B) {
-	for _, vms := range []int{0, 20, 200} {
+	for _, vms := range []int{-1, 0, 20, 200} {
 		b.Run(fmt.Sprint(vms, " drained"), func(b *testing.B) {
 			q := &BeatRequest{
 				Entry: "entry-east-17", DataCentre: "east", Incarnation: 1 << 60, Applied: 16_000, Roster: 3 << 40, Holding: 3 << 40,
 				PeerRoster: 3 << 40, Addr: "10.20.30.40:7101",
 			}
-			for s := range 51 {
+			for s := range 51 * min(vms+1, 1) { // none in the smallest beat
 				q.Loads = append(q.Loads, &ServiceLoad{Service: fmt.Sprint("service-", s), Busy: 70, Queued: 12, Idle: 10, Arrivals: 31.5})
 			}
-			for v := range vms {
+			for v := range max(vms, 0) {
 				q.Drained = append(q.Drained, fmt.Sprintf("worker-east-%04d", v))
 			}
 			var w []byte
@@ -72,3 +75,44 @@
 		})
 	}
 }
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	out, in *atomic.Int64
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	c.out.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkBeatWire tells the bytes of a beat without loads and of its answer, with what HTTP adds, and its time.
+func BenchmarkBeatWire(b *testing.B) {
+	f := newFleet(b)
+	n := f.startAt("entry-east-17", "east")
+	var out, in atomic.Int64
+	c := NewClient(WithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		d, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return counted{Conn: d, out: &out, in: &in}, err
+	}))
+	defer c.Close()
+	q := &BeatRequest{
+		Entry: "entry-east-18", DataCentre: "east", Incarnation: 1 << 60, Applied: 16_000, Roster: 3 << 40, Holding: 3 << 40,
+		PeerRoster: 3 << 40, Addr: "10.20.30.40:7101", NoLoads: true,
+	}
+	b.ResetTimer()
+	for range b.N {
+		if _, err := c.Beat(b.Context(), n.self.Addr, q); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(out.Load())/float64(b.N), "B-out/beat")
+	b.ReportMetric(float64(in.Load())/float64(b.N), "B-in/beat")
+}
--- a/node/relay/client.go
+++ b/node/relay/client.go
@@ -191,11 +191,22 @@
 		DisableCompression:  true,
 	}
 	return &lane{
-		relay: NewRelayProtobufClient("http://"+addr, &http.Client{Transport: t}), transport: t, now: now,
+		relay: NewRelayProtobufClient("http://"+addr, &http.Client{Transport: slim{t}}), transport: t, now: now,
 		claims: newJoiner[*ClaimRequest, *ClaimReply](claimFlights, claimBatch),
 	}
 }
 
+// slim leaves out headers that no entry reads, which would be most of a beat.
+type slim struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper; the request is the client's own and used once.
+func (s slim) RoundTrip(r *http.Request) (*http.Response, error) {
+	r.Header.Del("Accept")
+	r.Header.Del("Twirp-Version")
+	r.Header.Set("User-Agent", "")
+	return s.next.RoundTrip(r)
+}
+
 func (l *lane) isOpen() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/relay/fleet_test.go
+++ b/node/relay/fleet_test.go
@@ -46,7 +46,7 @@
 	q.applied = max(q.applied, int64(changes[0][0]))
 }
 
-func (q *quiet) Report() Report { return Report{} }
+func (q *quiet) Report() Report { return Report{Loads: []*ServiceLoad{{Service: "s", Busy: 1}}} }
 
 // node is one life of an entry.
 type node struct {
@@ -207,7 +207,7 @@
 func (f *fleet) serve(entry, dataCentre string, l net.Listener, addr string, c *Client) *node {
 	m := ledger.Member{Entry: entry, Addr: addr, Incarnation: f.lives}
 	n := &node{Keeper: NewKeeper(m, dataCentre, []string{"east", "west"}, f.store, c), conf: &quiet{}}
-	n.beater = NewBeater(n.Keeper, c, n.conf)
+	n.beater = NewBeater(n.Keeper, c, n.conf, WithLeader(func() string { return "b" }))
 	f.addrs = append(f.addrs, NewAddress(entry, m.Addr, dataCentre))
 	f.nodes = append(f.nodes, n)
 	for _, o := range f.nodes {
--- a/node/relay/keeper.go
+++ b/node/relay/keeper.go
@@ -279,3 +279,10 @@
 	defer k.mu.Unlock()
 	return k.membership.Stopping()
 }
+
+// Wait returns when this entry holds a roster, or when ctx ends.
+func (k *Keeper) Wait(ctx context.Context) {
+	for k.Holding() == 0 && ctx.Err() == nil {
+		pause(ctx, tickEvery/4)
+	}
+}
--- a/node/relay/keeper_test.go
+++ b/node/relay/keeper_test.go
@@ -232,6 +232,22 @@
 	})
 }
 
+// TestLoopback kills a real server between claim and settlement.
+func TestLoopback(t *testing.T) {
+	f, i := newFleet(t), is.New(t)
+	a, b, c := f.startAt("a", "east"), f.startAt("b", "east"), f.startAt("c", "east")
+	f.inForce(a, b, c)
+	key := keyHeldBy(a, "b", "c")
+	k := granted(i, a, key, "1")
+	b.kill()
+	answer(k, key)
+	f.gone("b")
+	f.inForce(a, c)
+	i.NoErr(a.settles.drain(a.ctx))
+	keptAnswer(i, c, key, "2")
+	keptAnswer(i, a, key, "3")
+}
+
 func TestOtherDataCentre(t *testing.T) {
 	f := newFleet(t)
 	a, b, c := f.startAt("a", "east"), f.startAt("b", "west"), f.startAt("c", "west")
@@ -268,6 +284,14 @@
 		i.Equal(h[0].Address().Entry(), "a")
 		i.Equal(h[0].Applied(), int64(1))
 	})
+	inBubble(t, "loads go to the leader alone", []string{"a", "b", "c"}, func(i *is.I, _ *fleet, n []*node) {
+		time.Sleep(5 * time.Second)
+		for k, p := range n[1].beater.Heard() { // b leads
+			i.Equal(len(p.Loads()), 1)
+			i.True(time.Since(p.At()) < time.Second)
+			i.Equal(len(n[2*k].beater.Heard()[0].Loads()), 0)
+		}
+	})
 	inBubble(t, "a claim ends with its caller", []string{"a", "b", "c"}, func(i *is.I, f *fleet, n []*node) {
 		key := keyHeldBy(n[0], "b", "c")
 		f.wires.hush(n[1].self.Addr, true)
--- a/node/relay/peer.go
+++ b/node/relay/peer.go
@@ -45,7 +45,7 @@
 // At returns when the peer was last heard.
 func (p Peer) At() time.Time { return p.at }
 
-// Reported returns when the peer last reported loads and VMs.
+// Reported returns when the peer last reported its loads.
 func (p Peer) Reported() time.Time { return p.reported }
 
 // Applied returns the newest configuration change in force at the peer.
@@ -83,7 +83,10 @@
 func (p *Peer) fromRequest(r *BeatRequest) {
 	p.applied, p.roster, p.holding, p.stopping = r.GetApplied(), r.GetRoster(), r.GetHolding(), r.GetStopping()
 	p.unheard, p.gone, p.leaving = r.GetUnheard(), r.GetGone(), r.GetLeaving()
-	p.loads, p.drained, p.failing, p.reported = r.GetLoads(), r.GetDrained(), r.GetFailing(), p.at
+	p.drained, p.failing = r.GetDrained(), r.GetFailing()
+	if !r.GetNoLoads() {
+		p.loads, p.reported = r.GetLoads(), p.at
+	}
 }
 
 func (p *Peer) fromReply(r *BeatReply) {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -47,7 +47,7 @@
 // NewServer returns a server of h.
 func NewServer(h Relay, o ...ServerOption) *Server {
 	s := &Server{stop: stopWithin, http: &http.Server{
-		Handler:           http.MaxBytesHandler(NewRelayServer(h), requestMax),
+		Handler:           http.MaxBytesHandler(undated(NewRelayServer(h)), requestMax),
 		ReadHeaderTimeout: headerWithin,
 		IdleTimeout:       2 * idleFor,
 	}}
@@ -57,6 +57,14 @@
 	return s
 }
 
+// undated leaves out the date, which no entry reads.
+func undated(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Serve answers on l until ctx ends, then lets the requests in flight finish.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	g, c := errgroup.WithContext(ctx)
