--- /dev/null
+++ b/flow/ledger/lapse.go
@@ -0,0 +1,100 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+)
+
+// Lapse is a part of the keys whose records may have been lost: those of which every holder among Members is in Lost.
+//
+// The keys of a single member's roster are in the platform's service too, so they may be claimed in a lapse if the
+// service agrees; the keys of other rosters may not.
+type Lapse struct {
+	Roster  int64 // under which the lapse began
+	Members []Member
+	Lost    []Member
+	Until   time.Time // zero while a lost member may still be alive
+
+	seeds []uint64
+}
+
+// Single reports whether the lapse is that of a roster with one member.
+func (l Lapse) Single() bool { return len(l.Members) == 1 }
+
+func (l Lapse) covers(id ID) bool {
+	if l.Single() {
+		return true
+	}
+	f, s := top(l.Members, l.seeds, id)
+	_, x := find(l.Lost, f)
+	_, y := find(l.Lost, s)
+	return x && y
+}
+
+func (b *Book) lapsed(id ID, now time.Time) ClaimReply {
+	r := ClaimReply{}
+	for _, l := range b.gaps {
+		if !l.Until.IsZero() && !now.Before(l.Until) || !l.covers(id) {
+			continue
+		}
+		if !l.Single() {
+			return ClaimReply{Verdict: Gap, Retry: max(l.Until.Sub(now), 0)}
+		}
+		r.Store = true
+	}
+	return r
+}
+
+func (b *Book) inherit(ls []Lapse) {
+	for _, l := range ls {
+		k := slices.IndexFunc(b.gaps, func(g Lapse) bool { return g.Roster == l.Roster })
+		if k < 0 {
+			l.seeds = seeds(l.Members)
+			b.gaps = append(b.gaps, l)
+		}
+	}
+}
+
+func (b *Book) lapse(missing []source, now time.Time) Lapse {
+	l := Lapse{Roster: b.roster.number, Members: b.roster.previous, seeds: b.roster.priorSeeds}
+	for _, s := range missing {
+		l.Lost = append(l.Lost, s.member)
+		if s.state != gone {
+			continue
+		}
+		at := s.goneAt
+		if at.IsZero() {
+			at = now
+		}
+		if u := at.Add(Remember); u.After(l.Until) {
+			l.Until = u
+		}
+	}
+	return l
+}
+
+func (b *Book) endGaps(now time.Time) {
+	b.gaps = slices.DeleteFunc(b.gaps, func(l Lapse) bool { return !l.Until.IsZero() && !now.Before(l.Until) })
+}
+
+// passOn returns the lapses that began before the roster in use.
+func (b *Book) passOn() []Lapse {
+	var o []Lapse
+	for _, l := range b.gaps {
+		if l.Roster < b.roster.number {
+			o = append(o, l)
+		}
+	}
+	return o
+}
+
+// Lost returns the members that may still be alive and whose records are missing here.
+func (b *Book) Lost() []Member {
+	var l []Member
+	for _, g := range b.gaps {
+		if g.Until.IsZero() {
+			l = append(l, g.Lost...)
+		}
+	}
+	return l
+}
