--- /dev/null
+++ b/node/relay/chaos_test.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/flow/ledger"
+)
+
+// chaos is a fleet whose entries die, restart, go silent and lose the service while copies of few keys come in.
+type chaos struct {
+	*fleet
+	r     *rand.Rand
+	nodes map[string]*node
+	group errgroup.Group
+
+	mu      sync.Mutex
+	copies  int
+	ran     map[string]time.Time // last run of a key
+	granted int
+	refused int
+	repeats int
+}
+
+// TestChaos holds, with the real runner, that no key runs twice and no "not run" is untrue.
+func TestChaos(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &chaos{fleet: newFleet(t), r: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, ran: map[string]time.Time{}}
+				for _, e := range []string{"a", "b", "c", "d"} {
+					c.nodes[e] = c.start(e)
+				}
+				for range 600 {
+					c.step()
+					time.Sleep(time.Duration(c.r.IntN(300)) * time.Millisecond)
+				}
+				_ = c.group.Wait()
+				t.Logf("granted %d, refused %d, repeats %d", c.granted, c.refused, c.repeats)
+				if c.granted < 30 {
+					t.Fatal("too few copies were sent for the run to say anything")
+				}
+			})
+		})
+	}
+}
+
+func (c *chaos) step() {
+	e := string(rune('a' + c.r.IntN(4)))
+	n := c.nodes[e]
+	switch k := c.r.IntN(100); {
+	case k < 2:
+		n.kill()
+		c.nodes[e] = c.start(e)
+	case k < 4:
+		c.wires.hush(n.self.Addr, true)
+	case k < 8:
+		c.wires.hush(n.self.Addr, false)
+	case k < 9:
+		c.wires.forget()
+	case k < 11:
+		c.store.down.Store(!c.store.down.Load())
+	default:
+		key, fate, wait := fmt.Sprint("east/", c.r.IntN(80)), c.r.IntN(10), time.Duration(c.r.IntN(400))*time.Millisecond
+		c.group.Go(func() error {
+			c.copy(n, key, fate, wait)
+			return nil
+		})
+	}
+}
+
+// copy claims a key at n, runs it if it may, and settles it, unless n dies first.
+func (c *chaos) copy(n *node, key string, fate int, wait time.Duration) {
+	c.mu.Lock()
+	c.copies++
+	id := fmt.Sprint("copy", c.copies)
+	c.mu.Unlock()
+	start := time.Now()
+	t, err := n.Take(n.ctx, key, body, id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var no *RefusedError
+	var again *RepeatError
+	last, ran := c.ran[key]
+	recent := ran && start.Sub(last) < ledger.Remember-ledger.ClaimWithin
+	switch {
+	case errors.As(err, &no):
+		c.refused++
+		if no.NotRun() && recent && !last.After(start) {
+			c.t.Errorf("%s of %s told not run, though it ran %s before", id, key, start.Sub(last))
+		}
+	case errors.As(err, &again):
+		c.repeats++
+		if a, ok := again.Answer(); ok && again.Phase() == ledger.Answered && string(a) != key {
+			c.t.Errorf("%s of %s got %q", id, key, a)
+		}
+	case fate < 2: // the target does not run it
+		t.Settle(ledger.NotRun, 0, "", nil)
+	default:
+		c.granted++
+		if ran && time.Since(last) < ledger.Remember-ledger.ClaimWithin {
+			c.t.Errorf("%s of %s ran at %s, though it ran %s ago", id, key, n.self.Entry, time.Since(last))
+		}
+		c.ran[key] = time.Now()
+		c.mu.Unlock()
+		time.Sleep(wait)
+		if n.ctx.Err() == nil {
+			t.Settle(ledger.Answered, 200, "", []byte(key))
+		}
+		c.mu.Lock()
+	}
+}
