--- /dev/null
+++ b/fakes/cloud/conf_test.go
@@ -0,0 +1,73 @@
+package cloud_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/fakes/cloud"
+	"burdockreach.dev/plat/conf"
+)
+
+// settle commits c until its outcome is known.
+func settle(ctx context.Context, k *conf.Committer, c conf.Change) error {
+	commit := k.Commit
+	for {
+		t, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := commit(t, c)
+		cancel()
+		if !errors.Is(err, conf.ErrUnsettled) && !errors.Is(err, conf.ErrNotAccepted) {
+			return err
+		}
+		commit = k.Repeat
+	}
+}
+
+// TestConfigurationOverFaults edits at three entries over HTTP while the platform loses answers, refuses, falls silent and comes
+// back older, and wants every edit at every entry, once.
+func TestConfigurationOverFaults(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var run, edit errgroup.Group
+	holders := make([]*conf.Holder, 3)
+	for i := range holders {
+		c, h := client(t, s, fmt.Sprint("entry-", i)), conf.NewHolder()
+		holders[i] = h
+		f := conf.NewFollower(c, h, conf.WithWait(100*time.Millisecond), conf.WithAudit(200*time.Millisecond), conf.WithSpread(50*time.Millisecond))
+		run.Go(func() error { return f.Run(ctx) })
+		k := conf.NewCommitter(c, h)
+		edit.Go(func() error {
+			for n := range 20 {
+				name := fmt.Sprintf("p-%d-%d", i, n)
+				if err := settle(ctx, k, conf.Change{Op: name, Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: name}}); err != nil {
+					return err
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	for _, m := range []cloud.Mode{cloud.Lose, cloud.Refuse, cloud.Silent, cloud.Down, cloud.Lose} {
+		s.Save()
+		time.Sleep(50 * time.Millisecond)
+		s.Fault(cloud.Fault{Mode: m})
+		time.Sleep(50 * time.Millisecond)
+		s.Restore()
+		s.Fault(cloud.Fault{Mode: cloud.Up})
+	}
+	is.NoErr(edit.Wait())
+	for _, h := range holders {
+		for len(h.Document().Pools()) < 60 || !h.Document().Equal(holders[0].Document()) {
+			time.Sleep(5 * time.Millisecond) // the test's own deadline bounds this
+		}
+	}
+	is.Equal(holders[0].Document().Number(), conf.Number(60)) // each once
+	cancel()
+	is.NoErr(run.Wait())
+}
--- a/plat/conf/follow_test.go
+++ b/plat/conf/follow_test.go
@@ -78,15 +78,19 @@
 
 func TestNewcomerDuringOutageLearnsFromPeers(t *testing.T) {
 	is := is.New(t)
-	m, h := keyval.NewMemory(), conf.NewHolder()
-	fill(t, m, h, 1_100)
-	for _, since := range []conf.Number{0, 1_050} {
+	h := conf.NewHolder(conf.WithTail(100))
+	fill(t, keyval.NewMemory(), h, 1_000)
+	early := h.Document()
+	for n := conf.Number(1_001); n <= 1_050; n++ {
+		_, err := h.Offer(pool(n, fmt.Sprint("late", n)))
+		is.NoErr(err)
+	}
+	for _, start := range []*conf.Document{nil, early} {
 		peer := conf.NewHolder()
-		if since > 0 {
-			peer.OfferDocument(replayTo(t, m, since))
-		}
-		for peer.Document().Number() < 1_100 {
+		peer.OfferDocument(start)
+		for peer.Document().Number() < h.Document().Number() {
 			changes, snapshot := h.Since(peer.Document().Number(), 20)
+			is.Equal(snapshot != nil, start == nil) // only for one that the tail does not reach
 			peer.OfferDocument(snapshot)
 			_, err := peer.Offer(changes...)
 			is.NoErr(err)
@@ -95,25 +99,6 @@
 	}
 }
 
-func replayTo(t testing.TB, m *keyval.Memory, n conf.Number) *conf.Document {
-	t.Helper()
-	h := conf.NewHolder()
-	follow(t, m, h, func() {
-		if err := h.Wait(t.Context(), n); err != nil {
-			t.Fatal(err)
-		}
-	})
-	d := conf.NewDocument()
-	for k := conf.Number(1); k <= n; k++ {
-		if c, ok := h.At(k); ok && k == d.Number()+1 {
-			d = mustApply(t, d, c)
-			continue
-		}
-		d = mustApply(t, d, conf.Change{Op: fmt.Sprint("op", k-1), Kind: conf.PutPool, Pool: &conf.PoolSpec{Name: fmt.Sprint("p", (k-1)%50)}})
-	}
-	return d
-}
-
 func TestOutageCostsFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/plat/conf/merge.go
+++ b/plat/conf/merge.go
@@ -41,14 +41,19 @@
 	return added, eris.Wrap(keyval.ErrConflict, "merge histories")
 }
 
-// addStray writes each stray change behind t's newest one, and offers it to t.
+// addStray writes each stray change behind t's newest one, offers it to t, and clears what then still stands behind that.
+// ErrConflict means that the service moved on meanwhile.
 func (s source) addStray(ctx context.Context, t source, upTo Number) (int, error) {
 	have, err := s.changes(ctx, 0)
 	if err != nil {
 		return 0, err
 	}
+	end := t.holder.Document().n
+	if !t.agrees(have) {
+		return 0, eris.Wrapf(keyval.ErrConflict, "merge at change %d", end)
+	}
 	added := 0
-	for _, c := range stray(s.tail(upTo), have, t.holder.Document().n) {
+	for _, c := range stray(s.tail(upTo), have, end) {
 		d := t.holder.Document()
 		c.Number, c.Prev, c.Expect = d.n+1, d.chain, 0
 		if err := t.putChange(ctx, c, have[c.Number].rev); err != nil {
@@ -57,7 +62,34 @@
 		_, _ = t.holder.Offer(c) // one that does not fit any more has no effect.
 		added++
 	}
-	return added, nil
+	return added, t.clearBehind(ctx, have)
+}
+
+// agrees reports whether the changes that were read are those that the holder has, and none that follows on them.
+func (s source) agrees(have map[Number]placed) bool {
+	d := s.holder.Document()
+	if p, ok := have[d.n+1]; ok && p.change.Prev == d.chain {
+		return false
+	}
+	for _, c := range s.tail(d.n) {
+		if p, ok := have[c.Number]; !ok || !p.change.same(c) {
+			return false
+		}
+	}
+	return true
+}
+
+// clearBehind removes the changes behind the holder's newest one: each has been added under another number.
+func (s source) clearBehind(ctx context.Context, have map[Number]placed) error {
+	for n, p := range have {
+		if n <= s.holder.Document().n {
+			continue
+		}
+		if err := s.store.Delete(ctx, LogKey(n), p.rev); err != nil {
+			return eris.Wrapf(err, "clear change %d", n)
+		}
+	}
+	return nil
 }
 
 // stray returns, by their numbers, the changes of own and those behind end in the service that are not part of its history up to
--- a/plat/conf/script_test.go
+++ b/plat/conf/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -57,6 +58,26 @@
 	})
 }
 
+// TestStaleChangeDoesNotBlock has a late write of a change that has another number by now stand where the next one belongs.
+func TestStaleChangeDoesNotBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, h := keyval.NewMemory(), conf.NewHolder()
+		fill(t, m, h, 3)
+		c, _ := h.At(2)
+		c.Number, c.Prev = 4, "another"
+		v, err := json.Marshal(c)
+		is.NoErr(err)
+		_, err = m.Put(t.Context(), conf.LogKey(4), v, keyval.Absent, 0)
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		n, err := conf.NewCommitter(m, h).Commit(ctx, pool(0, "next"))
+		is.NoErr(err)
+		is.Equal(n, conf.Number(4))
+	})
+}
+
 // TestRepeatAtNewcomer repeats a change that lies behind the snapshot with which an entry began.
 func TestRepeatAtNewcomer(t *testing.T) {
 	is := is.New(t)
