Work out the capacity at the size of design from measured slopes

Cause: the size to design for had no figures, and no check that the page follows from what was measured.

Ruled out: wall time, since the machine is shared; processor time of the process, bytes and heap are taken instead.

--- /dev/null
+++ b/bench/slopes/confs.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+
+	"burdockreach.dev/bench/slope"
+	"burdockreach.dev/plat/conf"
+	"burdockreach.dev/plat/keyval"
+)
+
+var (
+	teamSizes   = []int{58, 115, 230, 460}
+	poolSizes   = []int{13, 26, 51, 102}
+	changeSizes = []int{64, 250, 500, 1000}
+)
+
+const designTeams = 230
+
+// confSeries measures the configuration's document and log.
+func confSeries() []slope.Series {
+	return []slope.Series{
+		series("documentPerTeam", "document in JSON, 51 pools with a service each", "B", "team with 4 approvals", teamSizes,
+			func(n int) float64 { return marshalled(holder(pools, n)) }),
+		series("documentPerPool", "document in JSON, 230 teams", "B", "pool with a service", poolSizes,
+			func(n int) float64 { return marshalled(holder(n, designTeams)) }),
+		series("documentHeap", "document in memory, 51 pools with a service each", "B", "team with 4 approvals", teamSizes, documentHeap),
+		series("documentEncode", "document to JSON", "ns", "team with 4 approvals", teamSizes, func(n int) float64 {
+			h := holder(pools, n)
+			return cpuOf(func() { marshalled(h) })
+		}),
+		series("changeApply", "one change to a document", "ns", "team with 4 approvals", teamSizes, applyCPU),
+		series("changeBytes", "changes in JSON", "B", "change", changeSizes, func(n int) float64 { return encoded(tail(n)) }),
+		series("changeHeap", "changes kept in the log's tail", "B", "change", changeSizes,
+			func(n int) float64 { return heapOf(func() any { return tail(n) }) }),
+		series("changeList", "answer of the service that lists changes", "B", "change", changeSizes, func(n int) float64 { return encoded(listAnswer(n)) }),
+		series("changeRead", "read of the service's answer and its changes", "ns", "change", changeSizes, readCPU),
+	}
+}
+
+func encoded(v any) float64 {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprint("bench: encode: ", err))
+	}
+	return float64(len(b))
+}
+
+func marshalled(h *conf.Holder) float64 {
+	b, err := h.Document().Marshal()
+	if err != nil {
+		panic(fmt.Sprint("bench: encode: ", err))
+	}
+	return float64(len(b))
+}
+
+func documentHeap(n int) float64 {
+	b, err := holder(pools, n).Document().Marshal()
+	if err != nil {
+		panic(fmt.Sprint("bench: encode: ", err))
+	}
+	c := heapOf(func() any {
+		d, err := conf.ParseDocument(b)
+		if err != nil {
+			panic(fmt.Sprint("bench: parse: ", err))
+		}
+		return d
+	})
+	runtime.KeepAlive(b)
+	return c
+}
+
+// quotaChange is the change that operators make most: a team's quota.
+func quotaChange(n, i int) conf.Change {
+	t := teamName(i % designTeams)
+	return conf.Change{
+		Number: conf.Number(n), Op: fmt.Sprintf("op-%032x", n), Prev: "1xk3nvk9w9cqz", By: "operator-07", Kind: conf.PutTeam,
+		Team: &conf.TeamSpec{Name: t, TokenDigest: digest(t), QuotaPerSec: 1000 + i},
+	}
+}
+
+func applyCPU(n int) float64 {
+	d := holder(pools, n).Document()
+	c := quotaChange(int(d.Number())+1, 7)
+	c.Prev = ""
+	return cpuOf(func() {
+		if _, err := d.Apply(c); err != nil {
+			panic(fmt.Sprint("bench: apply: ", err))
+		}
+	})
+}
+
+func tail(n int) []conf.Change {
+	l := make([]conf.Change, n)
+	for i := range l {
+		l[i] = quotaChange(20_000+i, i)
+	}
+	return l
+}
+
+func listAnswer(n int) keyval.ListAnswer {
+	var a keyval.ListAnswer
+	for _, c := range tail(n) {
+		b, err := json.Marshal(c)
+		if err != nil {
+			panic(fmt.Sprint("bench: encode: ", err))
+		}
+		a.Items = append(a.Items, keyval.ItemWire{Key: conf.LogKey(c.Number), Value: b, Rev: keyval.Revision(c.Number)})
+	}
+	return a
+}
+
+func readCPU(n int) float64 {
+	b, err := json.Marshal(listAnswer(n))
+	if err != nil {
+		panic(fmt.Sprint("bench: encode: ", err))
+	}
+	return cpuOf(func() {
+		var a keyval.ListAnswer
+		if err := json.Unmarshal(b, &a); err != nil {
+			panic(fmt.Sprint("bench: parse: ", err))
+		}
+		for _, i := range a.Items {
+			var c conf.Change
+			if err := json.Unmarshal(i.Value, &c); err != nil {
+				panic(fmt.Sprint("bench: parse: ", err))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/bench/slopes/meter.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+
+	"burdockreach.dev/bench/slope"
+)
+
+const (
+	leastRun  = 100 * time.Millisecond // of processor time in one measurement
+	firstRuns = 4
+
+	settleRounds = 4
+	settlePause  = 10 * time.Millisecond
+)
+
+// cpuNow returns the processor time that this process has used.
+func cpuNow() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// cpuOf returns the processor time in nanoseconds of one call of f.
+func cpuOf(f func()) float64 {
+	f()
+	for n := firstRuns; ; n *= 2 {
+		runtime.GC()
+		at := cpuNow()
+		for range n {
+			f()
+		}
+		if d := cpuNow() - at; d >= leastRun {
+			return float64(d) / float64(n)
+		}
+	}
+}
+
+// heapOf returns the bytes of heap that what f returns holds.
+func heapOf(f func() any) float64 {
+	before := heapNow()
+	v := f()
+	after := heapNow()
+	runtime.KeepAlive(v)
+	return float64(after) - float64(before)
+}
+
+func heapNow() uint64 {
+	var m runtime.MemStats
+	for range settleRounds { // pools and finalizers let go only after a few collections
+		runtime.GC()
+		time.Sleep(settlePause)
+	}
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// series measures f at each size.
+func series(name, what, unit, per string, sizes []int, f func(n int) float64) slope.Series {
+	s := slope.Series{Name: name, What: what, Unit: unit, Per: per}
+	for _, n := range sizes {
+		s.Points = append(s.Points, slope.Point{X: float64(n), Y: f(n)})
+	}
+	return s
+}
