--- a/fakes/cloud/cloud_test.go
+++ b/fakes/cloud/cloud_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,10 +174,10 @@
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	seen := 0
+	var seen atomic.Int32
 	var g errgroup.Group
 	v := &fasthttp.Server{Handler: func(q *fasthttp.RequestCtx) {
-		seen++
+		seen.Add(1)
 		q.HijackSetNoResponse(true)
 		q.Hijack(func(c net.Conn) { _ = c.Close() })
 	}}
@@ -188,7 +189,7 @@
 	wantErr(t, err, keyval.ErrUnknown)
 	is.NoErr(v.Shutdown())
 	is.NoErr(g.Wait())
-	is.Equal(seen, 2)
+	is.Equal(seen.Load(), int32(2))
 }
 
 func TestRebootOncePerOp(t *testing.T) {
--- a/fakes/cloud/handle.go
+++ b/fakes/cloud/handle.go
@@ -11,6 +11,7 @@
 
 	"burdockreach.dev/plat/hosts"
 	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/tasks"
 	"burdockreach.dev/plat/wire"
 )
 
@@ -36,6 +37,12 @@
 	hosts.PathUndrain: {do: vmUndrain, vm: true, write: true},
 	hosts.PathReboot:  {do: vmReboot, vm: true, write: true},
 	hosts.PathAssign:  {do: vmAssign, vm: true, write: true},
+
+	tasks.PathList:       {do: taskList, vm: true},
+	tasks.PathRun:        {do: taskRunCall, vm: true, write: true},
+	tasks.PathStop:       {do: taskStop, vm: true, write: true},
+	tasks.PathCheckpoint: {do: taskCheckpoint, vm: true, write: true},
+	tasks.PathThrottle:   {do: taskThrottle, vm: true, write: true},
 }
 
 // controls are the stand-in's own, which no fault touches.
--- a/fakes/cloud/server.go
+++ b/fakes/cloud/server.go
@@ -25,6 +25,9 @@
 	ctl     *fasthttp.Client
 	ready   chan struct{}
 
+	tasks    *Tasks
+	taskOpts []TaskOption
+
 	reads, writes, vmCalls meter
 
 	mu          sync.Mutex
@@ -45,6 +48,8 @@
 		o(s)
 	}
 	s.fleet.init(time.Now())
+	s.tasks = NewTasks(s.store, s.taskOpts...)
+	s.tasks.alive = s.fleet.runs
 	return s
 }
 
--- /dev/null
+++ b/fakes/cloud/taskcalls.go
@@ -0,0 +1,72 @@
+package cloud
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"burdockreach.dev/plat/hosts"
+	"burdockreach.dev/plat/tasks"
+)
+
+// WithTasks sets how the platform's tasks behave.
+func WithTasks(opts ...TaskOption) Option { return func(s *Server) { s.taskOpts = opts } }
+
+// Tasks returns the platform's tasks without faults.
+func (s *Server) Tasks() *Tasks { return s.tasks }
+
+// runs reports whether the VM is there to run tasks.
+func (f *fleet) runs(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.truth(), func(w hosts.Wire) bool { return w.ID == id && w.State != hosts.Gone })
+}
+
+func taskList(ctx context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[tasks.ListRequest](b)
+	if err != nil {
+		return nil, err
+	}
+	l, err := s.tasks.List(context.WithoutCancel(ctx), q.Prefix)
+	return tasks.ListAnswer{Tasks: l}, err
+}
+
+func taskRunCall(ctx context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[tasks.RunRequest](b)
+	if err != nil {
+		return nil, err
+	}
+	return taskAnswer("", s.tasks.Run(context.WithoutCancel(ctx), q))
+}
+
+func taskStop(ctx context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[tasks.Request](b)
+	if err != nil {
+		return nil, err
+	}
+	return taskAnswer(s.tasks.Stop(context.WithoutCancel(ctx), q.ID))
+}
+
+func taskCheckpoint(ctx context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[tasks.Request](b)
+	if err != nil {
+		return nil, err
+	}
+	return taskAnswer("", s.tasks.Checkpoint(context.WithoutCancel(ctx), q.ID))
+}
+
+func taskThrottle(ctx context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[tasks.Request](b)
+	if err != nil {
+		return nil, err
+	}
+	return taskAnswer("", s.tasks.Throttle(context.WithoutCancel(ctx), q.ID, q.On))
+}
+
+// taskAnswer turns a refusal into an answer.
+func taskAnswer(t tasks.State, err error) (any, error) {
+	if errors.Is(err, tasks.ErrRefused) {
+		return tasks.Answer{Reason: err.Error()}, nil
+	}
+	return tasks.Answer{OK: err == nil, State: t}, err
+}
--- a/plat/conf/commit.go
+++ b/plat/conf/commit.go
@@ -171,8 +171,7 @@
 		return n, true, nil
 	}
 	if errors.Is(v.report, ErrDiverged) {
-		_, err := a.source.merge(ctx)
-		return 0, false, err
+		return 0, false, a.merge(ctx)
 	}
 	if !v.anchored {
 		return a.heal(ctx)
@@ -190,6 +189,16 @@
 	return 0, false, nil
 }
 
+// merge joins the histories; its error makes the next try wait when that changed nothing.
+func (a *attempt) merge(ctx context.Context) error {
+	before := a.source.holder.Document()
+	n, err := a.source.merge(ctx)
+	if err == nil && n == 0 && a.source.holder.Document() == before {
+		err = eris.Wrap(ErrDiverged, "merge changed nothing")
+	}
+	return err
+}
+
 // search looks once for a repeated change in all that the service keeps of the log; it returns the change's number, or 0.
 func (a *attempt) search(ctx context.Context) (Number, error) {
 	if !a.repeat || a.sought {
--- a/plat/conf/script_test.go
+++ b/plat/conf/script_test.go
@@ -17,7 +17,15 @@
 // scripted is a store whose next put is done by a function.
 type scripted struct {
 	keyval.Store
-	put func(ctx context.Context, key string, v []byte) error
+	put  func(ctx context.Context, key string, v []byte) error
+	list func(after string)
+}
+
+func (s *scripted) List(ctx context.Context, p, after string, n int) ([]keyval.Item, keyval.Revision, error) {
+	if s.list != nil {
+		s.list(after)
+	}
+	return s.Store.List(ctx, p, after, n)
 }
 
 func (s *scripted) Put(ctx context.Context, key string, v []byte, cond keyval.Revision, l keyval.LeaseID) (keyval.Revision, error) {
@@ -78,6 +86,63 @@
 	})
 }
 
+// store writes the holder's changes from one number to another into m.
+func store(t *testing.T, m *keyval.Memory, h *conf.Holder, from, to conf.Number) {
+	t.Helper()
+	for n := from; n <= to; n++ {
+		c, _ := h.At(n)
+		v, err := json.Marshal(c)
+		if err == nil {
+			_, err = m.Put(t.Context(), conf.LogKey(n), v, keyval.Absent, 0)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestMergeReadsOnce brings the service back older between a merge's two readings.
+func TestMergeReadsOnce(t *testing.T) {
+	is := is.New(t)
+	m, own, other := keyval.NewMemory(), conf.NewHolder(), conf.NewHolder()
+	_, err := own.Offer(pool(1, "a"), pool(2, "y"), pool(3, "x"))
+	is.NoErr(err)
+	_, err = other.Offer(pool(1, "a"), pool(2, "x"))
+	is.NoErr(err)
+	store(t, m, other, 1, 1)
+	saved := m.Save()
+	store(t, m, other, 2, 2)
+	whole := 0
+	s := &scripted{Store: m, list: func(after string) {
+		if after != conf.LogKey(0) {
+			return
+		}
+		if whole++; whole == 3 { // after the look for holes and the first reading
+			m.Restore(saved)
+		}
+	}}
+	_, err = conf.NewCommitter(s, own).Commit(t.Context(), pool(0, "z"))
+	is.NoErr(err)
+	is.True(whole > 3) // read again
+	seen := map[string]bool{}
+	for n := conf.Number(1); n <= own.Document().Number(); n++ {
+		c, _ := own.At(n)
+		is.True(!seen[c.Op]) // each once
+		seen[c.Op] = true
+	}
+	is.Equal(len(seen), 4)
+}
+
+func TestNoSnapshotOfAnUnknownHistory(t *testing.T) {
+	is := is.New(t)
+	m, h := keyval.NewMemory(), conf.NewHolder()
+	fill(t, keyval.NewMemory(), h, conf.SnapEvery)
+	is.True(conf.NewCompactor(m, h).Step(t.Context()) != nil)
+	i, err := m.Get(t.Context(), conf.SnapKey)
+	is.NoErr(err)
+	is.True(!i.Found())
+}
+
 // TestRepeatAtNewcomer repeats a change that lies behind the snapshot with which an entry began.
 func TestRepeatAtNewcomer(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/plat/tasks/client.go
@@ -0,0 +1,129 @@
+package tasks
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/plat/wire"
+)
+
+var (
+	// ErrDown reports that the call certainly took no effect.
+	ErrDown = eris.New("tasks: platform cannot be reached")
+	// ErrUnknown reports that the call was sent and its answer was lost.
+	ErrUnknown = eris.New("tasks: outcome unknown")
+	// ErrRefused reports that the platform answered and did not do it.
+	ErrRefused = eris.New("tasks: platform refused")
+)
+
+// Bodies of the platform's calls, as the client sends them and a stand-in reads them.
+type (
+	// ListRequest asks for the tasks whose ids begin with Prefix.
+	ListRequest struct {
+		Prefix string `json:"prefix"`
+	}
+	// ListAnswer holds the tasks.
+	ListAnswer struct {
+		Tasks []Task `json:"tasks"`
+	}
+	// Request names the task.
+	Request struct {
+		ID string `json:"id"`
+		On bool   `json:"on,omitempty"` // for a throttle.
+	}
+	// Answer tells whether the call took effect and, for a stop, how the task ended.
+	Answer struct {
+		OK     bool   `json:"ok"`
+		State  State  `json:"state,omitempty"`
+		Reason string `json:"reason,omitempty"`
+	}
+)
+
+// Paths of the platform's calls.
+const (
+	PathList       = "/task/list"
+	PathRun        = "/task/run"
+	PathStop       = "/task/stop"
+	PathCheckpoint = "/task/checkpoint"
+	PathThrottle   = "/task/throttle"
+)
+
+// Client is a Platform over its HTTP API; each method makes exactly one attempt.
+type Client struct {
+	wire *wire.Client
+}
+
+var _ Platform = (*Client)(nil)
+
+// Option adjusts a client.
+type Option = wire.Option
+
+// WithName sets the name under which the platform knows the calling entry.
+func WithName(name string) Option { return wire.WithName(name) }
+
+// WithTimeout bounds a call whose context has no deadline.
+func WithTimeout(d time.Duration) Option { return wire.WithTimeout(d) }
+
+// New returns a client of the platform at addr.
+func New(addr string, opts ...Option) *Client { return &Client{wire: wire.New(addr, opts...)} }
+
+// Close drops the unused connections.
+func (c *Client) Close() { c.wire.Close() }
+
+// List implements Platform.
+func (c *Client) List(ctx context.Context, prefix string) ([]Task, error) {
+	var a ListAnswer
+	err := c.call(ctx, PathList, prefix, ListRequest{Prefix: prefix}, &a)
+	return a.Tasks, err
+}
+
+// Run implements Platform.
+func (c *Client) Run(ctx context.Context, r RunRequest) error {
+	_, err := c.act(ctx, PathRun, r.ID, r)
+	return err
+}
+
+// Stop implements Platform.
+func (c *Client) Stop(ctx context.Context, id string) (State, error) {
+	a, err := c.act(ctx, PathStop, id, Request{ID: id})
+	return a.State, err
+}
+
+// Checkpoint implements Platform.
+func (c *Client) Checkpoint(ctx context.Context, id string) error {
+	_, err := c.act(ctx, PathCheckpoint, id, Request{ID: id})
+	return err
+}
+
+// Throttle implements Platform.
+func (c *Client) Throttle(ctx context.Context, id string, on bool) error {
+	_, err := c.act(ctx, PathThrottle, id, Request{ID: id, On: on})
+	return err
+}
+
+func (c *Client) act(ctx context.Context, path, id string, q any) (Answer, error) {
+	var a Answer
+	if err := c.call(ctx, path, id, q, &a); err != nil {
+		return a, err
+	}
+	if !a.OK {
+		return a, eris.Wrapf(ErrRefused, "%s of %s at %s: %s", path, id, c.wire.Addr(), a.Reason)
+	}
+	return a, nil
+}
+
+func (c *Client) call(ctx context.Context, path, id string, q, a any) error {
+	err := c.wire.Call(ctx, path, q, a, 0)
+	if err == nil {
+		return nil
+	}
+	kind := ErrUnknown
+	var w *wire.Error
+	if errors.As(err, &w) && !w.Sent() {
+		kind = ErrDown
+	}
+	return eris.Wrapf(kind, "%s of %q: %v", path, id, err)
+}
