--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -36,7 +35,6 @@
 const (
 	startWithin = 30 * time.Second
 	stopWithin  = 20 * time.Second
-	controlStep = 1000 // from a target's port to its control port
 )
 
 // Plan says what a rig is made of, for each data centre.
@@ -362,39 +360,6 @@
 	}
 }
 
-func control(addr string) string {
-	h, p, _ := net.SplitHostPort(addr)
-	var n int
-	_, _ = fmt.Sscan(p, &n)
-	return net.JoinHostPort(h, fmt.Sprint(n+controlStep))
-}
-
-// free returns a loopback address that nothing listens on.
-func free(t testing.TB) string {
-	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// freePair returns a free address whose control address is free too.
-func freePair(t testing.TB) string {
-	t.Helper()
-	for {
-		a := free(t)
-		c := control(a)
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", c)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		return a
-	}
-}
-
 func digest(token string) string {
 	s := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(s[:])
