--- /dev/null
+++ b/node/jobs/queue.go
@@ -0,0 +1,132 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/plat/keyval"
+)
+
+var (
+	// ErrExists reports that the id belongs to another job.
+	ErrExists = eris.New("jobs: id is taken by another job")
+	// ErrNotFound reports that no job has the id.
+	ErrNotFound = eris.New("jobs: no such job")
+	// ErrUnsettled reports that the call may have taken effect: repeat it.
+	ErrUnsettled = eris.New("jobs: outcome unknown")
+)
+
+const (
+	pageItems   = 200
+	cancelTries = 5 // conditional writes for one cancellation.
+)
+
+// Queue is operators' access to the jobs of the data centres.
+type Queue struct {
+	store keyval.Store
+}
+
+// NewQueue returns the jobs in the store.
+func NewQueue(s keyval.Store) *Queue { return &Queue{store: s} }
+
+// Submit adds the job; a repeat with the same spec is no error, ErrMalformed and ErrExists leave nothing behind.
+func (q *Queue) Submit(ctx context.Context, s Spec) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	b, err := Record{Spec: s, State: Waiting, Submitted: time.Now().UnixMilli()}.marshal()
+	if err != nil {
+		return err
+	}
+	_, err = q.store.Put(ctx, key(s.DataCentre, s.ID), b, keyval.Absent, 0)
+	if err == nil || errors.Is(err, keyval.ErrDown) {
+		return err
+	}
+	r, _, e := q.get(ctx, s.DataCentre, s.ID)
+	switch {
+	case e == nil && r.Spec == s:
+		return nil
+	case e == nil:
+		return eris.Wrapf(ErrExists, "step=submit job=%s", s.ID)
+	}
+	return eris.Wrapf(ErrUnsettled, "step=submit job=%s: %v", s.ID, err)
+}
+
+func (q *Queue) get(ctx context.Context, dataCentre, id string) (Record, keyval.Revision, error) {
+	i, err := q.store.Get(ctx, key(dataCentre, id))
+	if err != nil {
+		return Record{}, 0, err
+	}
+	if !i.Found() {
+		return Record{}, 0, eris.Wrapf(ErrNotFound, "job=%s dataCentre=%s", id, dataCentre)
+	}
+	r, err := parseRecord(i.Value())
+	return r, i.Rev(), err
+}
+
+// Cancel takes the job back; one that waits never starts, one that runs is stopped, one that has ended stays as it is.
+func (q *Queue) Cancel(ctx context.Context, dataCentre, id string) (Record, error) {
+	var last error
+	for range cancelTries {
+		r, rev, err := q.get(ctx, dataCentre, id)
+		if err != nil || r.State.Ended() || r.Cancel {
+			return r, err
+		}
+		r.Cancel = true
+		if r.State == Waiting {
+			r.State, r.Ended = Canceled, time.Now().UnixMilli()
+		}
+		b, err := r.marshal()
+		if err != nil {
+			return r, err
+		}
+		if _, last = q.store.Put(ctx, key(dataCentre, id), b, rev, 0); last == nil {
+			return r, nil
+		}
+	}
+	return Record{}, eris.Wrapf(ErrUnsettled, "step=cancel job=%s: %v", id, last)
+}
+
+// Get returns the job's record, or ErrNotFound.
+func (q *Queue) Get(ctx context.Context, dataCentre, id string) (Record, error) {
+	r, _, err := q.get(ctx, dataCentre, id)
+	return r, err
+}
+
+// List returns the data centre's jobs in the order of their ids, those that ended lately included.
+func (q *Queue) List(ctx context.Context, dataCentre string) ([]Record, error) {
+	l := []Record{}
+	_, err := eachItem(ctx, q.store, prefix(dataCentre), func(i keyval.Item) error {
+		r, err := parseRecord(i.Value())
+		l = append(l, r)
+		return err
+	})
+	return l, err
+}
+
+// eachItem calls f with each item under the prefix and returns the revision from which changes are to be followed.
+func eachItem(ctx context.Context, s keyval.Store, prefix string, f func(keyval.Item) error) (keyval.Revision, error) {
+	var first keyval.Revision
+	after := ""
+	for {
+		l, rev, err := s.List(ctx, prefix, after, pageItems)
+		if err != nil {
+			return 0, err
+		}
+		if after == "" {
+			first = rev
+		}
+		for _, i := range l {
+			if err := f(i); err != nil {
+				return 0, err
+			}
+			after = i.Key()
+		}
+		if len(l) < pageItems {
+			return first, nil
+		}
+	}
+}
--- /dev/null
+++ b/node/jobs/record.go
@@ -0,0 +1,138 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/fleet/place"
+)
+
+// State is where a job stands.
+type State string
+
+const (
+	// Waiting means that the job waits for a worker.
+	Waiting State = "waiting"
+	// Running means that an attempt is recorded and runs, or is about to.
+	Running State = "running"
+	// Done means that the job has ended well.
+	Done State = "done"
+	// GivenUp means that the job will not run; its record has the reason.
+	GivenUp State = "givenUp"
+	// Canceled means that an operator has taken the job back.
+	Canceled State = "canceled"
+)
+
+// Ended reports whether the job will not run again.
+func (s State) Ended() bool { return s == Done || s == GivenUp || s == Canceled }
+
+// Spec is a job as an operator submits it.
+type Spec struct {
+	ID           string  `json:"id"`
+	DataCentre   string  `json:"dataCentre"`
+	Pool         string  `json:"pool"`
+	Team         string  `json:"team"`
+	Kind         string  `json:"kind"` // jobs of a kind are of like size and run time.
+	Cores        float64 `json:"cores"`
+	MemoryMB     float64 `json:"memoryMB"`
+	Accelerators int     `json:"accelerators"`
+	RunMillis    int64   `json:"runMs"`
+	FinishBy     int64   `json:"finishBy"` // Unix milliseconds.
+	Urgent       bool    `json:"urgent"`
+	RunOnce      bool    `json:"runOnce"` // never has two running copies.
+}
+
+// Record is a job's document in the platform's service; times are in Unix milliseconds.
+type Record struct {
+	Spec      Spec       `json:"spec"`
+	State     State      `json:"state"`
+	Cancel    bool       `json:"cancel"` // an operator has taken the job back while it ran.
+	Attempt   int        `json:"attempt"`
+	Worker    string     `json:"worker"`
+	Size      place.Size `json:"size"` // reserved for the attempt.
+	Lease     int64      `json:"lease"`
+	Fence     int64      `json:"fence"` // of the leader that recorded the attempt.
+	Reason    string     `json:"reason"`
+	Submitted int64      `json:"submitted"`
+	Started   int64      `json:"started"`
+	Ended     int64      `json:"ended"`
+}
+
+// ErrMalformed reports a job whose field cannot be accepted.
+var ErrMalformed = eris.New("jobs: malformed job")
+
+const maxNameBytes = 64
+
+var nameForm = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]*$`)
+
+// Check returns an error that matches ErrMalformed and names the first field that cannot be accepted.
+func (s Spec) Check() error {
+	for _, f := range []struct{ field, value string }{
+		{"id", s.ID}, {"dataCentre", s.DataCentre}, {"pool", s.Pool}, {"team", s.Team}, {"kind", s.Kind},
+	} {
+		if len(f.value) > maxNameBytes || !nameForm.MatchString(f.value) {
+			return eris.Wrapf(ErrMalformed, "%s %q: up to %d letters, digits, dots, dashes and underscores", f.field, f.value, maxNameBytes)
+		}
+	}
+	switch {
+	case !(s.Cores > 0):
+		return eris.Wrap(ErrMalformed, "cores: over 0")
+	case !(s.MemoryMB > 0):
+		return eris.Wrap(ErrMalformed, "memoryMB: over 0")
+	case s.Accelerators < 0:
+		return eris.Wrap(ErrMalformed, "accelerators: from 0")
+	case s.RunMillis <= 0:
+		return eris.Wrap(ErrMalformed, "runMs: over 0")
+	case s.FinishBy <= 0:
+		return eris.Wrap(ErrMalformed, "finishBy: over 0")
+	}
+	return nil
+}
+
+// job returns the spec as the placer knows it.
+func (s Spec) job() place.Job {
+	return place.Job{
+		ID: s.ID, Team: s.Team, Kind: s.Kind, RunMillis: s.RunMillis, FinishBy: s.FinishBy, Urgent: s.Urgent, RunOnce: s.RunOnce,
+		Declared: place.Size{Cores: s.Cores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators},
+	}
+}
+
+func prefix(dataCentre string) string { return "dc/" + dataCentre + "/jobs/" }
+
+func key(dataCentre, id string) string { return prefix(dataCentre) + id }
+
+// taskPrefix begins the ids of a data centre's tasks.
+func taskPrefix(dataCentre string) string { return dataCentre + "/" }
+
+func (r Record) taskID() string {
+	return fmt.Sprintf("%s%s/%d", taskPrefix(r.Spec.DataCentre), r.Spec.ID, r.Attempt)
+}
+
+// parseTask returns the job and the attempt that a task's id names.
+func parseTask(dataCentre, id string) (job string, attempt int, ok bool) {
+	rest, ok := strings.CutPrefix(id, taskPrefix(dataCentre))
+	if !ok {
+		return "", 0, false
+	}
+	job, number, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", 0, false
+	}
+	_, err := fmt.Sscanf(number, "%d", &attempt)
+	return job, attempt, err == nil
+}
+
+func parseRecord(b []byte) (Record, error) {
+	var r Record
+	err := json.Unmarshal(b, &r)
+	return r, eris.Wrap(err, "jobs: parse record")
+}
+
+func (r Record) marshal() ([]byte, error) {
+	b, err := json.Marshal(r)
+	return b, eris.Wrapf(err, "jobs: encode record of %s", r.Spec.ID)
+}
