Let a VM go only when a request whose answer was lost may have ended

Cause: a caller is told at once that its answer was lost, but the target may still run the request; the drain took the VM for empty and the reboot would have cut it. The test saw the VM let go 0.1 s after the loss. Also, a loss that the scheduler's own deadline had overtaken freed the target's slot at once. Ruled out: the scheduler's own estimate of a lost run, which is the mean of a service that may have none yet.

--- a/flow/sched/sched.go
+++ b/flow/sched/sched.go
@@ -215,12 +215,12 @@
 		if !r.over && s.now <= r.deadline {
 			s.meters.goodput.add(s.now)
 		}
+	case m.Result == Unknown:
+		o = route.Lost
 	case m.Result == Withdrawn, m.Leaving, r.over:
 		o = route.Mute
 	case m.Result == NotRun:
 		o = route.Full
-	case m.Result == Unknown:
-		o = route.Lost
 	}
 	s.line.Finished(r.class, took)
 	s.pool.Done(s.now, m.Target, o, s.line.Mean())
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -166,17 +166,13 @@
 func (e *Entry) loop(ctx context.Context) error {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	var reaped, refreshed, looked time.Time
+	var reaped, refreshed time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
 			e.eachService(func(v *service) { v.tick(now) })
-			if now.Sub(looked) >= loadEvery {
-				e.eachService(func(v *service) { v.lendIdle(now) })
-				looked = now
-			}
 			if now.Sub(reaped) >= reapEvery {
 				e.reap(now)
 				reaped = now
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -290,3 +290,17 @@
 	i.Equal(s, 503)
 	i.True(f.RetryAfterMs > 0)
 }
+
+func TestDrainWaitsForAnAbandonedRequest(t *testing.T) {
+	i := is.New(t)
+	out := make(chan struct{})
+	a := listen(t, func(x *fasthttp.RequestCtx) { <-out })
+	t.Cleanup(func() { close(out) }) // before the target is stopped
+	r := start(t, []string{a})
+	s, o, _, _ := r.ask("GET", "/call/orders/x", "", headerTimeout, "100")
+	i.Equal(s, 504)
+	i.Equal(o, string(OutcomeUnknown)) // the caller was told so at once
+	r.show(2, false, a)
+	r.e.refresh(time.Now())
+	i.Equal(len(r.e.Quits()), 0) // the target may still run it
+}
--- a/node/entry/leave.go
+++ b/node/entry/leave.go
@@ -86,17 +86,18 @@
 func (e *Entry) Quits() []Quit {
 	e.tableMu.Lock()
 	defer e.tableMu.Unlock()
+	now := time.Now()
 	var q []Quit
 	for _, t := range e.listed.Targets() {
-		if !t.Serving && e.quit(t.VM) {
+		if !t.Serving && e.quit(t.VM, now) {
 			q = append(q, Quit{VM: t.VM, Number: t.Number})
 		}
 	}
 	return q
 }
 
-func (e *Entry) quit(vm string) bool {
+func (e *Entry) quit(vm string, now time.Time) bool {
 	q := true
-	e.eachService(func(v *service) { q = q && v.quitFor(vm) })
+	e.eachService(func(v *service) { q = q && v.quitFor(vm, now) })
 	return q
 }
--- a/node/entry/loans.go
+++ b/node/entry/loans.go
@@ -7,8 +7,8 @@
 	"burdockreach.dev/flow/share"
 )
 
-// loadEvery is the time between looks at what is idle and may be lent.
-const loadEvery = 20 * time.Millisecond
+// quietEvery is the time between looks at the loans of a service where nothing waits, is lent or is borrowed.
+const quietEvery = time.Second
 
 // maxAsks is the number of requests for slots that wait to be sent; more are dropped and made again.
 const maxAsks = 64
@@ -80,17 +80,21 @@
 	return v.shareOut(m)
 }
 
-// lendIdle looks at the loans while nothing is asked.
+// lendIdle looks at the loans while nothing is asked; v.mu is held.
 func (v *service) lendIdle(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
+	if len(v.waiting) == 0 && v.loans.Quiet() && now.Sub(v.looked) < quietEvery {
+		return
+	}
+	v.looked = now
 	v.shareOut(share.LoadMsg{Now: now, Load: v.load()})
 }
 
 // load tells what is busy and what waits; v.mu is held.
 func (v *service) load() share.Load {
 	s := v.s.Stats()
-	return share.Load{Queued: s.Pressing(), Yielding: s.Yielding(), Keep: s.Held(), Busy: v.out}
+	clear(v.busy)
+	v.s.Taken(v.busy)
+	return share.Load{Queued: s.Pressing(), Yielding: s.Yielding(), Keep: s.Held(), Busy: v.busy}
 }
 
 // shareOut updates the loans and performs their commands; v.mu is held.
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -20,12 +20,15 @@
 	listed  map[string]bool
 	loans   *share.Loans
 	asks    chan<- Ask
+	busy    map[string]int // slots that are or may be taken, by VM; kept for the next look
+	looked  time.Time
+	lost    map[string]time.Time // when an answer of the VM was last lost
 }
 
 func newService(name, self string, asks chan<- Ask, opts ...sched.Option) *service {
 	return &service{
 		name: name, s: sched.New(name, opts...), loans: share.New(self), asks: asks,
-		waiting: make(map[sched.ID]chan sched.Cmd), out: make(map[string]int), listed: make(map[string]bool),
+		waiting: make(map[sched.ID]chan sched.Cmd), out: make(map[string]int), listed: make(map[string]bool), busy: make(map[string]int), lost: make(map[string]time.Time),
 	}
 }
 
@@ -55,6 +58,9 @@
 	if v.out[m.Target] <= 0 {
 		delete(v.out, m.Target)
 	}
+	if m.Result == sched.Unknown {
+		v.lost[m.Target] = m.Now
+	}
 	v.perform(v.s.Update(m))
 }
 
@@ -95,20 +101,28 @@
 	}
 }
 
-// tick lets the scheduler's time pass while anything waits.
+// tick lets the scheduler's time pass while anything waits, and looks at the loans.
 func (v *service) tick(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(v.waiting) > 0 {
 		v.perform(v.s.Update(sched.TickMsg{Now: now}))
 	}
+	v.lendIdle(now)
 }
 
-// quitFor reports whether the VM is off the list and nothing is in flight to it.
-func (v *service) quitFor(vm string) bool {
+// abandonedFor is how long a request whose answer was lost may still run at its target.
+const abandonedFor = 10 * time.Second
+
+// quitFor reports whether the VM is off the list and nothing is in flight to it, not even a request whose answer was lost.
+func (v *service) quitFor(vm string, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return !v.listed[vm] && v.out[vm] == 0
+	if t, ok := v.lost[vm]; ok && now.Sub(t) >= abandonedFor {
+		delete(v.lost, vm)
+	}
+	_, lost := v.lost[vm]
+	return !v.listed[vm] && v.out[vm] == 0 && !lost
 }
 
 func (v *service) stats() sched.Stats {
