Let operators submit, list and cancel jobs

Cause: the runner of jobs was joined to no entry, and operators' calls on jobs answered 501. Ruled out: the answering entry's data centre as the default of a job's, since a submission that is repeated at another entry after a lost answer could then put a run-once job into two data centres; a job names its data centre instead. Conclusion: an entry without jobs still answers 501, as its test demands; the others serve the calls.

--- a/cmd/burdockreach/app.go
+++ b/cmd/burdockreach/app.go
@@ -66,6 +66,7 @@
 	} {
 		r.Register(c, "configuration")
 	}
+	r.Register(a.jobCommand(), "jobs")
 	for _, c := range []*command{a.vmCommand(), a.statusCommand(), a.reportCommand()} {
 		r.Register(c, "state")
 	}
--- /dev/null
+++ b/cmd/burdockreach/job.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"burdockreach.dev/node/jobs"
+	"burdockreach.dev/node/oper"
+)
+
+// maxJobsBytes bounds a file with jobs.
+const maxJobsBytes = 16 << 20
+
+// jobCommand submits, lists, shows and cancels jobs.
+func (a *app) jobCommand() *command {
+	return a.group("job", "submit, list, show or cancel jobs", a.jobSubmit(), a.jobList(), a.jobShow(), a.jobCancel())
+}
+
+func (a *app) jobSubmit() *command {
+	l, file, within := a.newLink(), "", time.Duration(0)
+	var s jobs.Spec
+	var run time.Duration
+	return &command{
+		app: a, name: "submit", synopsis: "submit one job, or those of a file", usage: program + " job submit [flags] ID | -file FILE",
+		flags: func(f *flag.FlagSet) {
+			l.flags(f)
+			f.StringVar(&file, "file", "", "file with a JSON array of jobs; - for the input")
+			f.StringVar(&s.DataCentre, "data-centre", "", "data centre that runs the job")
+			f.StringVar(&s.Pool, "pool", "", "pool on whose workers the job runs")
+			f.StringVar(&s.Team, "team", "", "team that the job belongs to")
+			f.StringVar(&s.Kind, "kind", "", "kind of the job; jobs of a kind are of like size and run time")
+			f.Float64Var(&s.Cores, "cores", 1, "declared cores")
+			f.Float64Var(&s.MemoryMB, "memory", 1024, "declared memory in MB")
+			f.IntVar(&s.Accelerators, "accelerators", 0, "accelerators")
+			f.DurationVar(&run, "run", time.Hour, "declared run time")
+			f.DurationVar(&within, "within", 0, "time from now within which the job must have finished")
+			f.BoolVar(&s.Urgent, "urgent", false, "start at once; other jobs yield")
+			f.BoolVar(&s.RunOnce, "run-once", false, "never have two running copies")
+		},
+		run: func(c context.Context, f *flag.FlagSet) error {
+			if file != "" {
+				q, err := a.readJobs(file)
+				if err != nil {
+					return err
+				}
+				return l.changeJobs(c, "/op/jobs", q)
+			}
+			id, err := oneArg(f)
+			if err != nil {
+				return err
+			}
+			if within <= 0 {
+				return eris.Wrap(errUsage, "-within is missing")
+			}
+			s.ID, s.RunMillis, s.FinishBy = id, run.Milliseconds(), time.Now().Add(within).UnixMilli()
+			return l.changeJobs(c, "/op/jobs", []jobs.Spec{s})
+		},
+	}
+}
+
+func (a *app) readJobs(file string) ([]jobs.Spec, error) {
+	r := a.in
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, eris.Wrap(err, "read jobs")
+		}
+		defer func() { _ = f.Close() }()
+		r = f
+	}
+	var q []jobs.Spec
+	d := json.NewDecoder(io.LimitReader(r, maxJobsBytes))
+	d.DisallowUnknownFields()
+	return q, eris.Wrapf(d.Decode(&q), "read jobs of %s", file)
+}
+
+func (a *app) jobCancel() *command {
+	l, dc := a.newLink(), ""
+	return &command{
+		app: a, name: "cancel", synopsis: "take jobs back", usage: program + " job cancel [flags] ID...",
+		flags: func(f *flag.FlagSet) {
+			l.flags(f)
+			f.StringVar(&dc, "data-centre", "", "data centre of the jobs")
+		},
+		run: func(c context.Context, f *flag.FlagSet) error {
+			if f.NArg() == 0 {
+				return eris.Wrap(errUsage, "the ids of jobs are needed after the flags")
+			}
+			var q []jobs.Spec
+			for _, id := range f.Args() {
+				q = append(q, jobs.Spec{ID: id, DataCentre: dc})
+			}
+			return l.changeJobs(c, "/op/jobs/cancel", q)
+		},
+	}
+}
+
+// changeJobs sends the jobs in parts to the first entry that answers; submitting and canceling may be repeated.
+func (l *link) changeJobs(c context.Context, path string, q []jobs.Spec) error {
+	as, err := l.open()
+	if err != nil {
+		return err
+	}
+	var all oper.JobsReply
+	for part := range slices.Chunk(q, oper.MaxJobs) {
+		b, err := json.Marshal(oper.JobsRequest{Jobs: part})
+		if err != nil {
+			return eris.Wrap(err, "encode jobs")
+		}
+		var r oper.JobsReply
+		for _, a := range as {
+			err = l.call(c, a, fasthttp.MethodPost, path, b, &r)
+			if !errors.Is(err, errNotSent) && !errors.Is(err, errLost) {
+				break
+			}
+		}
+		if err != nil {
+			return errors.Join(l.tellJobs(all), err)
+		}
+		all.Items = append(all.Items, r.Items...)
+	}
+	return l.tellJobs(all)
+}
+
+// tellJobs says what became of each job; it is a success when all are accepted.
+func (l *link) tellJobs(r oper.JobsReply) error {
+	var err error
+	var rows [][]string
+	for _, i := range r.Items {
+		if i.Outcome != oper.Accepted {
+			err = errTold
+		}
+		rows = append(rows, texts(i.ID, i.DataCentre, i.Outcome, i.State, i.Reason))
+	}
+	if l.asJSON {
+		return errors.Join(l.app.writeJSON(r), err)
+	}
+	return errors.Join(l.app.table([]string{"JOB", "DATA CENTRE", "OUTCOME", "STATE", "REASON"}, rows), err)
+}
+
+func (a *app) jobList() *command {
+	l, dc, pool, state := a.newLink(), "", "", ""
+	return &command{
+		app: a, name: "list", synopsis: "list jobs", usage: program + " job list [flags]",
+		flags: func(f *flag.FlagSet) {
+			l.flags(f)
+			f.StringVar(&dc, "data-centre", "", "only of this data centre")
+			f.StringVar(&pool, "pool", "", "only of this pool")
+			f.StringVar(&state, "state", "", "only in this state: waiting, running, done, givenUp or canceled")
+		},
+		run: func(c context.Context, _ *flag.FlagSet) error {
+			return l.writeJobs(c, "?dataCentre="+escape(dc)+"&pool="+escape(pool)+"&state="+escape(state), false)
+		},
+	}
+}
+
+func (a *app) jobShow() *command {
+	l, dc := a.newLink(), ""
+	return &command{
+		app: a, name: "show", synopsis: "show one job", usage: program + " job show [flags] ID",
+		flags: func(f *flag.FlagSet) {
+			l.flags(f)
+			f.StringVar(&dc, "data-centre", "", "only of this data centre")
+		},
+		run: func(c context.Context, f *flag.FlagSet) error {
+			id, err := oneArg(f)
+			if err != nil {
+				return err
+			}
+			return l.writeJobs(c, "?id="+escape(id)+"&dataCentre="+escape(dc), true)
+		},
+	}
+}
+
+// writeJobs lists the jobs that match the query; some says that none is a failure.
+func (l *link) writeJobs(c context.Context, query string, some bool) error {
+	var r oper.JobList
+	if err := l.get(c, "/op/jobs"+query, &r); err != nil {
+		return err
+	}
+	if some && len(r.Items) == 0 {
+		return eris.New("no such job")
+	}
+	if l.asJSON {
+		return l.app.writeJSON(r)
+	}
+	var rows [][]string
+	for _, j := range r.Items {
+		s := j.Spec
+		rows = append(rows, texts(s.ID, s.DataCentre, s.Pool, s.Kind, j.State, j.Attempt, j.Worker, clock(s.FinishBy), clock(j.Ended), j.Reason))
+	}
+	return l.app.table([]string{"JOB", "DATA CENTRE", "POOL", "KIND", "STATE", "ATTEMPT", "WORKER", "FINISH BY", "ENDED", "REASON"}, rows)
+}
+
+// clock writes Unix milliseconds as a time of day with its date; zero is nothing.
+func clock(ms int64) string {
+	if ms == 0 {
+		return ""
+	}
+	return time.UnixMilli(ms).UTC().Format(time.RFC3339)
+}
--- a/fakes/cloud/task.go
+++ b/fakes/cloud/task.go
@@ -195,6 +195,9 @@
 		k := tasks.Task{ID: id, VM: r.VM, State: r.state}
 		if r.seen.Sub(r.began) >= t.lag {
 			k.UsedCores, k.UsedMemoryMB = min(r.truth.Cores, r.Cores), r.truth.MemoryMB
+			if r.throttled {
+				k.UsedCores *= throttledPart
+			}
 		}
 		l = append(l, k)
 	}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -49,6 +49,7 @@
 	entry    *entry.Entry
 	loop     *steer.Loop
 	burn     *burn.Meter
+	jobs     *runner
 	shares   *shares
 	self     ledger.Member
 }
@@ -90,6 +91,7 @@
 	d.loop = steer.New(s.DataCentre(), s.Name(), d.store, d.platform, d.lease, d.conf, d.news, d.shelf,
 		steer.WithTick(s.Tick()), steer.WithLogger(d.log), steer.WithOthers(without(s.DataCentres(), s.DataCentre())),
 		steer.WithGone(d.keeper.Gone))
+	d.jobs = newRunner(d)
 }
 
 func without(l []string, x string) []string {
@@ -132,6 +134,7 @@
 	err = g.Wait()
 	d.store.Close()
 	d.platform.Close()
+	d.jobs.close()
 	d.client.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -169,9 +172,9 @@
 func (d *Daemon) background(ctx context.Context, g *errgroup.Group, l listeners) {
 	follower := conf.NewFollower(d.store, d.conf, conf.WithLogger(d.log), conf.WithWait(d.set.WatchWait()))
 	server := relay.NewServer(relay.Service{Keeper: d.keeper, Beater: d.beater, Lender: d.shares})
-	api := oper.New(d.set.Name(), d.set.OperatorTokenDigests(), configAPI{d}, fleetAPI{d}, d.burn, oper.WithLogger(d.log))
+	api := oper.New(d.set.Name(), d.set.OperatorTokenDigests(), configAPI{d}, fleetAPI{d}, d.burn, oper.WithLogger(d.log), d.jobs.operated())
 	for _, f := range []func(context.Context) error{
-		follower.Run, d.lease.Run, d.keeper.Run, d.beater.Run, d.loop.Run, d.addresses, d.compact, d.flush, d.kick, d.shares.run,
+		follower.Run, d.lease.Run, d.keeper.Run, d.beater.Run, d.loop.Run, d.jobs.run, d.addresses, d.compact, d.flush, d.kick, d.shares.run,
 		func(x context.Context) error { return server.Serve(x, l.peers) },
 		func(x context.Context) error { return api.ServeListener(x, l.operators) },
 	} {
--- a/node/jobs/act.go
+++ b/node/jobs/act.go
@@ -117,10 +117,7 @@
 	r.Lease, r.Fence, r.Started = int64(t.lease), int64(t.fence), now()
 	rev, err := t.write(ctx, r, j.rev)
 	if err != nil {
-		return func() {
-			j.rec.Attempt = r.Attempt
-			t.feed(r.Spec.Pool, place.EndedMsg{At: now(), Task: c.Task, How: place.Stopped})
-		}
+		return func() { t.feed(r.Spec.Pool, place.EndedMsg{At: now(), Task: c.Task, How: place.Stopped}) }
 	}
 	if t.held() {
 		err = t.platform.Run(ctx, tasks.RunRequest{
--- a/node/jobs/jobs_test.go
+++ b/node/jobs/jobs_test.go
@@ -33,14 +33,18 @@
 
 // vms is the platform's list.
 type vms struct {
-	l      []hosts.VM
-	hidden atomic.Bool
+	l       []hosts.VM
+	hidden  atomic.Bool
+	leaving atomic.Pointer[hosts.VM] // takes the place of the first.
 }
 
 func (v *vms) List(context.Context) ([]hosts.VM, error) {
 	if v.hidden.Load() {
 		return nil, nil
 	}
+	if o := v.leaving.Load(); o != nil {
+		return append([]hosts.VM{*o}, v.l[1:]...), nil
+	}
 	return v.l, nil
 }
 
@@ -142,6 +146,23 @@
 	return r
 }
 
+// wantRoom wants no worker to run more than it has cores for, throttled tasks' small part aside.
+func (s *site) wantRoom() {
+	s.t.Helper()
+	s.is.Helper()
+	l, err := s.tasks.List(s.ctx, "")
+	s.is.NoErr(err)
+	used := map[string]float64{}
+	for _, k := range l {
+		if !k.State.Ended() {
+			used[k.VM] += k.UsedCores
+		}
+	}
+	for _, u := range used {
+		s.is.True(u < cores+1)
+	}
+}
+
 // wait lets time pass in the bubble.
 func wait(d time.Duration) {
 	time.Sleep(d)
@@ -157,20 +178,22 @@
 		name          string
 		run, die      bool
 		withoutWorker bool // the next leader has no worker until the former one goes on.
+		withoutWrite  bool // the next leader's writes do not reach the service until then.
 	}{
 		{name: "between record and run", run: true},
 		{name: "dies between record and run", run: true, die: true},
 		{name: "between record and run, next leader cannot start", run: true, withoutWorker: true},
 		{name: "before the record"},
 		{name: "before the record, next leader cannot start", withoutWorker: true},
+		{name: "before the record, next leader cannot write", withoutWrite: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { pausedLeader(t, c.run, c.die, c.withoutWorker) })
+			synctest.Test(t, func(t *testing.T) { pausedLeader(t, c.run, c.die, c.withoutWorker, c.withoutWrite) })
 		})
 	}
 }
 
-func pausedLeader(t *testing.T, run, die, withoutWorker bool) {
+func pausedLeader(t *testing.T, run, die, withoutWorker, withoutWrite bool) {
 	s := newSite(t, 2, cloud.WithTruth(cloud.Truth{Run: 20 * time.Second}))
 	s.submit("disburse", once)
 	p := &paused{Platform: s.tasks, Store: s.store, atRun: run, atWrite: !run, gate: make(chan struct{})}
@@ -182,17 +205,52 @@
 	}
 	next := &vms{l: s.vms.l}
 	next.hidden.Store(withoutWorker)
-	s.lead(&leader{fence: 2}, s.store, s.tasks, next)
-	wait(3 * time.Second)
+	deaf := &deafStore{Memory: s.store}
+	deaf.down.Store(withoutWrite)
+	s.lead(&leader{fence: 2}, deaf, s.tasks, next)
+	wait(3250 * time.Millisecond)
 	close(p.gate)
 	wait(3 * time.Second)
 	next.hidden.Store(false)
+	deaf.down.Store(false)
 	wait(50 * time.Second)
 	s.is.Equal(s.tasks.Doubled(), 0)
 	s.is.Equal(s.tasks.Starts(), 1)
 	s.wantState("disburse", jobs.Done)
 }
 
+// deafStore is a store whose writes of values do not arrive while it is down.
+type deafStore struct {
+	*keyval.Memory
+	down atomic.Bool
+}
+
+func (d *deafStore) Put(ctx context.Context, key string, v []byte, cond keyval.Revision, l keyval.LeaseID) (keyval.Revision, error) {
+	if d.down.Load() {
+		return 0, keyval.ErrDown
+	}
+	return d.Memory.Put(ctx, key, v, cond, l)
+}
+
+// TestLateRecord lets a paused leader write its record when the next one has long finished the job.
+func TestLateRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, cloud.WithTruth(cloud.Truth{Run: 5 * time.Second}))
+		s.submit("disburse", once)
+		p := &paused{Platform: s.tasks, Store: s.store, atWrite: true, gate: make(chan struct{})}
+		s.lead(&leader{fence: 1}, pausedStore{p}, p, s.vms)
+		wait(2 * time.Second)
+		s.is.True(p.reached.Load())
+		s.lead(&leader{fence: 2}, s.store, s.tasks, s.vms)
+		wait(10 * time.Second)
+		s.wantState("disburse", jobs.Done)
+		close(p.gate)
+		synctest.Wait()
+		s.wantState("disburse", jobs.Done)
+		s.is.Equal(s.tasks.Starts(), 1)
+	})
+}
+
 // TestNextLeaderTakesTasksOver wants running tasks to run on under the next leader, which can make them yield.
 func TestNextLeaderTakesTasksOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -234,6 +292,8 @@
 				wait(1500 * time.Millisecond)
 				r := s.wantState("now", jobs.Running)
 				s.is.True(r.Started-r.Submitted <= 1500)
+				wait(2 * time.Second)
+				s.wantRoom()
 			})
 		})
 	}
@@ -245,7 +305,12 @@
 		s := newSite(t, 4, cloud.WithTruth(
 			cloud.Truth{Prefix: "east/broken", Broken: true, Run: time.Minute},
 			cloud.Truth{Prefix: "east/huge", Run: time.Second, MemoryMB: 2 * memory}, cloud.Truth{Run: 2 * time.Second}))
+		s.vms.hidden.Store(true)
+		s.submit("early", func(j *jobs.Spec) { j.Accelerators = 1 })
 		s.lead(&leader{fence: 1}, s.store, s.tasks, s.vms)
+		wait(time.Second)
+		s.wantState("early", jobs.Waiting)
+		s.vms.hidden.Store(false)
 		s.submit("accelerated", func(j *jobs.Spec) { j.Accelerators = 1 })
 		s.submit("broken", nil)
 		s.submit("huge", func(j *jobs.Spec) { j.MemoryMB = 4 * memory })
@@ -253,6 +318,7 @@
 			s.submit(fmt.Sprint("good-", i), nil)
 		}
 		wait(time.Second)
+		s.wantState("early", jobs.GivenUp)
 		s.is.Equal(s.wantState("accelerated", jobs.GivenUp).Reason, "no worker has what the job asks for")
 		wait(time.Minute)
 		s.is.Equal(s.wantState("broken", jobs.GivenUp).Reason, "failed on several good workers")
@@ -278,6 +344,23 @@
 	})
 }
 
+// TestLeavingWorker has a task saved on a worker that leaves; it goes on elsewhere from there.
+func TestLeavingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, cloud.WithTruth(cloud.Truth{Run: 40 * time.Second}))
+		s.submit("night", once)
+		s.lead(&leader{fence: 1}, s.store, s.tasks, s.vms)
+		wait(30 * time.Second)
+		s.is.Equal(s.wantState("night", jobs.Running).Worker, "w00")
+		v := hosts.FromWire(hosts.Wire{ID: "w00", DataCentre: "east", Pool: "nightly", State: hosts.Leaving, Kind: hosts.Worker, Cores: cores, MemoryMB: memory})
+		s.vms.leaving.Store(&v)
+		wait(2 * time.Second)
+		s.is.Equal(s.wantState("night", jobs.Running).Worker, "w01")
+		wait(12 * time.Second)
+		s.wantState("night", jobs.Done)
+	})
+}
+
 // TestCancelMany takes running and waiting jobs back.
 func TestCancelMany(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/oper/api.go
+++ b/node/oper/api.go
@@ -64,6 +64,9 @@
 	log     zerolog.Logger
 	now     func() time.Time
 	routes  map[string]route
+
+	queue       Jobs // nil when the entry runs no jobs.
+	dataCentres []string
 }
 
 // Option changes an API.
--- /dev/null
+++ b/node/oper/jobs.go
@@ -0,0 +1,171 @@
+package oper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"burdockreach.dev/node/jobs"
+	"burdockreach.dev/plat/keyval"
+)
+
+// MaxJobs is the number of jobs that one call may name.
+const MaxJobs = 100
+
+// maxJobCalls is the number of jobs that one call submits or cancels at once.
+const maxJobCalls = 8
+
+// Jobs is what the API needs of the data centres' jobs.
+type Jobs interface {
+	// Submit adds the job; a repeat is no error.
+	Submit(ctx context.Context, s jobs.Spec) error
+	// Cancel takes the job back and returns its record.
+	Cancel(ctx context.Context, dataCentre, id string) (jobs.Record, error)
+	// List returns the data centre's jobs.
+	List(ctx context.Context, dataCentre string) ([]jobs.Record, error)
+}
+
+// WithJobs lets operators submit and cancel jobs of the data centres; without it the API answers 501 to calls on jobs.
+func WithJobs(j Jobs, dataCentres []string) Option {
+	return func(a *API) { a.queue, a.dataCentres = j, dataCentres }
+}
+
+// JobsRequest holds jobs to be submitted; to be canceled they need only data centre and id.
+type JobsRequest struct {
+	Jobs []jobs.Spec `json:"jobs"`
+}
+
+// JobReply tells what became of one job's submission or cancellation.
+type JobReply struct {
+	ID         string     `json:"id"`
+	DataCentre string     `json:"dataCentre"`
+	Outcome    Outcome    `json:"outcome"`
+	State      jobs.State `json:"state,omitempty"` // after a cancellation.
+	Reason     string     `json:"reason,omitempty"`
+}
+
+// JobsReply answers a submission or cancellation, job by job.
+type JobsReply struct {
+	Items []JobReply `json:"items"`
+}
+
+// JobList is a list of jobs.
+type JobList struct {
+	Items []jobs.Record `json:"items"`
+}
+
+// withQueue is the handler h, or a refusal when there are no jobs.
+func (a *API) withQueue(h handler) handler {
+	return func(c context.Context, x *fasthttp.RequestCtx) {
+		if a.queue == nil {
+			a.refuse(x, fasthttp.StatusNotImplemented, Refusal{Reason: "this entry runs no jobs"})
+			return
+		}
+		t, cancel := context.WithTimeout(c, commitTimeout)
+		defer cancel()
+		h(t, x)
+	}
+}
+
+// jobs answers with the jobs that match the query, of all data centres unless it names one.
+func (a *API) jobs(c context.Context, x *fasthttp.RequestCtx) {
+	arg := func(k string) string { return string(x.QueryArgs().Peek(k)) }
+	r := JobList{Items: []jobs.Record{}}
+	for _, d := range a.dataCentres {
+		if !matches(arg("dataCentre"), d) {
+			continue
+		}
+		l, err := a.queue.List(c, d)
+		if err != nil {
+			a.refuse(x, fasthttp.StatusGatewayTimeout, Refusal{Reason: eris.ToString(err, false)})
+			return
+		}
+		for _, j := range l {
+			if matches(arg("id"), j.Spec.ID) && matches(arg("pool"), j.Spec.Pool) && matches(arg("state"), string(j.State)) {
+				r.Items = append(r.Items, j)
+			}
+		}
+	}
+	reply(x, fasthttp.StatusOK, r)
+}
+
+func (a *API) submitJobs(c context.Context, x *fasthttp.RequestCtx) {
+	a.eachJob(c, x, "submitJob", func(c context.Context, s jobs.Spec) (jobs.State, error) {
+		if _, ok := a.config.Document().Pool(s.Pool); !ok {
+			return "", eris.Wrapf(jobs.ErrMalformed, "pool %q: an existing pool", cut(s.Pool))
+		}
+		return "", a.queue.Submit(c, s)
+	})
+}
+
+func (a *API) cancelJobs(c context.Context, x *fasthttp.RequestCtx) {
+	a.eachJob(c, x, "cancelJob", func(c context.Context, s jobs.Spec) (jobs.State, error) {
+		r, err := a.queue.Cancel(c, s.DataCentre, s.ID)
+		return r.State, err
+	})
+}
+
+// eachJob does f with the jobs of the body, some at once, and answers what became of each.
+func (a *API) eachJob(c context.Context, x *fasthttp.RequestCtx, step string, f func(context.Context, jobs.Spec) (jobs.State, error)) {
+	q, bad := parseJobs(x.PostBody())
+	if bad != nil {
+		a.refuse(x, fasthttp.StatusBadRequest, *bad)
+		return
+	}
+	r := JobsReply{Items: make([]JobReply, len(q.Jobs))}
+	var g errgroup.Group
+	g.SetLimit(maxJobCalls)
+	for n, s := range q.Jobs {
+		g.Go(func() error {
+			r.Items[n] = a.oneJob(c, s, f)
+			return nil
+		})
+	}
+	_ = g.Wait() // each reply holds its own error.
+	for _, i := range r.Items {
+		a.log.Info().Str("step", step).Stringer("peer", x.RemoteAddr()).Str("job", i.ID).Str("dataCentre", i.DataCentre).
+			Str("outcome", string(i.Outcome)).Str("reason", i.Reason).Msg("job")
+	}
+	reply(x, fasthttp.StatusOK, r)
+}
+
+func (a *API) oneJob(c context.Context, s jobs.Spec, f func(context.Context, jobs.Spec) (jobs.State, error)) JobReply {
+	r := JobReply{ID: cut(s.ID), DataCentre: cut(s.DataCentre), Outcome: NotAccepted}
+	if !slices.Contains(a.dataCentres, s.DataCentre) {
+		r.Reason = "dataCentre: one of " + strings.Join(a.dataCentres, ", ")
+		return r
+	}
+	state, err := f(c, s)
+	r.State = state
+	switch {
+	case err == nil:
+		r.Outcome = Accepted
+		return r
+	case errors.Is(err, jobs.ErrMalformed), errors.Is(err, jobs.ErrExists), errors.Is(err, jobs.ErrNotFound), errors.Is(err, keyval.ErrDown):
+	default:
+		r.Outcome = Unknown
+	}
+	r.Reason = eris.ToString(err, false)
+	return r
+}
+
+func parseJobs(b []byte) (JobsRequest, *Refusal) {
+	var q JobsRequest
+	d := json.NewDecoder(strings.NewReader(string(b)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&q); err != nil {
+		f := jsonRefusal(err)
+		f.Reason = "malformed jobs"
+		return q, f
+	}
+	if len(q.Jobs) == 0 || len(q.Jobs) > MaxJobs {
+		return q, &Refusal{Reason: "malformed jobs", Field: "jobs", Value: "too few or too many", Allowed: "1 to 100 jobs"}
+	}
+	return q, nil
+}
--- a/node/oper/route.go
+++ b/node/oper/route.go
@@ -28,21 +28,23 @@
 func (a *API) table() map[string]route {
 	get := func(f fasthttp.RequestHandler, args ...string) route { return route{args, plain(f)} }
 	return map[string]route{
-		"POST /op/change":   {nil, a.change},
-		"GET /op/change":    {[]string{"op"}, a.settle},
-		"GET /op/conf":      get(a.document),
-		"GET /op/profiles":  get(a.profiles, "name"),
-		"GET /op/services":  get(a.services, "name"),
-		"GET /op/pools":     get(a.pools, "name"),
-		"GET /op/teams":     get(a.teams, "name"),
-		"GET /op/waves":     get(a.waves, "name"),
-		"GET /op/approvals": get(a.approvals, "team", "service"),
-		"GET /op/vms":       get(a.vms, "name", "pool", "state", "dataCentre"),
-		"GET /op/entries":   get(a.entries),
-		"GET /op/applied":   get(a.applied, "n"),
-		"GET /op/jobs":      get(a.jobs),
-		"GET /op/burn":      get(a.report),
-		"GET /debug/vars":   get(expvarhandler.ExpvarHandler, "r"),
+		"POST /op/change":      {nil, a.change},
+		"GET /op/change":       {[]string{"op"}, a.settle},
+		"GET /op/conf":         get(a.document),
+		"GET /op/profiles":     get(a.profiles, "name"),
+		"GET /op/services":     get(a.services, "name"),
+		"GET /op/pools":        get(a.pools, "name"),
+		"GET /op/teams":        get(a.teams, "name"),
+		"GET /op/waves":        get(a.waves, "name"),
+		"GET /op/approvals":    get(a.approvals, "team", "service"),
+		"GET /op/vms":          get(a.vms, "name", "pool", "state", "dataCentre"),
+		"GET /op/entries":      get(a.entries),
+		"GET /op/applied":      get(a.applied, "n"),
+		"GET /op/jobs":         {[]string{"id", "dataCentre", "pool", "state"}, a.withQueue(a.jobs)},
+		"POST /op/jobs":        {nil, a.withQueue(a.submitJobs)},
+		"POST /op/jobs/cancel": {nil, a.withQueue(a.cancelJobs)},
+		"GET /op/burn":         get(a.report),
+		"GET /debug/vars":      get(expvarhandler.ExpvarHandler, "r"),
 	}
 }
 
--- a/node/oper/show.go
+++ b/node/oper/show.go
@@ -1,7 +1,6 @@
 package oper
 
 import (
-	"fmt"
 	"slices"
 	"strconv"
 
@@ -119,11 +118,6 @@
 	reply(x, fasthttp.StatusOK, r)
 }
 
-// jobs is kept for the jobs of pools.
-func (a *API) jobs(x *fasthttp.RequestCtx) {
-	a.refuse(x, fasthttp.StatusNotImplemented, Refusal{Reason: fmt.Sprintf("%s is reserved: this version runs no jobs", x.Path())})
-}
-
 func (a *API) report(x *fasthttp.RequestCtx) {
 	reply(x, fasthttp.StatusOK, a.burn.Report(a.now()))
 }
