Tell the leader what the decisions ask for, and borrowers who is short

Cause: the planner knows a service that came back older by the shard versions that entries have seen, the sizer takes answers beside arrivals and a moving VM for its new pool, and a borrower asks a peer less often that is itself short. Ruled out: none. Conclusion: carried in beats and in the answer to a borrower.

--- a/node/daemon/news.go
+++ b/node/daemon/news.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"burdockreach.dev/fleet/pool"
 	"burdockreach.dev/flow/sched"
 	"burdockreach.dev/node/entry"
 	"burdockreach.dev/node/relay"
@@ -29,7 +30,8 @@
 	Quits   []entry.Quit    `json:"quits,omitempty"`
 	Leaving []entry.Leaving `json:"leaving,omitempty"`
 	Delta   *view.Delta     `json:"delta,omitempty"`
-	Shares  int64           `json:"shares,omitempty"` // number of the roster whose shares the entry keeps to
+	Shares  int64           `json:"shares,omitempty"`  // number of the roster whose shares the entry keeps to
+	Numbers []int64         `json:"numbers,omitempty"` // versions of the membership's shards in the entry's view
 }
 
 // news carries what entries tell each other; mu guards what the others said.
@@ -103,7 +105,7 @@
 	r := relay.Report{Members: b, Failing: n.failing()}
 	for s, l := range n.d.entry.Loads() {
 		r.Loads = append(r.Loads, &relay.ServiceLoad{
-			Service: s, Busy: int32(l.Busy()), Queued: int32(queued(l)), Idle: int32(l.Idle()), Arrivals: l.Arrivals(),
+			Service: s, Busy: int32(l.Busy()), Queued: int32(queued(l)), Idle: int32(l.Idle()), Arrivals: l.Arrivals(), Done: l.Goodput(),
 		})
 	}
 	return r
@@ -120,7 +122,7 @@
 func (n *news) bulletin() bulletin {
 	now := time.Now()
 	_, lead := n.d.lease.Held()
-	b := bulletin{Version: n.d.shelf.View().Version(), Leading: lead, Quits: n.d.entry.Quits(), Leaving: n.d.entry.Leavings(), Shares: n.d.entry.Settled()}
+	b := bulletin{Version: n.d.shelf.View().Version(), Leading: lead, Quits: n.d.entry.Quits(), Leaving: n.d.entry.Leavings(), Shares: n.d.entry.Settled(), Numbers: numbers(n.d.shelf.View())}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.own != b.Version {
@@ -197,7 +199,7 @@
 // Words implements steer.Peers.
 func (n *news) Words() []steer.Word {
 	now := time.Now()
-	l := []steer.Word{{Entry: n.d.set.Name(), At: now, Quits: quits(n.d.entry.Quits()), Failing: n.failing(), Loads: n.loads()}}
+	l := []steer.Word{{Entry: n.d.set.Name(), At: now, Quits: quits(n.d.entry.Quits()), Failing: n.failing(), Loads: n.loads(), Numbers: numbers(n.d.shelf.View())}}
 	for _, p := range n.d.beater.Heard() {
 		e := p.Address().Entry()
 		n.mu.Lock()
@@ -206,10 +208,10 @@
 		if !ok || now.Sub(h.at) > newsFor {
 			continue
 		}
-		w := steer.Word{Entry: e, At: h.at, Quits: quits(h.Quits), Failing: p.Failing()}
+		w := steer.Word{Entry: e, At: h.at, Quits: quits(h.Quits), Failing: p.Failing(), Numbers: h.Numbers}
 		for _, s := range p.Loads() {
 			w.Loads = append(w.Loads, steer.Load{
-				Service: s.GetService(), Busy: float64(s.GetBusy()), Queued: float64(s.GetQueued()), Arrivals: s.GetArrivals(),
+				Service: s.GetService(), Busy: float64(s.GetBusy()), Queued: float64(s.GetQueued()), Arrivals: s.GetArrivals(), Done: s.GetDone(),
 			})
 		}
 		l = append(l, w)
@@ -220,7 +222,7 @@
 func (n *news) loads() []steer.Load {
 	var l []steer.Load
 	for s, o := range n.d.entry.Loads() {
-		l = append(l, steer.Load{Service: s, Busy: float64(o.Busy()), Queued: float64(queued(o)), Arrivals: o.Arrivals()})
+		l = append(l, steer.Load{Service: s, Busy: float64(o.Busy()), Queued: float64(queued(o)), Arrivals: o.Arrivals(), Done: o.Goodput()})
 	}
 	return l
 }
@@ -232,3 +234,13 @@
 	}
 	return slices.Clip(r)
 }
+
+// numbers returns the version of each shard of the membership that the view shows.
+func numbers(v *view.View) []int64 {
+	l := make([]int64, pool.Count)
+	for _, t := range v.Targets() {
+		i := pool.Index(t.VM, pool.Count)
+		l[i] = max(l[i], t.Number)
+	}
+	return l
+}
--- a/node/daemon/shares.go
+++ b/node/daemon/shares.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		return
 	}
-	m := share.LentMsg{Now: time.Now(), From: a.To, Number: r.GetNumber(), Recalled: r.GetRecalled()}
+	m := share.LentMsg{Now: time.Now(), From: a.To, Number: r.GetNumber(), Recalled: r.GetRecalled(), Busy: r.GetBusy()}
 	for _, g := range r.GetGrants() {
 		m.Grants = append(m.Grants, share.Grant{ID: g.GetId(), Target: g.GetTarget()})
 	}
@@ -207,7 +207,7 @@
 		Now: time.Now(), From: life(ledger.Member{Entry: r.GetEntry(), Incarnation: r.GetIncarnation()}),
 		Number: r.GetNumber(), Want: int(r.GetSlots()), Holding: r.GetHolding(),
 	})
-	o := &relay.BorrowReply{Number: c.Number, Recalled: c.Recalled}
+	o := &relay.BorrowReply{Number: c.Number, Recalled: c.Recalled, Busy: c.Busy}
 	if !ok {
 		return o, nil
 	}
--- a/node/steer/publish.go
+++ b/node/steer/publish.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"time"
 
 	"burdockreach.dev/fleet/pool"
@@ -66,7 +67,7 @@
 	failing := make(map[string]int)
 	words := t.peers.Words()
 	for _, w := range words {
-		m := wave.HeardMsg{At: w.At.UnixMilli(), Entry: w.Entry}
+		m := wave.HeardMsg{At: w.At.UnixMilli(), Entry: w.Entry, Numbers: w.Numbers}
 		for _, q := range w.Quits {
 			m.Drained = append(m.Drained, wave.Drained{VM: q.VM, Number: q.Number})
 		}
@@ -120,7 +121,8 @@
 	var m spare.FleetMsg
 	for v := range t.planner.Table().All() {
 		m.VMs = append(m.VMs, spare.VM{
-			Name: v.VM, Pool: v.Pool, Rack: v.Rack, Out: v.State != pool.Serving, Moving: v.To != "",
+			Name: v.VM, Pool: cmp.Or(v.To, v.Pool), Rack: v.Rack, Moving: v.To != "",
+			Out: v.State != pool.Serving && v.State != pool.Failed, Failed: v.State == pool.Failed,
 		})
 	}
 	return m
@@ -140,6 +142,7 @@
 			d.Busy += l.Busy
 			d.Queued += l.Queued
 			d.Arrivals += l.Arrivals * t.tick.Seconds()
+			d.Done += l.Done * t.tick.Seconds()
 			sum[p] = d
 		}
 	}
--- a/node/steer/steer.go
+++ b/node/steer/steer.go
@@ -49,6 +49,7 @@
 	Quits   []Quit
 	Failing []string
 	Loads   []Load
+	Numbers []int64 // versions of the membership's shards in the entry's view
 }
 
 // Quit is a VM that the entry sends nothing to and has nothing in flight at.
@@ -63,6 +64,7 @@
 	Busy     float64
 	Queued   float64
 	Arrivals float64 // requests a second
+	Done     float64 // answers a second
 }
 
 // Loop is the leader's loop of one entry.
