Follow a changed profile at once, and settle operations by the service's log

Cause: retry budget and urgent start were fixed when a service's runner was made, while operators expect an accepted profile to be in force; an operation whose answer was lost was looked for in the entry's own log only; the leader's key did not tell its life. Ruled out: making the runner anew, which would drop what waits. Conclusion: a commit at an entry that has just started first waits for its peers' newest change.

--- a/fleet/wave/replay_test.go
+++ b/fleet/wave/replay_test.go
@@ -14,7 +14,7 @@
 			t.Logf("%+v ratio to least %.3f, to bound %.3f", r, float64(r.Took)/float64(r.Least), float64(r.Took)/float64(r.Bound))
 			is.New(t).True(r.Took > 0)
 			is.New(t).True(r.MaxOut <= 2)
-			is.New(t).True(r.Took*100 <= r.Least*115)
+			is.New(t).True(r.Took*100 <= r.Least*110)
 		})
 	}
 }
--- a/flow/retry/retry.go
+++ b/flow/retry/retry.go
@@ -84,3 +84,6 @@
 	b.tokens--
 	return Again
 }
+
+// SetShare sets the retries that each first send pays for from now on; what is saved up stays.
+func (b *Budget) SetShare(f float64) { b.share = f }
--- a/flow/sched/msg.go
+++ b/flow/sched/msg.go
@@ -85,6 +85,14 @@
 	Rates map[string]float64
 }
 
+// PolicyMsg replaces what the service's profile says: the retries as a share of first sends, and the time within which urgent
+// requests are to be sent.
+type PolicyMsg struct {
+	Now         time.Time
+	RetryShare  float64
+	UrgentStart time.Duration
+}
+
 // Target is one target as the scheduler knows it.
 type Target struct {
 	name  string
@@ -113,6 +121,7 @@
 func (TargetsMsg) isMsg() {}
 func (SharesMsg) isMsg()  {}
 func (QuotasMsg) isMsg()  {}
+func (PolicyMsg) isMsg()  {}
 
 // Reason tells why a request ended without an answer of a target.
 type Reason string
--- a/flow/sched/sched.go
+++ b/flow/sched/sched.go
@@ -94,6 +94,10 @@
 	case QuotasMsg:
 		s.pass(m.Now)
 		s.gate.SetRates(m.Rates)
+	case PolicyMsg:
+		s.pass(m.Now)
+		s.urgentStart = m.UrgentStart
+		s.budget.SetShare(m.RetryShare)
 	}
 	s.dispatch()
 	return s.cmds
--- a/flow/sched/sched_test.go
+++ b/flow/sched/sched_test.go
@@ -207,3 +207,26 @@
 	r.True(back < 2*refused) // nobody has to ask again and again
 	r.Equal(again, 0)        // whoever comes after the burst finds room
 }
+
+func TestPolicyChangesTheRetryBudget(t *testing.T) {
+	i := is.New(t)
+	now := time.Unix(0, 0)
+	s := sched.New("orders", sched.WithRetryBudget(0, 0))
+	s.Update(sched.TargetsMsg{Now: now, Targets: []sched.Target{sched.NewTarget("a", "r", 8), sched.NewTarget("b", "q", 8)}})
+	s.Update(sched.PolicyMsg{Now: now, RetryShare: 0, UrgentStart: time.Second})
+	first := func(id sched.ID) sched.Cmd {
+		c := s.Update(sched.ArriveMsg{Now: now, ID: id, Team: "kitchen", Deadline: now.Add(time.Minute), Idempotent: true})
+		return s.Update(sched.DoneMsg{Now: now, ID: id, Target: c[0].(sched.SendCmd).Target, Result: sched.NotRun})[0]
+	}
+	_, ended := first(1).(sched.EndCmd)
+	i.True(ended) // no budget
+	s = sched.New("orders", sched.WithRetryBudget(0, 1))
+	s.Update(sched.TargetsMsg{Now: now, Targets: []sched.Target{sched.NewTarget("a", "r", 8), sched.NewTarget("b", "q", 8)}})
+	s.Update(sched.PolicyMsg{Now: now, RetryShare: 1, UrgentStart: time.Second})
+	for id := range sched.ID(5) {
+		_, again := first(id + 1).(sched.SendCmd)
+		i.True(again) // each first send pays for one retry
+		s.Update(sched.DoneMsg{Now: now, ID: id + 1, Target: "a", Result: sched.Answered})
+		s.Update(sched.DoneMsg{Now: now, ID: id + 1, Target: "b", Result: sched.Answered})
+	}
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -59,9 +59,10 @@
 	d := &Daemon{set: s, log: l, shelf: view.NewShelf(), conf: conf.NewHolder()}
 	d.store = keyval.New(s.PlatformAddr(), keyval.WithName(s.Name()), keyval.WithTimeout(s.PlatformTimeout()))
 	d.platform = hosts.New(s.PlatformAddr(), hosts.WithName(s.Name()), hosts.WithTimeout(s.PlatformTimeout()))
-	d.commit = conf.NewCommitter(d.store, d.conf)
+	d.commit = conf.NewCommitter(d.store, d.conf, conf.WithCatchUp(d.catchUp))
+	d.self = ledger.Member{Entry: s.Name(), Addr: s.PeerAddr(), Incarnation: time.Now().UnixNano()}
 	d.burn = burn.NewMeter(s.Name(), s.DataCentre(), time.Now())
-	d.lease = lease.New(d.store, steer.LeaderKey(s.DataCentre()), s.Name(), lease.WithTTL(s.LeaderLease()))
+	d.lease = lease.New(d.store, steer.LeaderKey(s.DataCentre()), life(d.self), lease.WithTTL(s.LeaderLease()))
 	d.relay()
 	d.serving()
 	return d
@@ -71,7 +72,6 @@
 func (d *Daemon) relay() {
 	s := d.set
 	d.client = relay.NewClient(relay.WithCallWithin(s.PeerTimeout()))
-	d.self = ledger.Member{Entry: s.Name(), Addr: s.PeerAddr(), Incarnation: time.Now().UnixNano()}
 	d.keeper = relay.NewKeeper(d.self, s.DataCentre(), s.DataCentres(), d.store, d.client, relay.WithLog(d.log),
 		relay.WithBook(ledger.WithRecords(s.MaxKeys()), ledger.WithAnswerBytes(s.MaxKeys()*s.MaxKeyedAnswerBytes()/answerShare)))
 	d.news = newNews(d)
--- a/node/daemon/opers.go
+++ b/node/daemon/opers.go
@@ -26,12 +26,49 @@
 	return c.d.commit.Commit(ctx, h)
 }
 
-// Settle implements oper.Config.
-func (c configAPI) Settle(_ context.Context, op string) (conf.Number, error) {
-	if n, ok := c.d.conf.FindOp(op); ok {
-		return n, nil
+// Settle implements oper.Config; an operation that is not in the log may still come there.
+func (c configAPI) Settle(ctx context.Context, op string) (conf.Number, error) {
+	n, err := c.d.commit.Find(ctx, op)
+	if err == nil && n == 0 {
+		err = eris.New("not in the log now; a write that is under way may bring it there")
 	}
-	return 0, eris.Wrapf(conf.ErrUnsettled, "step=settle op=%s", op)
+	if err != nil {
+		return 0, eris.Wrapf(conf.ErrUnsettled, "step=settle op=%s: %v", op, err)
+	}
+	return n, nil
+}
+
+const (
+	catchUpWithin = 2 * time.Second
+	catchUpPoll   = 20 * time.Millisecond
+)
+
+// catchUp waits until an entry that its roster does not leave alone has heard another one and has its newest change, so that a
+// new entry does not build on a service that came back older.
+func (d *Daemon) catchUp(ctx context.Context) error {
+	x, cancel := context.WithTimeout(ctx, catchUpWithin)
+	defer cancel()
+	for !d.caughtUp() {
+		select {
+		case <-x.Done():
+			return eris.Wrap(x.Err(), "step=catchUp")
+		case <-time.After(catchUpPoll):
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) caughtUp() bool {
+	peers := d.beater.Heard()
+	if len(peers) == 0 {
+		return len(d.keeper.Roster(d.set.DataCentre()).Members()) < 2
+	}
+	for _, p := range peers {
+		if conf.Number(p.Applied()) > d.conf.Document().Number() {
+			return false
+		}
+	}
+	return true
 }
 
 // fleetAPI is the entry's knowledge of VMs and entries as operators' API needs it.
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -6,6 +6,7 @@
 
 	"burdockreach.dev/flow/sched"
 	"burdockreach.dev/flow/share"
+	"burdockreach.dev/plat/conf"
 )
 
 // service runs one service's requests at this entry; mu guards all below it.
@@ -22,6 +23,7 @@
 	asks    chan<- Ask
 	busy    map[string]int // slots that are or may be taken, by VM; kept for the next look
 	looked  time.Time
+	profile conf.ProfileSpec
 	lost    map[string]time.Time // when an answer of the VM was last lost
 }
 
@@ -75,6 +77,19 @@
 	replies.Put(ch)
 }
 
+// follow applies the profile when it has changed.
+func (v *service) follow(now time.Time, p conf.ProfileSpec) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if p == v.profile {
+		return
+	}
+	v.profile = p
+	v.perform(v.s.Update(sched.PolicyMsg{
+		Now: now, RetryShare: float64(p.RetryBudgetPercent) / 100, UrgentStart: time.Duration(p.UrgentStartMillis) * time.Millisecond,
+	}))
+}
+
 // update passes a message on to the scheduler.
 func (v *service) update(m sched.Msg) {
 	v.mu.Lock()
--- a/node/entry/table.go
+++ b/node/entry/table.go
@@ -102,7 +102,11 @@
 		for _, t := range pools[s.Pool] {
 			ts = append(ts, sched.NewTarget(t.VM, t.Rack, s.Slots))
 		}
-		e.make(s.Name).setTargets(now, ts)
+		v := e.make(s.Name)
+		if p, ok := d.Profile(s.Profile); ok {
+			v.follow(now, p)
+		}
+		v.setTargets(now, ts)
 	}
 	e.eachService(func(v *service) {
 		if _, ok := d.Service(v.name); !ok {
