Lift the throttles that a former leader left

Ruled out: lifting every task at the start of a term, since a throttle call whose answer is lost needs the same repair. The platform's list says whether a task is throttled; what differs from the leader's wish is put right in each step. Conclusion: a throttle ends with the need for it, whoever leads.

--- a/fakes/cloud/handle.go
+++ b/fakes/cloud/handle.go
@@ -54,6 +54,8 @@
 	"/vm/fail":   vmFail,
 	"/vm/add":    vmAdd,
 	"/vm/remove": vmRemove,
+
+	"/task/behave": taskBehave,
 }
 
 func (s *Server) handleControl(q *fasthttp.RequestCtx) {
--- a/fakes/cloud/meter.go
+++ b/fakes/cloud/meter.go
@@ -45,6 +45,8 @@
 	VMCalls     int64 `json:"vmCalls"`
 	Rev         int64 `json:"rev"`
 	LostAnswers int64 `json:"lostAnswers"`
+	TaskStarts  int   `json:"taskStarts"`
+	TaskDoubled int   `json:"taskDoubled"` // starts of a run-once job beside a running copy.
 }
 
 // Stats returns the counts so far.
@@ -54,5 +56,6 @@
 	a.Reads -= a.Watches
 	a.Writes, a.PeakWrites = s.writes.figures()
 	a.VMCalls, _ = s.vmCalls.figures()
+	a.TaskStarts, a.TaskDoubled = s.tasks.Starts(), s.tasks.Doubled()
 	return a
 }
--- a/fakes/cloud/task.go
+++ b/fakes/cloud/task.go
@@ -23,7 +23,7 @@
 // Truth is how the jobs whose names begin with Prefix behave, whatever was declared of them.
 type Truth struct {
 	Prefix   string        `json:"prefix"`
-	Run      time.Duration `json:"run"`
+	Run      time.Duration `json:"runNanos"`
 	Cores    float64       `json:"cores"`
 	MemoryMB float64       `json:"memoryMB"`
 	Broken   bool          `json:"broken"` // fails on every worker.
@@ -62,6 +62,17 @@
 // WithTruth sets how jobs behave; the first whose prefix fits counts, and without one a job runs a second and takes nothing.
 func WithTruth(l ...Truth) TaskOption { return func(t *Tasks) { t.truths = l } }
 
+// Behave replaces how jobs started from now on behave, and which workers fail everything.
+func (t *Tasks) Behave(truths []Truth, broken []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.truths = truths
+	clear(t.broken)
+	for _, v := range broken {
+		t.broken[v] = true
+	}
+}
+
 // WithBroken names workers that fail everything they start.
 func WithBroken(vms ...string) TaskOption {
 	return func(t *Tasks) {
@@ -192,7 +203,7 @@
 		if !strings.HasPrefix(id, prefix) || r.Job == "" {
 			continue
 		}
-		k := tasks.Task{ID: id, VM: r.VM, State: r.state}
+		k := tasks.Task{ID: id, VM: r.VM, State: r.state, Throttled: r.throttled}
 		if r.seen.Sub(r.began) >= t.lag {
 			k.UsedCores, k.UsedMemoryMB = min(r.truth.Cores, r.Cores), r.truth.MemoryMB
 			if r.throttled {
--- a/fakes/cloud/taskcalls.go
+++ b/fakes/cloud/taskcalls.go
@@ -70,3 +70,18 @@
 	}
 	return tasks.Answer{OK: err == nil, State: t}, err
 }
+
+// Behavior is the body of the control call that sets how tasks behave.
+type Behavior struct {
+	Truths []Truth  `json:"truths"`
+	Broken []string `json:"broken"` // workers that fail everything.
+}
+
+func taskBehave(_ context.Context, s *Server, b []byte) (any, error) {
+	q, err := parse[Behavior](b)
+	if err != nil {
+		return nil, err
+	}
+	s.tasks.Behave(q.Truths, q.Broken)
+	return tasks.Answer{OK: true}, nil
+}
--- a/node/jobs/act.go
+++ b/node/jobs/act.go
@@ -92,6 +92,7 @@
 		return t.after(j, c, tasks.Stopped, err)
 	case place.ThrottleCmd:
 		t.report("throttleTask", j, t.platform.Throttle(ctx, j.live, c.On))
+		return func() { j.calm = c.On && j.live != "" }
 	}
 	return nil
 }
--- a/node/jobs/jobs_test.go
+++ b/node/jobs/jobs_test.go
@@ -276,6 +276,24 @@
 	})
 }
 
+// TestThrottleIsLifted ends a leader that has throttled a task; the next one lifts the throttle.
+func TestThrottleIsLifted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, cloud.WithTruth(cloud.Truth{Prefix: "east/now", Run: time.Second}, cloud.Truth{Run: 30 * time.Second}))
+		s.submit("night", func(j *jobs.Spec) { j.Cores = cores })
+		crash := s.lead(&leader{fence: 1}, s.store, s.tasks, s.vms)
+		wait(2 * time.Second)
+		s.submit("now", func(j *jobs.Spec) { j.Urgent = true })
+		wait(time.Second)
+		s.is.Equal(s.tasks.Starts(), 2)
+		crash()
+		wait(5 * time.Second)
+		s.lead(&leader{fence: 2}, s.store, s.tasks, s.vms)
+		wait(32 * time.Second)
+		s.wantState("night", jobs.Done)
+	})
+}
+
 // TestUrgentStart submits an urgent job to workers full of background jobs, with memory free and without.
 func TestUrgentStart(t *testing.T) {
 	for name, mb := range map[string]float64{"throttle": 1024, "checkpoint": memory / 2} {
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -128,6 +128,7 @@
 	live  string          // id of the recorded task; empty when none can be running.
 	again place.Cmd       // stop or checkpoint that has not succeeded yet.
 	dirty bool            // the record is to be written.
+	calm  bool            // the task is to be throttled.
 }
 
 // ended is a record that is kept for some time.
--- a/node/jobs/step.go
+++ b/node/jobs/step.go
@@ -160,8 +160,11 @@
 	if k.UsedCores > 0 || k.UsedMemoryMB > 0 {
 		t.feed(j.rec.Spec.Pool, place.UsageMsg{Task: j.task(), Used: place.Size{Cores: k.UsedCores, MemoryMB: k.UsedMemoryMB}})
 	}
-	if j.again != nil {
+	switch {
+	case j.again != nil:
 		t.pending = append(t.pending, command{pool: j.rec.Spec.Pool, Cmd: j.again})
+	case k.Throttled != j.calm: // a call was lost, or a former leader made it.
+		t.pending = append(t.pending, command{pool: j.rec.Spec.Pool, Cmd: place.ThrottleCmd{Task: j.task(), Worker: k.VM, On: j.calm}})
 	}
 }
 
@@ -176,7 +179,7 @@
 
 // finish notes how the recorded attempt has ended.
 func (t *term) finish(j *job, s tasks.State) {
-	j.live, j.again, j.dirty = "", nil, true
+	j.live, j.again, j.calm, j.dirty = "", nil, false, true
 	switch {
 	case s == tasks.Done:
 		j.rec.State, j.rec.Ended = Done, now()
--- a/plat/tasks/tasks.go
+++ b/plat/tasks/tasks.go
@@ -26,6 +26,7 @@
 	ID           string  `json:"id"`
 	VM           string  `json:"vm"`
 	State        State   `json:"state"`
+	Throttled    bool    `json:"throttled"`
 	UsedCores    float64 `json:"usedCores"`
 	UsedMemoryMB float64 `json:"usedMemoryMB"`
 }
