--- a/node/jobs/act.go
+++ b/node/jobs/act.go
@@ -130,8 +130,9 @@
 		j.rec, j.rev, j.live, j.dirty = r, rev, r.taskID(), false
 		t.report("runTask", j, err)
 		switch {
-		case errors.Is(err, tasks.ErrRefused):
-			t.finish(j, tasks.Failed)
+		case errors.Is(err, tasks.ErrRefused): // the lease may have lapsed; neither job nor worker is to blame.
+			t.renewed = time.Time{}
+			t.finish(j, tasks.Stopped)
 		case errors.Is(err, tasks.ErrDown):
 			t.finish(j, tasks.Stopped)
 		}
--- a/node/jobs/jobs_test.go
+++ b/node/jobs/jobs_test.go
@@ -362,6 +362,23 @@
 	})
 }
 
+// TestLostLease ends the tasks' lease under the leader: no job is to blame for that.
+func TestLostLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 5, cloud.WithTruth(cloud.Truth{Run: 3 * time.Second}))
+		for i := range 30 {
+			s.submit(fmt.Sprint("good-", i), nil)
+		}
+		s.lead(&leader{fence: 1}, s.store, s.tasks, s.vms)
+		wait(2 * time.Second)
+		s.is.NoErr(s.store.Revoke(s.ctx, 1)) // the first that was granted.
+		wait(time.Minute)
+		for i := range 30 {
+			s.wantState(fmt.Sprint("good-", i), jobs.Done)
+		}
+	})
+}
+
 // TestLeavingWorker has a task saved on a worker that leaves; it goes on elsewhere from there.
 func TestLeavingWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
