Close all keys when a lone member that followed others is lost

Cause: the platform's service holds only the sends of a roster of one; records of earlier pairs that the lone member had pulled are in its memory alone, yet its successors granted keys on the service's word while they could not reach it. Now only the successors of a first roster of one rely on the service; no test was changed.

--- a/flow/ledger/handover.go
+++ b/flow/ledger/handover.go
@@ -165,7 +165,7 @@
 	switch {
 	case b.knows(f) || b.knows(s):
 		return r
-	case s == "":
+	case s == "" && followsFirst(b.roster.number):
 		r.Store = true
 		return r
 	default:
--- a/flow/ledger/lapse.go
+++ b/flow/ledger/lapse.go
@@ -18,11 +18,15 @@
 	seeds []uint64
 }
 
-// Single reports whether the lapse is that of a roster with one member.
-func (l Lapse) Single() bool { return len(l.Members) == 1 }
+// Single reports whether the lapse is that of a first roster with one member, of which every send is in the platform's service.
+//
+// A later roster of one member also holds records of earlier sends, which the service does not have.
+func (l Lapse) Single() bool { return len(l.Members) == 1 && followsFirst(l.Roster) }
+
+func followsFirst(number int64) bool { return number>>tagBits == 2 }
 
 func (l Lapse) covers(id ID) bool {
-	if l.Single() {
+	if len(l.Members) == 1 {
 		return true
 	}
 	f, s := top(l.Members, l.seeds, id)
