Bound the records that a leader of jobs writes in one step

Cause: a full pool at dusk made the leader write one record for each start at once, beside the leases on the same service. Ruled out: waiting between writes, which would hold an urgent job back behind the others of the step. Starts over 50 in a step go back to the placer, which puts urgent ones first in the next; other records wait for the next step. Conclusion: at most 50 starts and 50 other records each half second and data centre.

--- a/node/jobs/act.go
+++ b/node/jobs/act.go
@@ -28,7 +28,11 @@
 		}
 	}
 	t.performAll(ctx, rest)
-	t.performAll(ctx, starts)
+	n := min(len(starts), maxWrites)
+	t.performAll(ctx, starts[:n])
+	for _, c := range starts[n:] { // placed again in the next step.
+		t.feed(c.pool, place.EndedMsg{At: now(), Task: taskOf(c.Cmd), How: place.Stopped})
+	}
 }
 
 // performAll performs the commands, some at once, and then applies their results in order.
@@ -164,10 +168,12 @@
 	var g errgroup.Group
 	g.SetLimit(maxActs)
 	l := t.sorted()
+	n := 0
 	for _, j := range l {
-		if !j.dirty || !t.held() {
+		if !j.dirty || !t.held() || n == maxWrites {
 			continue
 		}
+		n++
 		g.Go(func() error {
 			x, cancel := context.WithTimeout(ctx, stepTimeout)
 			defer cancel()
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -18,6 +18,7 @@
 	defaultTick = 500 * time.Millisecond
 	stepTimeout = 3 * time.Second  // of one call to the platform.
 	maxActs     = 16               // commands that are performed at once.
+	maxWrites   = 50               // starts, and further records, that are written in one step.
 	leaseFor    = time.Minute      // tasks run on without a leader for so long.
 	renewEvery  = 10 * time.Second // renewals of the tasks' leases.
 	keepEnded   = time.Hour        // for which the record of a job that has ended is kept.
