Read the records of jobs anew after the service came back older

Ruled out: trust in the watch's reset, which a busy service skips. Five conflicts in succession end the term, all records are listed every 20 s, and the platform's list of ended tasks corrects a record that is older than they are. Conclusion: a finished run-once job is not run again while the platform remembers its task.

--- a/node/jobs/act.go
+++ b/node/jobs/act.go
@@ -120,7 +120,7 @@
 	r := j.rec
 	r.State, r.Attempt, r.Worker, r.Size = Running, j.base+c.Task.Attempt, c.Worker, c.Size
 	r.Lease, r.Fence, r.Started = int64(t.lease), int64(t.fence), now()
-	rev, err := t.write(ctx, r, j.rev)
+	rev, err := t.write(ctx, j, r)
 	if err != nil {
 		return func() { t.feed(r.Spec.Pool, place.EndedMsg{At: now(), Task: c.Task, How: place.Stopped}) }
 	}
@@ -151,15 +151,20 @@
 	e.Str("step", step).Str("job", j.rec.Spec.ID).Int("attempt", j.rec.Attempt).Str("peer", j.rec.Worker).Msg("platformCall")
 }
 
-func (t *term) write(ctx context.Context, r Record, cond keyval.Revision) (keyval.Revision, error) {
+// write writes the job's record on condition that it is as this term knows it.
+func (t *term) write(ctx context.Context, j *job, r Record) (keyval.Revision, error) {
 	b, err := r.marshal()
 	if err != nil {
 		return 0, err
 	}
-	rev, err := t.store.Put(ctx, key(t.dataCentre, r.Spec.ID), b, cond, 0)
+	rev, err := t.store.Put(ctx, key(t.dataCentre, r.Spec.ID), b, j.rev, 0)
 	if err != nil {
 		t.log.Info().Str("step", "writeJob").Str("job", r.Spec.ID).Err(err).Msg("notWritten")
 	}
+	j.lost++
+	if !errors.Is(err, keyval.ErrConflict) {
+		j.lost = 0
+	}
 	return rev, err
 }
 
@@ -177,7 +182,7 @@
 		g.Go(func() error {
 			x, cancel := context.WithTimeout(ctx, stepTimeout)
 			defer cancel()
-			if rev, err := t.write(x, j.rec, j.rev); err == nil {
+			if rev, err := t.write(x, j, j.rec); err == nil {
 				j.rev, j.dirty = rev, false
 			}
 			return nil
--- a/node/jobs/begin.go
+++ b/node/jobs/begin.go
@@ -35,7 +35,9 @@
 		return err
 	}
 	for _, j := range t.sorted() {
-		t.admit(j)
+		if !j.rec.State.Ended() {
+			t.admit(j)
+		}
 	}
 	t.log.Info().Str("step", "runJobs").Int64("fence", int64(t.fence)).Int("jobs", len(t.jobs)).Msg("jobTermBegan")
 	return nil
@@ -66,7 +68,10 @@
 			continue
 		}
 		j.rec.Attempt, j.base = n, n
-		if !k.State.Ended() {
+		switch {
+		case k.State == tasks.Done:
+			j.rec.State, j.rec.Ended, j.dirty = Done, now(), true
+		case !k.State.Ended():
 			j.rec.State, j.rec.Worker, j.dirty = Running, k.VM, true
 			j.rec.Size = j.rec.Spec.job().Declared
 		}
--- a/node/jobs/lead_test.go
+++ b/node/jobs/lead_test.go
@@ -175,3 +175,37 @@
 		s.wantState("night", jobs.Done)
 	})
 }
+
+// TestOlderService has the service come back as it was before the job's record, while its task runs or after it was done.
+func TestOlderService(t *testing.T) {
+	for name, c := range map[string]struct {
+		at             time.Duration
+		starts, writes int
+	}{
+		"while it runs":                  {at: 3 * time.Second, starts: 2}, // its lease has lapsed.
+		"while it runs, others write on": {at: 3 * time.Second, starts: 2, writes: 500},
+		"after its end":                  {at: 30 * time.Second, starts: 1},
+		"after its end, others write on": {at: 30 * time.Second, starts: 1, writes: 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 2, cloud.WithTruth(cloud.Truth{Run: 20 * time.Second}))
+				s.submit("disburse", once)
+				before := s.store.Save()
+				s.lead(&leader{fence: 1}, s.store, s.tasks, s.vms)
+				wait(c.at)
+				s.store.Restore(before)
+				for range c.writes {
+					_, err := s.store.Put(s.ctx, "other", nil, keyval.Any, 0)
+					s.is.NoErr(err)
+				}
+				s.submit("next", nil) // makes the leader look at the records again.
+				wait(time.Minute)
+				s.wantState("disburse", jobs.Done)
+				s.wantState("next", jobs.Done)
+				s.is.Equal(s.tasks.Doubled(), 0)
+				s.is.Equal(s.tasks.Starts(), c.starts+1)
+			})
+		})
+	}
+}
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -19,8 +19,10 @@
 	stepTimeout = 3 * time.Second  // of one call to the platform.
 	maxActs     = 16               // commands that are performed at once.
 	maxWrites   = 50               // starts, and further records, that are written in one step.
+	maxLost     = 5                // conflicts in succession, after which the records are read anew.
 	leaseFor    = time.Minute      // tasks run on without a leader for so long.
 	renewEvery  = 10 * time.Second // renewals of the tasks' leases.
+	auditEvery  = 20 * time.Second // listings of all records.
 	keepEnded   = time.Hour        // for which the record of a job that has ended is kept.
 )
 
@@ -86,7 +88,7 @@
 
 // term leads until the lease is lost, the records have to be read anew, or the context ends.
 func (r *Runner) term(ctx context.Context, fence keyval.Revision, tick <-chan time.Time) error {
-	t := &term{Runner: r, fence: fence, jobs: map[string]*job{}, ended: map[string]ended{}, placers: map[string]*place.Placer{}}
+	t := &term{Runner: r, fence: fence, audited: time.Now(), jobs: map[string]*job{}, ended: map[string]ended{}, placers: map[string]*place.Placer{}}
 	if err := t.begin(ctx); err != nil {
 		return err
 	}
@@ -113,6 +115,7 @@
 	lease   keyval.LeaseID  // under which new tasks run.
 	renewed time.Time
 	pruned  time.Time
+	audited time.Time
 	jobs    map[string]*job
 	ended   map[string]ended
 	placers map[string]*place.Placer // by pool.
@@ -130,6 +133,7 @@
 	again place.Cmd       // stop or checkpoint that has not succeeded yet.
 	dirty bool            // the record is to be written.
 	calm  bool            // the task is to be throttled.
+	lost  int             // conflicts of its writes in succession.
 }
 
 // ended is a record that is kept for some time.
--- a/node/jobs/step.go
+++ b/node/jobs/step.go
@@ -13,7 +13,7 @@
 
 // step reads what has changed, places jobs, performs the commands and writes the records.
 func (t *term) step(ctx context.Context) error {
-	if !t.held() {
+	if !t.held() || t.behind() {
 		return errTermOver
 	}
 	x, cancel := context.WithTimeout(ctx, stepTimeout)
@@ -24,6 +24,9 @@
 	if err := t.follow(x); err != nil {
 		return err
 	}
+	if err := t.audit(x); err != nil {
+		return err
+	}
 	if err := t.look(x); err != nil {
 		return err
 	}
@@ -40,6 +43,37 @@
 	return nil
 }
 
+// behind reports whether the records cannot be as this term knows them, as when the service has come back older.
+func (t *term) behind() bool {
+	for _, j := range t.jobs {
+		if j.lost >= maxLost {
+			return true
+		}
+	}
+	return false
+}
+
+// audit lists the records now and then, since a service that came back older and was written to since tells no watch of it.
+func (t *term) audit(ctx context.Context) error {
+	if time.Since(t.audited) < auditEvery {
+		return nil
+	}
+	_, err := eachItem(ctx, t.store, prefix(t.dataCentre), func(i keyval.Item) error {
+		r, err := parseRecord(i.Value())
+		if err != nil {
+			return nil
+		}
+		if _, ok := t.ended[r.Spec.ID]; ok && !r.State.Ended() {
+			return errTermOver
+		}
+		return t.take(keyval.NewEvent(i, false))
+	})
+	if err == nil {
+		t.audited = time.Now()
+	}
+	return err
+}
+
 // renew keeps the leases of this term's tasks and of those that it took over; a lapsed one is replaced for new tasks.
 func (t *term) renew(ctx context.Context) error {
 	if time.Since(t.renewed) < renewEvery {
