--- a/bench/live/procs.go
+++ b/bench/live/procs.go
@@ -31,6 +31,7 @@
 	slots      = 1000 // of the one target, so that slots do not bound the rate
 	readyIn    = 20 * time.Second
 	stopIn     = 10 * time.Second
+	maxKeys    = 5_000_000 // of an entry, which remembers the keys of all rounds
 )
 
 // Site is a platform, a target, entries and a bare relay on loopback.
@@ -118,7 +119,7 @@
 	}
 	b, err := json.Marshal(map[string]any{
 		"name": fmt.Sprintf("e%d", k+1), "dataCentre": dataCentre, "dataCentres": []string{dataCentre},
-		"callerAddr": a[0], "peerAddr": a[1], "operatorAddr": a[2], "platformAddr": s.cloud.Addr(), "logLevel": "warn", "drainWaitMs": 2000,
+		"callerAddr": a[0], "peerAddr": a[1], "operatorAddr": a[2], "platformAddr": s.cloud.Addr(), "logLevel": "error", "drainWaitMs": 2000, "maxKeys": maxKeys,
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode settings")
