--- a/bench/decide.go
+++ b/bench/decide.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"burdockreach.dev/fleet/place"
 	"burdockreach.dev/fleet/spare"
 	"burdockreach.dev/fleet/wave"
 	"burdockreach.dev/flow/sched"
@@ -110,6 +111,31 @@
 	return rows
 }
 
+// Sizes of the night of jobs.
+const (
+	nightWorkers = 20
+	nightJobs    = 2400
+	mostUrgent   = 1500 // milliseconds until an urgent job starts
+)
+
+// nights compares the placement of jobs with first fit on declared sizes.
+func nights(seed int64) []row {
+	t := place.NightTrace(seed, nightWorkers, nightJobs)
+	a, f := place.Replay(t, place.New()), place.Replay(t, place.NewFirstFit())
+	return []row{{
+		what:   fmt.Sprintf("jobs of a night in time, %d workers", nightWorkers),
+		ours:   fmt.Sprintf("%d of %d runnable; %d failed attempts, %d with two copies", a.InTime, a.Runnable, a.Failures, a.Doubled),
+		beside: fmt.Sprintf("first fit on declared sizes %d; %d failed attempts", f.InTime, f.Failures),
+		aim:    "all, none with two copies", kept: a.InTime == a.Runnable && a.Doubled == 0,
+	}, {
+		what: "longest wait of an urgent job, pool full of background jobs", ours: fmt.Sprintf("%d ms", a.UrgentWait),
+		beside: fmt.Sprintf("first fit %d ms", f.UrgentWait), aim: fmt.Sprintf("at most %d ms", mostUrgent), kept: a.UrgentWait <= mostUrgent,
+	}, {
+		what: "core hours of attempts that did not end well", ours: fmt.Sprintf("%.1f", float64(a.WastedRun)/float64(time.Hour.Milliseconds())),
+		beside: fmt.Sprintf("first fit %.1f", float64(f.WastedRun)/float64(time.Hour.Milliseconds())), aim: "below first fit", kept: a.WastedRun < f.WastedRun,
+	}}
+}
+
 func millis(n int64) time.Duration {
 	return (time.Duration(n) * time.Millisecond).Round(time.Second)
 }
--- a/bench/main.go
+++ b/bench/main.go
@@ -40,6 +40,7 @@
 	}
 	rows := append(turns(*seed), days(int64(*seed))...)
 	rows = append(rows, waves(int64(*seed))...)
+	rows = append(rows, nights(int64(*seed))...)
 	if !*decisions {
 		l, err := requests(ctx, *bin)
 		if err != nil {
--- a/bench/slopes/main.go
+++ b/bench/slopes/main.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"burdockreach.dev/bench/slope"
+	"burdockreach.dev/flow/ledger"
 )
 
 func main() {
@@ -65,7 +66,7 @@
 	return slope.Settings{
 		BeatMs: float64(s.Beat().Milliseconds()), TickMs: float64(s.Tick().Milliseconds()),
 		WatchWaitMs: float64(s.WatchWait().Milliseconds()), LeaseMs: float64(s.LeaderLease().Milliseconds()),
-		RememberS: s.KeyRemember().Seconds(), MaxKeys: float64(s.MaxKeys()), DeadlineMs: float64(s.DefaultDeadline().Milliseconds()),
+		RememberS: ledger.Remember.Seconds(), MaxKeys: float64(s.MaxKeys()), DeadlineMs: float64(s.DefaultDeadline().Milliseconds()),
 	}
 }
 
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -73,13 +73,13 @@
 	s := d.set
 	d.client = relay.NewClient(relay.WithCallWithin(s.PeerTimeout()))
 	d.keeper = relay.NewKeeper(d.self, s.DataCentre(), s.DataCentres(), d.store, d.client, relay.WithLog(d.log),
-		relay.WithBook(ledger.WithRecords(s.MaxKeys()), ledger.WithAnswerBytes(s.MaxKeys()*s.MaxKeyedAnswerBytes()/answerShare)))
+		relay.WithBook(ledger.WithRecords(s.MaxKeys()), ledger.WithAnswerBytes(answerBytes)))
 	d.news = newNews(d)
-	d.beater = relay.NewBeater(d.keeper, d.client, d.news, relay.WithEvery(s.Beat()), relay.OnBeat(d.news.heard))
+	d.beater = relay.NewBeater(d.keeper, d.client, d.news, relay.WithEvery(s.Beat()), relay.WithLeader(d.news.leader), relay.OnBeat(d.news.heard))
 }
 
-// answerShare is the part of the keys for which the longest answer may be kept at once.
-const answerShare = 16
+// answerBytes bounds the answers that are kept with their keys; the oldest are given up first.
+const answerBytes = 8 << 20
 
 // serving makes what serves callers and leads.
 func (d *Daemon) serving() {
--- a/node/daemon/keys.go
+++ b/node/daemon/keys.go
@@ -32,8 +32,10 @@
 func refusal(r *relay.RefusedError) entry.Decision {
 	d := entry.Decision{Verdict: entry.Unasked, Why: r.Error(), RetryAfter: r.RetryAfter()}
 	switch {
-	case r.Reason() == ledger.OtherRequest:
+	case r.Reason() == ledger.OtherRequest && r.NotRun():
 		d.Verdict = entry.Mismatched
+	case r.Reason() == ledger.OtherRequest:
+		d.Verdict = entry.Lost
 	case r.NotRun():
 		d.Verdict = entry.Unheld
 	}
--- a/node/daemon/news.go
+++ b/node/daemon/news.go
@@ -181,21 +181,24 @@
 	}
 }
 
-// led reports whether a leader of the data centre is heard.
-func (n *news) led() bool {
+// leader returns the entry that leads the data centre as far as is heard, or nothing.
+func (n *news) leader() string {
 	if _, ok := n.d.lease.Held(); ok {
-		return true
+		return n.d.set.Name()
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, h := range n.others {
+	for e, h := range n.others {
 		if h.Leading && time.Since(h.at) < newsFor {
-			return true
+			return e
 		}
 	}
-	return false
+	return ""
 }
 
+// led reports whether a leader of the data centre is heard.
+func (n *news) led() bool { return n.leader() != "" }
+
 // Words implements steer.Peers.
 func (n *news) Words() []steer.Word {
 	now := time.Now()
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -22,7 +22,8 @@
 
 const (
 	tickEvery    = 10 * time.Millisecond // the scheduler's time while requests wait
-	refreshEvery = time.Second           // the table's, when nothing has changed
+	refreshEvery = time.Second           // the table's, while a VM is leaving
+	restRefresh  = 10 * time.Second      // the table's, when nothing has changed
 	reapEvery    = time.Second
 	healthPath   = "/health"
 	readBuffer   = 16 << 10 // bytes; the longest request header
@@ -177,7 +178,7 @@
 				e.reap(now)
 				reaped = now
 			}
-			if now.Sub(refreshed) >= refreshEvery {
+			if now.Sub(refreshed) >= refreshEvery && (e.anyLeaving() || now.Sub(refreshed) >= restRefresh) {
 				e.refresh(now)
 				refreshed = now
 			}
--- a/node/entry/leave.go
+++ b/node/entry/leave.go
@@ -52,6 +52,13 @@
 	return changed
 }
 
+// anyLeaving reports whether a VM is marked as leaving.
+func (e *Entry) anyLeaving() bool {
+	e.tableMu.Lock()
+	defer e.tableMu.Unlock()
+	return len(e.leaving) > 0
+}
+
 // Leavings returns the VMs that refused as leaving, for the other entries.
 func (e *Entry) Leavings() []Leaving {
 	e.tableMu.Lock()
--- a/node/entry/loans.go
+++ b/node/entry/loans.go
@@ -77,6 +77,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	m.Load = v.load()
+	v.awake.Store(true)
 	return v.shareOut(m)
 }
 
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdockreach.dev/flow/sched"
@@ -11,7 +12,9 @@
 
 // service runs one service's requests at this entry; mu guards all below it.
 type service struct {
-	name string
+	name   string
+	awake  atomic.Bool // something waits, is lent or is borrowed
+	ticked time.Time   // of the entry's loop alone
 
 	mu      sync.Mutex
 	s       *sched.Scheduler
@@ -47,6 +50,7 @@
 	defer v.mu.Unlock()
 	v.next++
 	m.ID = v.next
+	v.awake.Store(true)
 	v.waiting[m.ID] = ch
 	v.perform(v.s.Update(m))
 	return m.ID, ch
@@ -116,14 +120,22 @@
 	}
 }
 
-// tick lets the scheduler's time pass while anything waits, and looks at the loans.
+// restEvery is the time between looks at a service where nothing waits, is lent or is borrowed.
+const restEvery = 200 * time.Millisecond
+
+// tick lets the scheduler's time pass while anything waits, and looks at the loans; only the entry's loop calls it.
 func (v *service) tick(now time.Time) {
+	if !v.awake.Load() && now.Sub(v.ticked) < restEvery {
+		return
+	}
+	v.ticked = now
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(v.waiting) > 0 {
 		v.perform(v.s.Update(sched.TickMsg{Now: now}))
 	}
 	v.lendIdle(now)
+	v.awake.Store(len(v.waiting) > 0 || !v.loans.Quiet())
 }
 
 // abandonedFor is how long a request whose answer was lost may still run at its target.
--- a/node/setup/document.go
+++ b/node/setup/document.go
@@ -29,7 +29,5 @@
 	EntryUnheardSeconds  int64    `json:"entryUnheardSeconds,omitempty"`
 	LeaderLeaseMs        int64    `json:"leaderLeaseMs,omitempty"`
 	WatchWaitMs          int64    `json:"watchWaitMs,omitempty"`
-	KeyRememberSeconds   int64    `json:"keyRememberSeconds,omitempty"`
 	MaxKeys              int64    `json:"maxKeys,omitempty"`
-	MaxKeyedAnswerBytes  int64    `json:"maxKeyedAnswerBytes,omitempty"`
 }
--- a/node/setup/fields.go
+++ b/node/setup/fields.go
@@ -52,14 +52,12 @@
 		{"connectTimeoutMs", msUnit, "Longest wait for a connection to a target.", numberRule(500, 10, 10000), func(d *Document) any { return &d.ConnectTimeoutMs }},
 		{"idleConnMs", msUnit, "Time after which an unused connection to a target is closed.", numberRule(5000, 10, 60000), func(d *Document) any { return &d.IdleConnMs }},
 		{"platformTimeoutMs", msUnit, "Longest wait for an answer of the platform, the watch's own wait not counted.", numberRule(1000, 10, 10000), func(d *Document) any { return &d.PlatformTimeoutMs }},
-		{"peerTimeoutMs", msUnit, "Longest wait for an answer of another entry.", numberRule(300, 10, 10000), func(d *Document) any { return &d.PeerTimeoutMs }},
+		{"peerTimeoutMs", msUnit, "Longest wait for an answer of another entry.", numberRule(250, 10, 10000), func(d *Document) any { return &d.PeerTimeoutMs }},
 		{"tickMs", msUnit, "Interval of the leader's loop.", numberRule(1000, 50, 10000), func(d *Document) any { return &d.TickMs }},
-		{"beatMs", msUnit, "Interval of beats between entries.", numberRule(250, 20, 5000), func(d *Document) any { return &d.BeatMs }},
+		{"beatMs", msUnit, "Interval of beats between entries.", numberRule(500, 20, 5000), func(d *Document) any { return &d.BeatMs }},
 		{"entryUnheardSeconds", secondsUnit, "Time without a beat after which an entry counts as unheard.", numberRule(5, 1, 120), func(d *Document) any { return &d.EntryUnheardSeconds }},
 		{"leaderLeaseMs", msUnit, "Time after which the leader's lease lapses without renewal.", numberRule(5000, 300, 120000), func(d *Document) any { return &d.LeaderLeaseMs }},
 		{"watchWaitMs", msUnit, "Longest wait of one watch on the platform's service.", numberRule(10000, 50, 60000), func(d *Document) any { return &d.WatchWaitMs }},
-		{"keyRememberSeconds", secondsUnit, "Time for which an idempotency key is remembered.", numberRule(600, 1, 86400), func(d *Document) any { return &d.KeyRememberSeconds }},
 		{"maxKeys", keysUnit, "Idempotency keys that the entry holds at once; more are refused as not run.", numberRule(200000, 1, 10000000), func(d *Document) any { return &d.MaxKeys }},
-		{"maxKeyedAnswerBytes", bytesUnit, "Longest answer that is kept with its idempotency key.", numberRule(4<<10, 0, 1<<20), func(d *Document) any { return &d.MaxKeyedAnswerBytes }},
 	}
 }
--- a/node/setup/settings.go
+++ b/node/setup/settings.go
@@ -91,14 +91,8 @@
 // WatchWait returns the longest wait of one watch.
 func (s Settings) WatchWait() time.Duration { return millis(s.d.WatchWaitMs) }
 
-// KeyRemember returns the time for which an idempotency key is remembered.
-func (s Settings) KeyRemember() time.Duration { return seconds(s.d.KeyRememberSeconds) }
-
 // MaxKeys returns the number of idempotency keys that the entry holds.
 func (s Settings) MaxKeys() int { return int(s.d.MaxKeys) }
 
-// MaxKeyedAnswerBytes returns the longest answer that is kept with its key, in bytes.
-func (s Settings) MaxKeyedAnswerBytes() int { return int(s.d.MaxKeyedAnswerBytes) }
-
 func millis(n int64) time.Duration  { return time.Duration(n) * time.Millisecond }
 func seconds(n int64) time.Duration { return time.Duration(n) * time.Second }
--- a/node/setup/setup_test.go
+++ b/node/setup/setup_test.go
@@ -44,7 +44,7 @@
 	i := is.New(t)
 	s, err := setup.New(good())
 	i.NoErr(err)
-	i.Equal(s.KeyRemember(), 10*time.Minute)
+	i.Equal(s.Beat(), 500*time.Millisecond)
 	i.Equal(s.MaxBodyBytes(), 1<<20)
 	i.Equal(s.LogLevel(), "info")
 	i.Equal(len(s.PeerAddrs()), 0)
--- a/node/steer/read.go
+++ b/node/steer/read.go
@@ -217,7 +217,10 @@
 		}
 	}
 	for _, s := range d.Services() {
-		t.pending = append(t.pending, wave.ReadBudgetCmd{Service: s.Name})
+		if !t.asked[s.Name] {
+			t.asked[s.Name] = true
+			t.pending = append(t.pending, wave.ReadBudgetCmd{Service: s.Name})
+		}
 	}
 }
 
--- a/node/steer/steer.go
+++ b/node/steer/steer.go
@@ -152,6 +152,7 @@
 	pending []wave.Cmd             // commands that wait for an actor
 	known   map[string]view.Target // the last published line of each VM
 	dead    map[string]bool        // VMs that most entries find failing
+	asked   map[string]bool        // services whose budget was asked for, since a list shows only those that exist
 	version view.Version
 	doc     *conf.Document
 
@@ -165,7 +166,7 @@
 	t := &term{
 		Loop: l, fence: fence, planner: wave.New(l.dataCentre, pool.Count), sizer: spare.New(),
 		inbox: make(chan wave.Msg, inboxSize), acts: make(chan wave.Cmd, inboxSize),
-		known: make(map[string]view.Target), dead: make(map[string]bool), freshAt: make(map[string]int64),
+		known: make(map[string]view.Target), dead: make(map[string]bool), asked: make(map[string]bool), freshAt: make(map[string]int64),
 	}
 	t.version = view.Version{Fence: max(int64(fence), l.shelf.View().Version().Fence+1)}
 	for _, o := range l.shelf.View().Targets() {
--- a/node/view/shelf.go
+++ b/node/view/shelf.go
@@ -9,7 +9,7 @@
 )
 
 // keptDeltas is the number of past versions from which a delta can be made.
-const keptDeltas = 64
+const keptDeltas = 16
 
 // Shelf holds the newest view and enough of the past to bring others up to it; it is safe for concurrent use.
 type Shelf struct {
