--- a/Makefile
+++ b/Makefile
@@ -39,11 +39,15 @@
 	@bash .ci/unit
 
 bench: build
-	@go run ./bench -seed $(SEED) -bin $(BIN)
+	@go build -o $(BIN)/bench ./bench && $(BIN)/bench -seed $(SEED) -bin $(BIN)
 
 slopes:
 	@go run ./bench/slopes -out docs/slopes.json -page docs/CAPACITY.md
 
-# soak runs the random tests for longer with the seed that is given.
+# soak runs the random tests, and failures together, for longer with the seed that is given.
+CHECKS ?= 5000
+STEPS ?= 100
 soak:
-	@go test -count=1 -timeout 60m work -rapid.checks=5000 -rapid.seed=$(SEED)
+	@go test -count=1 -timeout 60m $$(grep -rl --include=*_test.go pgregory.net/rapid $(MODULES) | xargs -n1 dirname | sort -u | sed 's|^|./|') \
+	  -rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
+	@go test -count=1 -timeout 60m ./proof -run TestFailuresTogether -chaos.seed=$(SEED) -chaos.steps=$(STEPS)
