--- a/bench/slope/size.go
+++ b/bench/slope/size.go
@@ -161,9 +161,6 @@
 
 func (m model) shardValue() float64 { return base64Share * m.at("shardBytes", m.vms()) / 16 }
 
-// absentReads returns the reads a second by which a leader asks for every budget after each change.
-func (m model) absentReads() float64 { return min(m.changes(), 1/m.tick()) * m.Size.Pools }
-
 func (m model) unheardReads() float64 { return (m.Size.DataCentres - 1) / unheardTicks / m.tick() }
 
 func (m model) stopWrites() float64 { return m.stops() * (shardsPerStop + budgetPerStop) }
@@ -174,7 +171,7 @@
 }
 
 // leaderReads returns what a leader asks the service a second beyond an entry's calls.
-func (m model) leaderReads() float64 { return m.absentReads() + m.unheardReads() + m.watchReads() }
+func (m model) leaderReads() float64 { return m.unheardReads() + m.watchReads() }
 
 // documentsWire returns a leader's bytes a second for shards and budgets written and seen by its watches.
 func (m model) documentsWire() float64 {
@@ -182,10 +179,6 @@
 	return own*(2*shardsPerStop*m.shardValue()+budgetPerStop*m.budgetValue()) + m.stops()*budgetPerStop*m.budgetValue()
 }
 
-func (m model) absentWire() float64 {
-	return m.absentReads() * (m.each("callBytes") + m.budgetValue())
-}
-
 func (m model) listed() float64 { return m.Size.Workers + m.total() }
 
 func (m model) listWire() float64 { return m.at("listBytes", m.listed()) / m.tick() }
@@ -230,6 +223,6 @@
 	return m.at("shelfHeap", m.vms()) + m.at("documentHeap", m.Size.Teams) + m.at("changeHeap", keptLog) + m.at("entryHeap", m.vms())
 }
 
-func (m model) entryWire() float64 { return m.beatWire() + m.callWire() + m.auditWire() }
+func (m model) entryWire() float64 { return m.namedWire() + m.callWire() + m.auditWire() }
 
-func (m model) leaderWire() float64 { return m.listWire() + m.absentWire() + m.documentsWire() }
+func (m model) leaderWire() float64 { return m.listWire() + m.documentsWire() }
