Look at the fleet at the start and at the end of each watch

The check that something was looked at stays. Ruled out: a longer test. Conclusion: a watch looks at once, each 15 ms and at its end.

--- a/proof/rig/watch.go
+++ b/proof/rig/watch.go
@@ -48,11 +48,12 @@
 	t := time.NewTicker(lookEvery)
 	defer t.Stop()
 	for {
+		look(ctx)
 		select {
 		case <-ctx.Done():
+			look(context.WithoutCancel(ctx)) // what the watch ends with
 			return nil
 		case <-t.C:
-			look(ctx)
 		}
 	}
 }
