Keep room only on workers that may run the waiting task, and for whole gangs

Cause: a task that found no room had the emptiest worker of its pool kept for it, whether the task could run there or not: a worker that had a task of the step already (perWorker), lacked the label, was set aside, or whose lasting tasks left too little. Nothing else was started there, and the task waited for as long as others pressed. A gang kept one worker, so it waited for several to be free by chance.

TestLargeTasksGetRoom (lasting, beside a lasting task, labelled, gang): all four failed before, pass now. Placing of lasting tasks is logged now.

--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -51,7 +52,7 @@
 			}
 			w := m.choose(p, t, held)
 			if w == nil {
-				if k := emptiest(p, s, held); k != nil {
+				if k := m.emptiest(p, s, held, nil); k != nil {
 					held[k] = true
 				}
 				break
@@ -237,20 +238,31 @@
 	return float64(a) / float64(b)
 }
 
-// emptiest returns the worker with the most free CPU that s may run on.
-func emptiest(p *pool, s *stage, held map[*worker]bool) *worker {
+// emptiest returns the worker with the most free CPU that gets room for a task of s, beside extra, once its short tasks have ended.
+func (m *Model) emptiest(p *pool, s *stage, held map[*worker]bool, extra map[*worker]Size) *worker {
 	var best *worker
 	for _, w := range p.workers {
-		if held[w] || !w.listed || w.Draining || w.cordoned || w.silent != 0 || !s.size().Fits(w.Room) {
+		if held[w] || !s.size().Fits(w.roomOnceEmptied().minus(extra[w])) || !m.takes(w, s) {
 			continue
 		}
-		if best == nil || w.room().CPU > best.room().CPU {
+		if best == nil || w.room().minus(extra[w]).CPU > best.room().minus(extra[best]).CPU {
 			best = w
 		}
 	}
 	return best
 }
 
+// roomOnceEmptied is what is free at w when all but lasting tasks have ended.
+func (w *worker) roomOnceEmptied() Size {
+	free := w.Room
+	for _, r := range w.runs {
+		if r.task.stage.Lasting {
+			free = free.minus(r.task.stage.size())
+		}
+	}
+	return free
+}
+
 // start starts run n of t at w.
 func (m *Model) start(t *task, w *worker, n int) {
 	r := &run{task: t, number: n, worker: w, asked: m.now, pace: fullPace, born: w.Born, resumed: t.saved != ""}
@@ -259,6 +271,9 @@
 	if j := t.stage.job; !j.started {
 		m.log("job started", j.ID, "queue", j.Queue, "waitMs", m.now-j.firstAt, "leftMs", j.due-m.now, "worker", w.ID)
 	}
+	if t.stage.Lasting {
+		m.log("lasting task placed", t.stage.job.ID, "task", t.name().String(), "run", n, "worker", w.ID, "rack", w.rack)
+	}
 	m.attach(r)
 	m.do(StartCmd{
 		Worker: w.ID, Addr: w.Addr, Task: t.name(), Run: n, Spec: t.stage.job.Spec, UntilMs: r.until,
@@ -278,9 +293,7 @@
 		at = m.gangInRack(p, s, held, at)
 	}
 	if at == nil {
-		if w := emptiest(p, s, held); w != nil {
-			held[w] = true
-		}
+		m.holdForGang(p, s, held)
 		return
 	}
 	n := 0
@@ -294,6 +307,24 @@
 	}
 }
 
+// holdForGang keeps the emptiest workers on which all tasks of s fit, unless even these are too few.
+func (m *Model) holdForGang(p *pool, s *stage, held map[*worker]bool) {
+	extra, count := map[*worker]Size{}, map[*worker]int{}
+	full := maps.Clone(held)
+	for range s.tasks {
+		w := m.emptiest(p, s, full, extra)
+		if w == nil {
+			return
+		}
+		extra[w] = extra[w].plus(s.size())
+		count[w]++
+		full[w] = s.PerWorker > 0 && s.on(w)+count[w] >= s.PerWorker
+	}
+	for w := range extra {
+		held[w] = true
+	}
+}
+
 // gangInRack prefers workers of one rack.
 func (m *Model) gangInRack(p *pool, s *stage, held map[*worker]bool, spread []*worker) []*worker {
 	var racks []string
--- /dev/null
+++ b/fleet/batch/room_test.go
@@ -0,0 +1,77 @@
+package batch_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/fleet/batch"
+)
+
+// pressed plays a pool whose room is asked for by small tasks all the time, and returns how many tasks of j have begun by the end.
+func pressed(t *testing.T, workers int, labels map[int][]string, j batch.Job) int {
+	t.Helper()
+	w := newWorld(t, 1, workers, faults{})
+	w.labels = func(id string) []string {
+		for i, l := range labels {
+			if w.workers[i].ID() == id {
+				return l
+			}
+		}
+		return []string{"a", "r1"}
+	}
+	n := 100
+	w.play(15_000, func() {
+		if w.now%200 == 0 {
+			for range 4 * workers {
+				n++
+				w.submit(batch.Job{ID: jobID(n), Queue: "q", Service: "s", Priority: 1, Stretch: 8, Steps: []batch.Step{
+					{Count: 2, Size: batch.Size{CPU: 1000, MemMB: 100}, EstimateMs: 400},
+				}})
+			}
+		}
+		if w.now == 5_000 {
+			w.submit(j)
+		}
+	})
+	w.report()
+	begun := 0
+	for s, p := range j.Steps {
+		for i := range p.Count {
+			if len(w.judge.Stints(batch.TaskName{Job: j.ID, Step: s, Index: i}.String())) > 0 {
+				begun++
+			}
+		}
+	}
+	return begun
+}
+
+// A task that needs much of a worker gets one emptied for it, however many small tasks press: one that it may run on.
+func TestLargeTasksGetRoom(t *testing.T) {
+	large := batch.Size{CPU: 6000, MemMB: 1000}
+	t.Run("lasting, one on a worker", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(pressed(t, 3, nil, batch.Job{ID: jobID(1), Queue: "l", Service: "s", Steps: []batch.Step{
+			{Count: 3, Size: batch.Size{CPU: 4000, MemMB: 1000}, EstimateMs: 500, Lasting: true, PerWorker: 1, MayMiss: 1},
+		}}), 3)
+	})
+	t.Run("beside a lasting task", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(pressed(t, 3, nil, batch.Job{ID: jobID(1), Queue: "l", Service: "s", AimMs: 20_000, Steps: []batch.Step{
+			{Count: 2, Size: batch.Size{CPU: 500, MemMB: 15_900}, EstimateMs: 500, Lasting: true, PerWorker: 1},
+			{Count: 2, Size: batch.Size{CPU: 3000, MemMB: 9000}, EstimateMs: 500},
+		}}), 4)
+	})
+	t.Run("labelled", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(pressed(t, 3, map[int][]string{1: {"b", "r1"}}, batch.Job{ID: jobID(1), Queue: "l", Service: "s", AimMs: 20_000, Steps: []batch.Step{
+			{Count: 1, Size: large, EstimateMs: 500, Label: "b"},
+		}}), 1)
+	})
+	t.Run("gang", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(pressed(t, 3, nil, batch.Job{ID: jobID(1), Queue: "l", Service: "s", AimMs: 20_000, Steps: []batch.Step{
+			{Count: 3, Size: large, EstimateMs: 500, Gang: true},
+		}}), 3)
+	})
+}
--- a/fleet/batch/world_test.go
+++ b/fleet/batch/world_test.go
@@ -37,6 +37,7 @@
 	judge   *floor.Judge
 	park    park
 	dutyGap int64 // ms between two owners' orders to one machine.
+	labels  func(worker string) []string
 }
 
 // faults are the chances, in thousandths, of what may go wrong with one order, and of what happens in one step.
@@ -68,6 +69,7 @@
 		t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), rows: map[string]batch.Row{}, rev: 10, now: 1000,
 		faults: f, dutyGap: 3500, refs: map[uint64]*floor.Known{},
 	}
+	w.labels = func(string) []string { return []string{"a", "r1"} }
 	w.judge = floor.NewJudge(func() int64 { return w.now })
 	w.park = park{w: w, services: []batch.Service{{Name: "s", Guards: true}}}
 	for range workers {
@@ -109,7 +111,7 @@
 			continue
 		}
 		m.Set = append(m.Set, batch.Entry{
-			ID: f.ID(), Service: w.park.pool[f.ID()], Addr: f.ID(), Room: f.Room(), Labels: []string{"a", "r1"}, ClockMs: f.Clock(), Born: f.Born(),
+			ID: f.ID(), Service: w.park.pool[f.ID()], Addr: f.ID(), Room: f.Room(), Labels: w.labels(f.ID()), ClockMs: f.Clock(), Born: f.Born(),
 		})
 	}
 	return m
