--- a/node/logs/logs.go
+++ b/node/logs/logs.go
@@ -11,10 +11,11 @@
 
 // Bounds of the log's volume.
 const (
-	queueLines   = 1024
-	linesPerSec  = 400  // more than an entry's decisions on a busy day, a hundredth of a core.
-	burstLines   = 1200 // lines in a row.
-	maxLineBytes = 2048
+	queueLines    = 1024
+	linesPerSec   = 400  // more than an entry's decisions on a busy day, a hundredth of a core.
+	burstLines    = 1200 // lines in a row.
+	maxLineBytes  = 2048
+	maxWriteBytes = 4096 // PIPE_BUF: a longer write to a pipe may be taken in part.
 )
 
 // Writer is an io.Writer that queues lines; Run writes them out.
@@ -78,12 +79,24 @@
 	}
 }
 
-// put writes one line, with those that wait already; a failed write is counted, as there is nowhere to report it.
+// put writes one line, with those that wait already, as far as one write takes them whole; a failed write is counted, as there is
+// nowhere to report it.
 func (w *Writer) put(b []byte) {
-	for len(w.lines) > 0 {
-		b = append(b, <-w.lines...)
-	}
-	if _, err := w.out.Write(b); err != nil {
-		w.dropped.Add(1)
+	for {
+		var next []byte
+		for next == nil && len(w.lines) > 0 {
+			if n := <-w.lines; len(b)+len(n) > maxWriteBytes {
+				next = n
+			} else {
+				b = append(b, n...)
+			}
+		}
+		if _, err := w.out.Write(b); err != nil {
+			w.dropped.Add(1)
+		}
+		if next == nil {
+			return
+		}
+		b = next
 	}
 }
--- a/node/logs/logs_test.go
+++ b/node/logs/logs_test.go
@@ -52,3 +52,27 @@
 	is.NoErr(w.Run(c))
 	is.Equal(out.Len(), maxLineBytes+1)
 }
+
+// sizes notes how long each write is.
+type sizes struct{ most, sum int }
+
+func (s *sizes) Write(b []byte) (int, error) {
+	s.most, s.sum = max(s.most, len(b)), s.sum+len(b)
+	return len(b), nil
+}
+
+// A pipe takes no more than PIPE_BUF bytes as a whole: lines of longer writes are torn apart.
+func TestWritesAreWhole(t *testing.T) {
+	is := is.New(t)
+	out := &sizes{}
+	w := New(out)
+	for range 500 {
+		_, err := w.Write(bytes.Repeat([]byte("x"), 300))
+		is.NoErr(err)
+	}
+	c, stop := context.WithCancel(context.Background())
+	stop()
+	is.NoErr(w.Run(c))
+	is.Equal(out.sum, 500*300)
+	is.True(out.most <= maxWriteBytes)
+}
