--- a/node/owner/helper.go
+++ b/node/owner/helper.go
@@ -41,6 +41,10 @@
 	failed time.Time
 }
 
+func newHelper(t *term, addr string) *helper {
+	return &helper{t: t, addr: addr, under: map[uint64]order{}, wake: make(chan struct{}, 1), work: make(chan struct{}, 1)}
+}
+
 // order is a call that a helper makes.
 type order struct {
 	cmd  batch.Cmd
@@ -80,7 +84,7 @@
 		}
 		p := h.all[a]
 		if p == nil {
-			p = &helper{t: t, addr: a, under: map[uint64]order{}, wake: make(chan struct{}, 1), work: make(chan struct{}, 1)}
+			p = newHelper(t, a)
 			h.all[a] = p
 			t.group.Go(func() error { return p.send(ctx) })
 			t.group.Go(func() error { return p.collect(ctx) })
