A successor waits for workers whose entries are missing while a former owner may drive them

The entries of its workers lapsed, so the successor's list did not name them; it had not noticed any trouble of the store itself and so did not wait (settleMs 0). Two failed runs stood in the list of such a worker, and the task got a fifth run after four failures. In the same way a task that still ran there could have been started a second time. Ruled out: ends forgotten before they were stored (the marks of the former owner kept them). Change: tasks of a former owner wait while a machine of the pool is up with a worker that is not listed, until that former owner's orders have run out. The wait of 2.5 s for entries after trouble of the store, which this covers, is gone, with the owner's note of such trouble. TestSuccessorWaitsForMissingEntries was wrong: it let tasks start 2.5 s after the takeover though the missing worker may run them for 13.7 s; stricter now, and plays three more cases.

--- a/fleet/batch/chaos_test.go
+++ b/fleet/batch/chaos_test.go
@@ -62,7 +62,8 @@
 		{"store", faults{storeDown: 2, storeLost: 100}},
 		{"owners", faults{depose: 2}},
 		{"owners and workers", faults{depose: 2, crash: 4, restart: 2, cut: 6, late: 10, lost: 10}},
-		{"all", faults{depose: 2, crash: 3, restart: 3, cut: 6, late: 15, lost: 15, storeDown: 1, storeLost: 40, fail: 30}},
+		{"owners and entries", faults{depose: 3, cut: 6, lapse: 500, fail: 30}},
+		{"all", faults{lapse: 300, depose: 2, crash: 3, restart: 3, cut: 6, late: 15, lost: 15, storeDown: 1, storeLost: 40, fail: 30}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for s := uint64(1); s <= *chaosSeeds; s++ {
--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -353,7 +353,7 @@
 
 // load takes over the records of a former owner.
 func (m *Model) load(g LoadedMsg) {
-	m.blind, m.settle = m.now+g.BlindMs, m.now+g.SettleMs
+	m.blind = m.now + g.BlindMs
 	runs := make(map[string]StoredRun, len(g.Runs))
 	for _, r := range g.Runs {
 		runs[r.ID] = r
@@ -371,7 +371,7 @@
 	}
 	m.loadWaves(g.Waves)
 	m.loaded = true
-	m.log("records loaded", "", "open", n, "ended", len(m.jobs)-n, "blindMs", g.BlindMs, "settleMs", g.SettleMs)
+	m.log("records loaded", "", "open", n, "ended", len(m.jobs)-n, "blindMs", g.BlindMs)
 	l := m.early
 	m.early = nil
 	for _, e := range l {
--- a/fleet/batch/duty.go
+++ b/fleet/batch/duty.go
@@ -122,7 +122,6 @@
 	waves    map[int]*wave
 	asked    int64 // when the list was last asked for; 0 while none is under way.
 	listed   int64 // when the list was last read.
-	complete bool  // every machine that is up has its worker in the list of workers.
 	listSent int64 // when the list that was last read was asked for.
 }
 
@@ -170,6 +169,7 @@
 		}
 		d.list = append(d.list, d.machines[n])
 	}
+	m.count()
 }
 
 // settleOrder ends the order to a machine that is up again with another worker.
@@ -200,7 +200,7 @@
 func (m *Model) planDuties() {
 	d := &m.duty
 	gap := int64(listCalmMs)
-	if m.dutyBusy() {
+	if m.dutyBusy() || m.now < m.blind && m.anyUnseen() {
 		gap = listBusyMs
 	}
 	if d.asked != 0 && m.now-d.asked > listWaitMs {
@@ -232,6 +232,16 @@
 	return w != nil && w.Born > 0 && w.Born < m.cfg.WallMs-m.cfg.DutyGapMs-clockSlackMs
 }
 
+// anyUnseen reports whether tasks may wait because a machine's worker is not listed.
+func (m *Model) anyUnseen() bool {
+	for _, p := range m.pools {
+		if p.tally.unseen > 0 && len(p.open) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Model) dutyBusy() bool {
 	for _, k := range m.duty.list {
 		if k.ordered != 0 || k.done != 0 {
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -47,7 +47,6 @@
 	wall    int64 // Unix time minus the steady clock.
 	loaded  bool
 	blind   int64 // until then unreachable workers may run what a former owner started.
-	settle  int64 // until then entries may be missing from the list of workers.
 	fresh   bool  // the lease is certainly held.
 	checked int64 // until then this was the only owner: no other one had extended a lease.
 	early   []Msg // messages that wait for the records of the former owner.
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -83,6 +83,7 @@
 	coming   int // machines on their way.
 	upkeep   int // machines that are out for upkeep, or about to be.
 	machines int
+	unseen   int // machines that are up with a worker that is not listed.
 }
 
 // count takes the tallies of all pools, and the mean CPU of a machine.
@@ -96,13 +97,12 @@
 		}
 	}
 	cpu := int64(0)
-	m.duty.complete = true
 	for _, k := range m.duty.list {
-		if k.State == Up && k.Worker != "" && m.workerOf(k) == nil && !m.services[k.Pool].Standby {
-			m.duty.complete = false
-		}
 		cpu += k.Room.CPU
 		t := &m.pool(k.Pool).tally
+		if k.State == Up && k.Worker != "" && m.workerOf(k) == nil {
+			t.unseen++
+		}
 		t.machines++
 		if k.wave != nil {
 			t.upkeep++
--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -33,11 +33,10 @@
 
 // LoadedMsg brings the records of a former owner; it comes once, before any other job.
 type LoadedMsg struct {
-	Jobs     []StoredJob
-	Runs     []StoredRun
-	Waves    []StoredWave
-	SettleMs int64 // how long entries may be missing from the list of workers.
-	BlindMs  int64 // how long orders of a former owner may still be carried out at workers that are out of reach.
+	Jobs    []StoredJob
+	Runs    []StoredRun
+	Waves   []StoredWave
+	BlindMs int64 // how long orders of a former owner may still be carried out at workers that are out of reach.
 }
 
 // BlindMsg shortens the time for which a former owner's orders may still be carried out.
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -149,7 +149,13 @@
 
 // blocked reports whether a former owner may have started tasks of s at a worker that has not been read yet.
 func (m *Model) blocked(s *stage) bool {
-	return s.job.loaded && !s.ours && m.now < m.blind && (m.now < m.settle && !m.duty.complete || m.unread(s.job.Service))
+	return s.job.loaded && !s.ours && m.now < m.blind && (m.unseen(s.job.Service) || m.unread(s.job.Service))
+}
+
+// unseen reports whether a machine of the pool may have a worker that is not listed: its entry lapses while it does not reach the
+// store, and it goes on with what a former owner gives it.
+func (m *Model) unseen(service string) bool {
+	return m.duty.listed == 0 || m.pool(service).tally.unseen > 0
 }
 
 // unread reports whether a worker that a former owner used has not told what it runs.
--- a/fleet/batch/takeover_test.go
+++ b/fleet/batch/takeover_test.go
@@ -8,20 +8,26 @@
 	"burdockreach.dev/fleet/batch"
 )
 
-// successor is a new owner that finds one accepted job, one read worker, and entries that may be missing from the list.
-func successor(machineWorkers ...string) *batch.Model {
+// takeover is a new owner that finds one accepted job and one worker, which it has read.
+func takeover() *batch.Model {
 	m := batch.New(batch.Config{Fence: 9, Now: 1000, WallMs: 1_000_000, LeaseMs: 6000, DutyGapMs: 3500})
 	m.Update(1000, batch.LeaseMsg{Fresh: true, Checked: 1000})
 	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s", Guards: true}}})
 	room := batch.Size{CPU: 8000, MemMB: 8000}
 	m.Update(1000, batch.WorkersMsg{All: true, Set: []batch.Entry{{ID: "w1", Service: "s", Addr: "w1", Room: room, ClockMs: 500, Born: 900_000}}})
 	j := plainJob(1)
-	m.Update(1000, batch.LoadedMsg{Jobs: []batch.StoredJob{{Job: j, AtMs: 999_000}}, BlindMs: 13_000, SettleMs: 2500})
+	m.Update(1000, batch.LoadedMsg{Jobs: []batch.StoredJob{{Job: j, AtMs: 999_000}}, BlindMs: 13_000})
 	m.Round(1010)
 	m.Update(1020, batch.HeldMsg{Worker: "w1", Sent: 1010, Born: 900_000, ClockMs: 520})
+	return m
+}
+
+// successor is a new owner that knows the machines, too; the entries of some of their workers may be missing.
+func successor(machineWorkers ...string) *batch.Model {
+	m := takeover()
 	var l []batch.Machine
 	for _, w := range machineWorkers {
-		l = append(l, batch.Machine{Name: "m-" + w, Pool: "s", State: batch.Up, Room: room, Worker: w})
+		l = append(l, batch.Machine{Name: "m-" + w, Pool: "s", State: batch.Up, Room: batch.Size{CPU: 8000, MemMB: 8000}, Worker: w})
 	}
 	m.Update(1030, batch.MachinesMsg{Sent: 1010, List: l})
 	return m
@@ -47,8 +53,32 @@
 	t.Run("a machine's worker is missing", func(t *testing.T) {
 		is := is.New(t)
 		m := successor("w1", "w2") // w2 may run tasks, and its entry has lapsed.
-		is.Equal(starts(m, 1100)+starts(m, 1200)+starts(m, 3400), 0)
-		is.Equal(starts(m, 3600)+starts(m, 3700), 4)
+		is.Equal(starts(m, 1100)+starts(m, 1200)+starts(m, 3700)+starts(m, 13_900), 0)
+		is.Equal(starts(m, 14_100)+starts(m, 14_200), 4)
+	})
+	t.Run("a machine's worker is missing until it is listed", func(t *testing.T) {
+		is := is.New(t)
+		m := successor("w1", "w2")
+		is.Equal(starts(m, 1100), 0)
+		m.Update(1200, batch.WorkersMsg{Set: []batch.Entry{{ID: "w2", Service: "s", Addr: "w2", Room: batch.Size{CPU: 8000}, ClockMs: 1, Born: 900_000}}})
+		is.Equal(starts(m, 1210)+starts(m, 1260), 0) // it has not been read.
+		m.Update(1270, batch.HeldMsg{Worker: "w2", Sent: 1265, Born: 900_000, ClockMs: 2})
+		is.Equal(starts(m, 1320)+starts(m, 1380), 4)
+	})
+	t.Run("a machine of another pool has none", func(t *testing.T) {
+		is := is.New(t)
+		m := successor("w1")
+		m.Update(1040, batch.MachinesMsg{Sent: 1035, List: []batch.Machine{
+			{Name: "m-w1", Pool: "s", State: batch.Up, Worker: "w1"}, {Name: "m-w2", Pool: "other", State: batch.Up, Worker: "w2"},
+		}})
+		is.Equal(starts(m, 1100)+starts(m, 1200), 4)
+	})
+	t.Run("the machines are not known", func(t *testing.T) {
+		is := is.New(t)
+		m := takeover()
+		m.Update(1031, batch.MachinesMsg{Sent: 1010, Failed: true})
+		is.Equal(starts(m, 1100)+starts(m, 13_900), 0)
+		is.Equal(starts(m, 14_100)+starts(m, 14_200), 4)
 	})
 	t.Run("a worker has not been read", func(t *testing.T) {
 		is := is.New(t)
--- a/fleet/batch/world_test.go
+++ b/fleet/batch/world_test.go
@@ -38,11 +38,13 @@
 	park    park
 	dutyGap int64 // ms between two owners' orders to one machine.
 	labels  func(worker string) []string
+	lapsed  map[string]int64 // until when a worker's entry is missing.
 }
 
 // faults are the chances, in thousandths, of what may go wrong with one order, and of what happens in one step.
 type faults struct {
 	late, lost, crash, restart, cut, depose, storeDown, storeLost, fail int
+	lapse                                                               int // of those cut off: their entries lapse too.
 }
 
 type event struct {
@@ -68,6 +70,7 @@
 	w := &world{
 		t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), rows: map[string]batch.Row{}, rev: 10, now: 1000,
 		faults: f, dutyGap: 3500, refs: map[uint64]*floor.Known{},
+		lapsed: map[string]int64{},
 	}
 	w.labels = func(string) []string { return []string{"a", "r1"} }
 	w.judge = floor.NewJudge(func() int64 { return w.now })
@@ -107,7 +110,7 @@
 func (w *world) entries() batch.WorkersMsg {
 	m := batch.WorkersMsg{All: true}
 	for _, f := range w.workers {
-		if w.park.off(f.ID()) {
+		if w.park.off(f.ID()) || w.now < w.lapsed[f.ID()] {
 			continue
 		}
 		m.Set = append(m.Set, batch.Entry{
@@ -188,7 +191,11 @@
 	case w.chance(f.cut) && len(w.owners) > 0:
 		a := w.owners[w.rnd.IntN(len(w.owners))]
 		a.away[k.ID()] = true
-		w.after(500+w.rnd.Int64N(7000), func() { delete(a.away, k.ID()) })
+		d := 500 + w.rnd.Int64N(7000)
+		w.after(d, func() { delete(a.away, k.ID()) })
+		if w.chance(f.lapse) {
+			w.lapsed[k.ID()] = w.now + d
+		}
 	case w.chance(f.depose) && len(w.owners) == 1 && !w.down:
 		w.depose(w.owners[0])
 	}
@@ -207,16 +214,23 @@
 		}
 	}
 	w.after(1300, func() {
-		w.own()
-		n := w.owners[len(w.owners)-1]
+		var far []string
 		if a.cut {
 			for _, f := range w.workers {
 				if !a.away[f.ID()] && w.rnd.IntN(2) == 0 {
-					n.away[f.ID()] = true
-					w.after(4000, func() { delete(n.away, f.ID()) })
+					far = append(far, f.ID())
+					if w.chance(w.faults.lapse) {
+						w.lapsed[f.ID()] = w.now + 4000
+					}
 				}
 			}
 		}
+		w.own()
+		n := w.owners[len(w.owners)-1]
+		for _, id := range far {
+			n.away[id] = true
+			w.after(4000, func() { delete(n.away, id) })
+		}
 	})
 }
 
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -35,7 +35,6 @@
 	ClaimPatience = 7 * time.Second
 	leaseFor      = 5500 * time.Millisecond             // the longest lease that an owner asks of workers, on a slow clock.
 	blindFor      = ClaimPatience + ClaimTTL + leaseFor // after a former owner that may go on: its last order, and that lease.
-	settleFor     = 2500 * time.Millisecond             // entries are back within 2 s of the store's return.
 	loadRetry     = 100 * time.Millisecond
 	workersWait   = time.Second // of one watch.
 	queueMsgs     = 4096
@@ -102,7 +101,6 @@
 	term    atomic.Pointer[term]
 	zero    time.Time
 	yield   atomic.Bool
-	uneasy  atomic.Int64 // steady ms of the last failure of the store.
 }
 
 // Parts are what an owner is made of.
@@ -123,17 +121,12 @@
 
 // New returns an owner that holds nothing.
 func New(p Parts, s Settings) *Owner {
-	o := &Owner{
+	return &Owner{
 		store: p.Store, workers: p.Workers, machines: p.Machines, format: p.Format, board: p.Board, lease: p.Lease,
 		set: s, log: p.Log, stats: p.Stats, peers: p.Peers, Carrier: p.Carrier, entries: p.Entries, holder: p.Holder, zero: time.Now(),
 	}
-	o.uneasy.Store(1) // the store may have been away before the start.
-	return o
 }
 
-// StoreLost notes that the store does not answer, or did not until now.
-func (o *Owner) StoreLost() { o.uneasy.Store(o.now()) }
-
 // Yield ends the term, if there is one, and gives the claim up.
 func (o *Owner) Yield() {
 	if t := o.term.Load(); t != nil {
@@ -274,7 +267,6 @@
 			return t.probe(ctx, former)
 		}
 		t.o.log.Warn().Str("step", "load").Str("reason", err.Error()).Msg("records not read")
-		t.o.StoreLost()
 		if errors.Is(err, errDeposed) {
 			return err
 		}
@@ -292,9 +284,6 @@
 
 func (o *Owner) read(ctx context.Context) (batch.LoadedMsg, error) {
 	m := batch.LoadedMsg{}
-	if u := o.uneasy.Load(); u != 0 && o.now()-u < blindFor.Milliseconds() {
-		m.SettleMs = settleFor.Milliseconds()
-	}
 	jobs, _, err := o.store.All(ctx, batch.JobPrefix)
 	if err != nil {
 		return m, err
--- a/node/owner/perform.go
+++ b/node/owner/perform.go
@@ -175,10 +175,8 @@
 		}
 	case errors.Is(err, keyval.ErrDown):
 		g.Outcome = batch.Unwritten
-		t.o.StoreLost()
 	default:
 		g.Outcome = batch.Unknown
-		t.o.StoreLost()
 	}
 	t.tell(ctx, g)
 }
--- a/node/owner/watch.go
+++ b/node/owner/watch.go
@@ -64,7 +64,6 @@
 
 // Lost implements keyval.Sink.
 func (r *roster) Lost(err error) {
-	r.t.o.StoreLost()
 	r.t.o.log.Warn().Str("dependency", "store").Str("step", "watch workers").Err(err).Msg("dependency lost")
 }
 
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -303,12 +303,10 @@
 // Lost implements keyval.Sink.
 func (o *operator) Lost(err error) {
 	o.e.stats.Add("store_lost", 1)
-	o.e.owner.StoreLost()
 	o.e.log.Warn().Str("dependency", "store").Str("step", "watch configuration").Err(err).Msg("dependency lost")
 }
 
 // Found implements keyval.Sink.
 func (o *operator) Found() {
-	o.e.owner.StoreLost()
 	o.e.log.Info().Str("dependency", "store").Str("step", "watch configuration").Msg("dependency regained")
 }
