Take a look or a start whose answer is overdue as not answered

Change: after 4 s the model goes on as without an answer, and logs 'look overdue' or 'start overdue', which will name the case. TestLostAnswersAreGivenUp fails without the change.

--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -11,6 +11,7 @@
 	startLeaseMs  = 2_500 // an unanswered start is not carried out later than this.
 	holdWaitMs    = 2_000 // longest wait that workers take.
 	holdRetryMs   = 300   // between calls to a worker that does not answer.
+	overdueMs     = 4_000 // a call takes 2.7 s at most; leases last a second longer than this.
 	endRetryMs    = 250   // between looks while ends wait for the store.
 	stopRetryMs   = 400   // between stops of one run.
 	lapseSlackMs  = 150   // added to a worker's lease before its runs count as lapsed.
--- a/fleet/batch/takeover_test.go
+++ b/fleet/batch/takeover_test.go
@@ -192,3 +192,40 @@
 	is.Equal(removed(30_000), []batch.Row{{Key: batch.RunPrefix + id, Rev: 7, Guarded: true, Delete: true}})
 	is.Equal(m.State(id), batch.Absent)
 }
+
+// A look or a start whose answer never comes is taken as not answered: the worker keeps its lease, and the task its way to a run.
+func TestLostAnswersAreGivenUp(t *testing.T) {
+	is := is.New(t)
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, WallMs: 1_000_000, LeaseMs: 6000, DutyGapMs: 3500})
+	room := batch.Size{CPU: 8000, MemMB: 8000}
+	m.Update(1000, batch.WorkersMsg{All: true, Set: []batch.Entry{{ID: "w1", Service: "s", Addr: "w1", Room: room, ClockMs: 5}}})
+	m.Update(1000, batch.LoadedMsg{})
+	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: longJob(1)})
+	var until, last int64 // on the worker's clock, which shows the same as ours.
+	stops, lost := 0, false
+	for now := int64(1000); now < 20_000; now += 10 {
+		m.Update(now, batch.LeaseMsg{Fresh: true, Checked: now})
+		for _, c := range m.Round(now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+			case batch.StopCmd:
+				stops++
+			case batch.HoldCmd:
+				if last > 0 {
+					is.True(now < until) // the lease has not lapsed.
+				}
+				if k.UntilMs > 0 {
+					until = k.UntilMs
+				}
+				last = now
+				if now < 3_000 || lost { // the answer to one look is lost, and those to all starts.
+					m.Update(now, batch.HeldMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 1})
+				}
+				lost = now >= 3_000
+			}
+		}
+	}
+	is.True(last > 15_000)
+	is.True(stops > 0) // of starts that were not answered.
+}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -35,6 +35,7 @@
 	marks   []mark
 
 	holding bool
+	heldAt  int64 // when the look that is under way was asked for.
 	holdAt  int64 // when to look again.
 	gapAt   int64 // not before: ends that come soon after one another are read together.
 	hasty   bool  // look at once.
@@ -197,6 +198,7 @@
 		return
 	}
 	for _, w := range slices.Clone(m.list) {
+		m.giveUpLook(w)
 		if m.retire(w) || w.holding || w.over {
 			continue
 		}
@@ -227,13 +229,23 @@
 		h.WaitMs = tailWaitMs
 	}
 	w.hasty = false
-	w.holding, w.seen = true, h.LastSeen
+	w.holding, w.heldAt, w.seen = true, m.now, h.LastSeen
 	if h.LastSeen == w.acked {
 		h.LastSeen = 0 // should the worker have restarted unnoticed, its new ends must not be forgotten.
 	}
 	m.do(h)
 }
 
+// giveUpLook takes a look whose answer is long overdue as not answered, so that the worker's lease is extended by another one.
+func (m *Model) giveUpLook(w *worker) {
+	if !w.holding || m.now-w.heldAt < overdueMs {
+		return
+	}
+	m.log("look overdue", "", "worker", w.ID, "addr", w.Addr, "runs", len(w.runs), "sinceMs", m.now-w.heldAt)
+	w.holding = false
+	m.unheard(w)
+}
+
 // noted returns the number up to which ends may be forgotten.
 func (w *worker) noted() int64 {
 	for i, k := range w.marks {
@@ -456,8 +468,12 @@
 func (m *Model) watchWorkers() {
 	for _, w := range m.list {
 		for _, r := range w.runs {
-			if r.state == stopping && m.now-r.stopAt >= stopRetryMs && w.silent == 0 {
+			switch {
+			case r.state == stopping && m.now-r.stopAt >= stopRetryMs && w.silent == 0:
 				m.stop(r)
+			case r.state == starting && m.now-r.asked >= overdueMs:
+				m.log("start overdue", r.task.stage.job.ID, "task", r.task.name().String(), "run", r.number, "worker", w.ID, "sinceMs", m.now-r.asked)
+				m.startUnsure(r)
 			}
 		}
 	}
