Second copies of lagging tasks, and preemption of checkpointed ones

Wanted by the users' platform (copies where the job allows them, priority 0 may preempt) and missing so far. A copy starts when a run takes twice its usual time, is not nearly done, and nothing waits for the room; the first that is done counts. A task of a higher priority, or a lasting one, stops checkpointed tasks on the worker that is kept for it, the youngest first, and none when they are too few. TestCopies, TestPreemption.

--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -54,6 +54,7 @@
 			if w == nil {
 				if k := m.emptiest(p, s, held, nil); k != nil {
 					held[k] = true
+					m.preempt(k, s)
 				}
 				break
 			}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -478,6 +478,7 @@
 		}
 	}
 	m.stopStuck()
+	m.copyLaggards()
 }
 
 // learn takes in how long a run took and whether its worker fails what it starts.
