A former owner tells which machines it ordered, and its successor orders all others at once

Two owners keep 3.5 s apart at each machine, and the successor did not know which machines had been ordered, so it waited for all whose worker was younger than 8.5 s. Ruled out: admission (refusals follow from the missing machines), blind time (new jobs do not wait for it). Change: the record of a hand-over, and the answer to the successor's probe, hold the age of the last order to each machine and how far back that is known. No order is given before the former owner says that it gives none any more, or its claim has certainly ended.

--- a/fleet/batch/duty.go
+++ b/fleet/batch/duty.go
@@ -57,6 +57,24 @@
 	Result  DutyResult
 }
 
+// OrdersMsg is what a former owner, which gives no orders any more, told of its last orders to machines.
+type OrdersMsg struct{ Orders }
+
+// Orders are the last orders to machines: their age in ms by the machine's name, as far as they were given within SpanMs.
+type Orders struct {
+	AgeMs  map[string]int64 `json:"ageMs,omitempty"`
+	SpanMs int64            `json:"spanMs"`
+}
+
+// Aged returns the orders as they stand ms later.
+func (o Orders) Aged(ms int64) Orders {
+	a := make(map[string]int64, len(o.AgeMs))
+	for n, x := range o.AgeMs {
+		a[n] = x + ms
+	}
+	return Orders{AgeMs: a, SpanMs: o.SpanMs + ms}
+}
+
 // DutyResult is what became of an order to a machine.
 type DutyResult int
 
@@ -92,6 +110,7 @@
 }
 
 func (MachinesMsg) msg()     {}
+func (OrdersMsg) msg()       {}
 func (WaveMsg) msg()         {}
 func (DutyDoneMsg) msg()     {}
 func (ListMachinesCmd) cmd() {}
@@ -115,7 +134,10 @@
 
 // duty is what the owner knows of machines, and the orders to them.
 type duty struct {
-	from     int64 // no orders before.
+	from     int64            // no orders before.
+	span     int64            // since then all orders to machines are known.
+	last     map[string]int64 // when this owner last ordered each machine.
+	former   map[string]int64 // the same of former owners, as far as known.
 	machines map[string]*machine
 	list     []*machine // by name
 	room     float64    // mean CPU of a machine, in thousandths of a core.
@@ -138,7 +160,9 @@
 }
 
 func (d *duty) start(from int64) {
-	d.from, d.machines, d.waves = from, map[string]*machine{}, map[int]*wave{}
+	d.from, d.span = from, from
+	d.machines, d.waves = map[string]*machine{}, map[int]*wave{}
+	d.last, d.former = map[string]int64{}, map[string]int64{}
 }
 
 // setMachines takes the list in.
@@ -225,13 +249,45 @@
 
 // mayOrderTo reports whether no former owner can have given the machine an order lately: its worker is older than that.
 func (m *Model) mayOrderTo(k *machine) bool {
-	if m.now >= m.duty.from+m.cfg.DutyGapMs {
+	last := m.duty.span
+	if at, ok := m.duty.former[k.Name]; ok {
+		last = max(last, at)
+	}
+	if m.now >= last+m.cfg.DutyGapMs {
 		return true
 	}
 	w := m.workerOf(k)
 	return w != nil && w.Born > 0 && w.Born < m.cfg.WallMs-m.cfg.DutyGapMs-clockSlackMs
 }
 
+// formerOrders takes in what the former owner ordered; it orders nothing any more.
+func (m *Model) formerOrders(g OrdersMsg) {
+	d := &m.duty
+	d.from, d.span = min(d.from, m.now), min(d.span, m.now-g.SpanMs)
+	for n, a := range g.AgeMs {
+		if at, ok := d.former[n]; !ok || at < m.now-a {
+			d.former[n] = m.now - a
+		}
+	}
+	m.log("former orders known", "", "machines", len(g.AgeMs), "spanMs", g.SpanMs)
+}
+
+// order notes that the machine is ordered now.
+func (m *Model) order(k *machine) { k.ordered, m.duty.last[k.Name] = m.now, m.now }
+
+// Orders returns the orders to machines that a successor must keep its distance from.
+func (m *Model) Orders(now int64) Orders {
+	o := Orders{AgeMs: map[string]int64{}, SpanMs: max(now-m.duty.span, 0)}
+	for _, l := range []map[string]int64{m.duty.former, m.duty.last} {
+		for n, at := range l {
+			if now-at < m.cfg.DutyGapMs {
+				o.AgeMs[n] = now - at // our own are the later ones.
+			}
+		}
+	}
+	return o
+}
+
 // anyUnseen reports whether tasks may wait because a machine's worker is not listed.
 func (m *Model) anyUnseen() bool {
 	for _, p := range m.pools {
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -133,6 +133,8 @@
 		m.setMachines(g)
 	case WaveMsg:
 		m.setWave(g)
+	case OrdersMsg:
+		m.formerOrders(g)
 	case DutyDoneMsg:
 		m.dutyDone(g)
 	}
--- /dev/null
+++ b/fleet/batch/orders_test.go
@@ -0,0 +1,86 @@
+package batch_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/fleet/batch"
+)
+
+// firstMoves plays a new owner of two idle machines that another pool needs, and returns when it first orders each; tell is what it
+// learns of the former owner's orders at 1100.
+func firstMoves(tell ...batch.Msg) map[string]int64 {
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, WallMs: 1_000_000, LeaseMs: 6000, DutyGapMs: 3500})
+	room := batch.Size{CPU: 8000, MemMB: 8000}
+	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "o"}}})
+	var set []batch.Entry
+	var list []batch.Machine
+	for _, n := range []string{"1", "2"} {
+		set = append(set, batch.Entry{ID: "w" + n, Service: "o", Addr: n, Room: room, ClockMs: 5, Born: 999_000})
+		list = append(list, batch.Machine{Name: "m" + n, Pool: "o", State: batch.Up, Room: room, Worker: "w" + n})
+	}
+	m.Update(1000, batch.WorkersMsg{All: true, Set: set})
+	m.Update(1000, batch.LoadedMsg{})
+	j := plainJob(1)
+	j.AimMs = 60_000
+	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+	at := map[string]int64{}
+	for now := int64(1000); now < 9_000; now += 10 {
+		m.Update(now, batch.LeaseMsg{Fresh: true, Checked: now})
+		if now == 1100 {
+			for _, g := range tell {
+				m.Update(now, g)
+			}
+		}
+		for _, c := range m.Round(now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+			case batch.HoldCmd:
+				m.Update(now, batch.HeldMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 999_000})
+			case batch.ListMachinesCmd:
+				m.Update(now, batch.MachinesMsg{Sent: now, List: list})
+			case batch.MoveCmd:
+				if at[k.Machine] == 0 {
+					at[k.Machine] = now
+				}
+				m.Update(now, batch.DutyDoneMsg{Machine: k.Machine, Result: batch.DutyUnsure})
+			}
+		}
+	}
+	return at
+}
+
+// Two owners keep their distance at each machine; what the former one tells of its orders frees all others at once.
+func TestSuccessorOrdersMachines(t *testing.T) {
+	const claimEnd, gap = 1_200, 3_500
+	t.Run("nothing is known", func(t *testing.T) {
+		is := is.New(t)
+		at := firstMoves()
+		is.True(at["m1"] >= 1000+claimEnd+gap && at["m2"] >= 1000+claimEnd+gap)
+	})
+	t.Run("one was ordered lately", func(t *testing.T) {
+		is := is.New(t)
+		at := firstMoves(batch.OrdersMsg{Orders: batch.Orders{AgeMs: map[string]int64{"m1": 500}, SpanMs: 60_000}})
+		is.True(at["m1"] >= 1100-500+gap)
+		is.True(at["m2"] > 0 && at["m2"] < 2_500) // once it has been idle for long enough.
+	})
+	t.Run("the former owner had just begun", func(t *testing.T) {
+		is := is.New(t)
+		at := firstMoves(batch.OrdersMsg{Orders: batch.Orders{SpanMs: 100}})
+		is.True(at["m1"] >= 1000+gap && at["m2"] >= 1000+gap)
+	})
+}
+
+// What an owner tells of its orders holds those that it knows of former owners, too, and grows old.
+func TestOrdersAge(t *testing.T) {
+	is := is.New(t)
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, DutyGapMs: 3500})
+	m.Update(1100, batch.OrdersMsg{Orders: batch.Orders{AgeMs: map[string]int64{"m1": 500, "m2": 3_400}, SpanMs: 9_000}})
+	o := m.Orders(1300)
+	is.Equal(o.AgeMs, map[string]int64{"m1": 700})
+	is.Equal(o.SpanMs, int64(9_200))
+	is.Equal(o.Aged(50).AgeMs["m1"], int64(750))
+	is.Equal(o.Aged(50).SpanMs, int64(9_250))
+}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -92,7 +92,7 @@
 		m.workers[e.ID] = w
 		m.list = append(m.list, w)
 		slices.SortFunc(m.list, byID)
-		m.log("worker listed", "", "worker", e.ID, "service", e.Service, "draining", e.Draining)
+		m.log("worker listed", "", "worker", e.ID, "service", e.Service, "draining", e.Draining, "clockMs", e.ClockMs, "born", e.Born)
 	} else if w.Service != e.Service {
 		m.leavePool(w)
 	}
--- a/fleet/batch/world_test.go
+++ b/fleet/batch/world_test.go
@@ -38,6 +38,7 @@
 	park    park
 	dutyGap int64 // ms between two owners' orders to one machine.
 	labels  func(worker string) []string
+	gone    *actor           // the last owner that is known to be dead.
 	lapsed  map[string]int64 // until when a worker's entry is missing.
 }
 
@@ -62,6 +63,7 @@
 	cut    bool // from the store.
 	away   map[string]bool
 	passed int64 // last renewal.
+	diedAt int64
 }
 
 const stepMs = 10
@@ -99,6 +101,10 @@
 		Fence: a.fence, Now: w.now, WallMs: w.now, LeaseMs: 6000, DutyGapMs: w.dutyGap,
 	})
 	w.owners = append(w.owners, a)
+	if g := w.gone; g != nil {
+		a.m.Update(w.now, batch.OrdersMsg{Orders: g.m.Orders(g.diedAt).Aged(w.now - g.diedAt)})
+	}
+	w.gone = nil
 	a.m.Update(w.now, batch.ServicesMsg{Services: w.park.services})
 	a.m.Update(w.now, w.entries())
 	a.m.Update(w.now, w.records())
@@ -204,7 +210,7 @@
 // depose lets another process take over, while the old owner is dead or cut off from the store.
 func (w *world) depose(a *actor) {
 	if w.rnd.IntN(2) == 0 {
-		a.alive = false
+		a.alive, w.gone, a.diedAt = false, a, w.now
 	} else {
 		a.cut = true
 		for _, f := range w.workers { // each reaches some of the workers.
--- a/node/owner/former.go
+++ b/node/owner/former.go
@@ -26,9 +26,10 @@
 
 // former is the last process that gave orders.
 type former struct {
-	Fence  int64  `json:"fence"`
-	Holder string `json:"holder"`
-	Left   bool   `json:"left"` // it gives no orders any more.
+	Fence  int64        `json:"fence"`
+	Holder string       `json:"holder"`
+	Left   bool         `json:"left"`   // it gives no orders any more.
+	Orders batch.Orders `json:"orders"` // to machines, when it left.
 	rev    keyval.Revision
 }
 
@@ -93,13 +94,17 @@
 	if rev == 0 {
 		return
 	}
-	err := t.note(c, former{Fence: int64(t.fence), Holder: t.o.holder, Left: true}, rev)
+	err := t.note(c, former{Fence: int64(t.fence), Holder: t.o.holder, Left: true, Orders: t.o.parted.Load().orders}, rev)
 	t.o.log.Info().Int64("fence", int64(t.fence)).Bool("noted", err == nil).Msg("ownership handed over")
 }
 
 // probe asks the former owner's address until another process answers there, or it says that it gives no orders any more.
 func (t *term) probe(ctx context.Context, f former) error {
-	if f.Left || f.Holder == "" {
+	if f.Left {
+		t.tell(ctx, batch.OrdersMsg{Orders: f.Orders})
+		return nil
+	}
+	if f.Holder == "" {
 		return nil
 	}
 	addr, _, _ := strings.Cut(f.Holder, "/")
@@ -111,6 +116,7 @@
 		if err == nil && (r.GetHolder() != f.Holder || r.GetFence() != f.Fence) {
 			t.o.log.Info().Str("peer", addr).Int64("former", f.Fence).Bool("sameProcess", r.GetHolder() == f.Holder).Msg("former owner is gone")
 			t.tell(ctx, batch.BlindMsg{ForMs: leaseFor.Milliseconds()})
+			t.tell(ctx, batch.OrdersMsg{Orders: batch.Orders{AgeMs: r.GetOrderedMs(), SpanMs: r.GetSpanMs()}})
 			return nil
 		}
 		t.pause(ctx, probeEvery)
@@ -118,11 +124,18 @@
 	return nil
 }
 
+// parted is what this process ordered until its last term ended.
+type parted struct {
+	at     int64 // steady ms
+	orders batch.Orders
+}
+
 // Term implements desk.Desk.
 func (o *Owner) Term(context.Context, *desk.TermRequest) (*desk.TermReply, error) {
-	r := &desk.TermReply{Holder: o.holder}
 	if t := o.term.Load(); t != nil {
-		r.Fence = int64(t.fence)
+		return &desk.TermReply{Holder: o.holder, Fence: int64(t.fence)}, nil
 	}
-	return r, nil
+	p := o.parted.Load()
+	a := p.orders.Aged(o.now() - p.at)
+	return &desk.TermReply{Holder: o.holder, OrderedMs: a.AgeMs, SpanMs: a.SpanMs}, nil
 }
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -101,6 +101,7 @@
 	term    atomic.Pointer[term]
 	zero    time.Time
 	yield   atomic.Bool
+	parted  atomic.Pointer[parted]
 }
 
 // Parts are what an owner is made of.
@@ -121,10 +122,12 @@
 
 // New returns an owner that holds nothing.
 func New(p Parts, s Settings) *Owner {
-	return &Owner{
+	o := &Owner{
 		store: p.Store, workers: p.Workers, machines: p.Machines, format: p.Format, board: p.Board, lease: p.Lease,
 		set: s, log: p.Log, stats: p.Stats, peers: p.Peers, Carrier: p.Carrier, entries: p.Entries, holder: p.Holder, zero: time.Now(),
 	}
+	o.parted.Store(&parted{})
+	return o
 }
 
 // Yield ends the term, if there is one, and gives the claim up.
@@ -230,6 +233,7 @@
 	}
 	g.Go(func() error { return t.loop(d) })
 	err := g.Wait()
+	o.parted.Store(&parted{at: o.now(), orders: t.model.Orders(o.now())})
 	t.abandon()
 	if own.Err() != nil {
 		t.leave(ctx)
