--- a/node/owner/helper_test.go
+++ b/node/owner/helper_test.go
@@ -77,7 +77,7 @@
 		if err != nil {
 			return
 		}
-		s, err := net.Dial("tcp", p.to) //nolint:noctx // ends with the listener
+		s, err := net.Dial("tcp", p.to)
 		if err != nil {
 			_ = c.Close()
 			continue
@@ -126,11 +126,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
 	w := &idleWorkers{rnd: rand.New(rand.NewPCG(seed, 1)), most: 60 * time.Millisecond}
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed by Serve
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	far := &Owner{Carrier: NewCarrier(ctx, g, w)}
 	g.Go(func() error { return desk.Serve(ctx, l, far) })
-	pl, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at the end of the test
+	pl, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	p := &path{Listener: pl, to: l.Addr().String()}
 	p.wg.Go(func() error { p.serve(); return nil })
