Start second copies only in pools where nothing waits

Copies now need a pool in which nothing waited for 1.5 s, and no former owner's orders to wait for. TestCopies keeps.

--- a/fleet/batch/copies.go
+++ b/fleet/batch/copies.go
@@ -7,11 +7,11 @@
 	copyLeft  = 0.5 // of the usual run time: with less to do, a run is soon done itself.
 )
 
-// copyLaggards starts copies in the pools where nothing waits for the room that they take.
+// copyLaggards starts copies in the pools where nothing has waited for room lately, nor waits for a former owner's workers to be read.
 func (m *Model) copyLaggards() {
 	for _, n := range sortedKeys(m.pools) {
 		p := m.pools[n]
-		if p.demand.short > 0 {
+		if m.now < m.blind || m.now-p.demand.lastFull < quietMs {
 			continue
 		}
 		for _, w := range p.workers {
