A successor opens a step only if no former owner can have seen the one before it end

New with second copies. Change: copies start only once the job's record says so, and a successor that reads this takes no step of the job for closed until then. Nor does it otherwise, unless a task of the step before ended by a run that it began itself, or by the first run, which it found running. Copies need a worker that answers.

--- a/fleet/batch/chaos_test.go
+++ b/fleet/batch/chaos_test.go
@@ -27,7 +27,7 @@
 	w.play(41_000, func() {
 		if w.now%200 == 0 && w.rnd.IntN(3) > 0 {
 			n++
-			w.submit(plainJob(n))
+			w.submit(w.job(n))
 		}
 		if w.now%600 == 0 && n > 0 { // a caller that got no answer asks again.
 			id := 1 + w.rnd.IntN(n)
@@ -63,7 +63,8 @@
 		{"owners", faults{depose: 2}},
 		{"owners and workers", faults{depose: 2, crash: 4, restart: 2, cut: 6, late: 10, lost: 10}},
 		{"owners and entries", faults{depose: 3, cut: 6, lapse: 500, fail: 30}},
-		{"all", faults{lapse: 300, depose: 2, crash: 3, restart: 3, cut: 6, late: 15, lost: 15, storeDown: 1, storeLost: 40, fail: 30}},
+		{"owners and copies", faults{depose: 1, cut: 4, lapse: 500, slow: 150, copies: true}},
+		{"all", faults{copies: true, slow: 30, lapse: 300, depose: 2, crash: 3, restart: 3, cut: 6, late: 15, lost: 15, storeDown: 1, storeLost: 40, fail: 30}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for s := uint64(1); s <= *chaosSeeds; s++ {
--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -34,6 +34,7 @@
 	Failed map[string][]int  `json:"failed,omitempty"` // by ROUND.STEP.INDEX: runs that failed.
 	Saved  map[string]string `json:"saved,omitempty"`  // by ROUND.STEP.INDEX: checkpoint.
 	Last   map[string]int    `json:"last,omitempty"`   // by ROUND.STEP.INDEX: highest run number.
+	Copied bool              `json:"copied,omitempty"` // copies of its tasks may have been started.
 }
 
 // commits are the writes that wait or are under way.
@@ -305,7 +306,7 @@
 }
 
 func progress(j *job) StoredRun {
-	s := StoredRun{Done: map[string]string{}, Failed: map[string][]int{}, Saved: map[string]string{}, Last: map[string]int{}}
+	s := StoredRun{Done: map[string]string{}, Failed: map[string][]int{}, Saved: map[string]string{}, Last: map[string]int{}, Copied: j.copied > 0}
 	for _, r := range j.rounds {
 		if r.left == 0 {
 			s.Rounds = append(s.Rounds, r.number)
@@ -380,7 +381,11 @@
 }
 
 func (m *Model) loadJob(s StoredJob, r StoredRun) {
-	j := &job{Job: s.Job, phase: open, loaded: true, firstAt: s.AtMs - m.wall, rev: r.Rev}
+	j := &job{Job: s.Job, phase: open, loaded: true, firstAt: s.AtMs - m.wall, rev: r.Rev, copiedBefore: r.Copied}
+	if r.Copied {
+		j.copied = 1
+		j.version, j.stored = 1, 1
+	}
 	j.due = j.firstAt + m.objective(j)
 	m.jobs[j.ID] = j
 	m.pool(j.Service).open[j.ID] = j
--- a/fleet/batch/copies.go
+++ b/fleet/batch/copies.go
@@ -1,6 +1,7 @@
 package batch
 
-// Second copies of tasks that lag, where their job allows them: the first that is done counts.
+// Second copies of tasks that lag, where their job allows them: the first that is done counts. With copies, two owners may see a step
+// end by different runs; so the job's record tells a successor of them, and it takes no later step for closed until then.
 const (
 	copyTimes = 2.0 // a run that takes so many times as long as usual lags.
 	copyLeast = 200 // ms; shorter lags are not worth a start.
@@ -27,7 +28,7 @@
 // lags reports whether r goes on for much longer than usual, as far as its worker's last list tells.
 func (m *Model) lags(r *run) bool {
 	s := r.task.stage
-	if !s.Copies || s.Gang || s.Lasting || r.state != running || len(r.task.runs) > 1 || r.task.done {
+	if !s.Copies || s.Gang || s.Lasting || r.state != running || r.worker.silent != 0 || len(r.task.runs) > 1 || r.task.done {
 		return false
 	}
 	if age := m.now - r.known; age < copyLeast || float64(age) < copyTimes*s.runMs {
@@ -43,8 +44,16 @@
 // fullPercent is the progress of a run that is done.
 const fullPercent = 100
 
+// copyRun starts a copy once the job's record says that there may be some.
 func (m *Model) copyRun(p *pool, r *run) {
 	t := r.task
+	if j := t.stage.job; j.copied == 0 {
+		m.change(j)
+		j.copied = j.version
+	}
+	if t.stage.job.stored < t.stage.job.copied {
+		return
+	}
 	w := m.choose(p, t, map[*worker]bool{r.worker: true})
 	if w == nil {
 		return
--- a/fleet/batch/copies_test.go
+++ b/fleet/batch/copies_test.go
@@ -12,6 +12,7 @@
 type benchModel struct {
 	*batch.Model
 	now    int64
+	away   bool // the store does not answer.
 	starts []batch.StartCmd
 	stops  []batch.StopCmd
 }
@@ -36,7 +37,11 @@
 		for _, c := range b.Round(b.now) {
 			switch k := c.(type) {
 			case batch.CommitCmd:
-				b.Update(b.now, batch.CommittedMsg{ID: k.ID, Rev: b.now})
+				if b.away {
+					b.Update(b.now, batch.CommittedMsg{ID: k.ID, Outcome: batch.Unknown})
+				} else {
+					b.Update(b.now, batch.CommittedMsg{ID: k.ID, Rev: b.now})
+				}
 			case batch.StartCmd:
 				b.starts = append(b.starts, k)
 				b.Update(b.now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
@@ -59,13 +64,14 @@
 
 // A task that lags gets a second copy elsewhere, where its job allows it; the other is stopped once one is done.
 func TestCopies(t *testing.T) {
+	store := true
 	play := func(copies bool, percent int) *benchModel {
 		b := newBench("w1", "w2")
 		b.Update(b.now, batch.SubmitMsg{Ref: 1, Job: batch.Job{ID: jobID(1), Queue: "q", Service: "s", AimMs: 9000, Steps: []batch.Step{
 			{Count: 1, Size: batch.Size{CPU: 1000}, EstimateMs: 500, Copies: copies},
 		}}})
-		b.pass(200)
-		b.pass(700)
+		b.pass(900)
+		b.away = !store
 		b.tell(b.starts[0].Worker, []batch.Running{{Task: b.starts[0].Task, Run: 1, Percent: percent}})
 		b.pass(400)
 		return b
@@ -83,6 +89,11 @@
 		is.Equal(b.stops[0].Worker, first.Worker)
 		is.Equal(len(b.starts), 2)
 	})
+	t.Run("the store does not have it", func(t *testing.T) {
+		store = false
+		is.New(t).Equal(len(play(true, 10).starts), 1)
+		store = true
+	})
 	t.Run("nearly done", func(t *testing.T) { is.New(t).Equal(len(play(true, 95).starts), 1) })
 	t.Run("not allowed", func(t *testing.T) { is.New(t).Equal(len(play(false, 10).starts), 1) })
 }
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -272,7 +272,7 @@
 
 // start starts run n of t at w.
 func (m *Model) start(t *task, w *worker, n int) {
-	r := &run{task: t, number: n, worker: w, asked: m.now, pace: fullPace, born: w.Born, resumed: t.saved != ""}
+	r := &run{task: t, number: n, worker: w, asked: m.now, pace: fullPace, born: w.Born, resumed: t.saved != "", own: true}
 	r.until = m.clockNow(w) + startLeaseMs
 	w.until = max(w.until, r.until)
 	if j := t.stage.job; !j.started {
--- a/fleet/batch/takeover_test.go
+++ b/fleet/batch/takeover_test.go
@@ -229,3 +229,40 @@
 	is.True(last > 15_000)
 	is.True(stops > 0) // of starts that were not answered.
 }
+
+// With copies, the former owner may have seen a step end by a run that its successor does not know: the steps after it wait for the
+// workers that have not been read.
+func TestSuccessorOfCopies(t *testing.T) {
+	play := func(copied bool) *batch.Model {
+		m := batch.New(batch.Config{Fence: 9, Now: 1000, WallMs: 1_000_000, LeaseMs: 6000, DutyGapMs: 3500})
+		m.Update(1000, batch.LeaseMsg{Fresh: true, Checked: 1000})
+		room := batch.Size{CPU: 8000, MemMB: 8000}
+		var set []batch.Entry
+		var list []batch.Machine
+		for _, w := range []string{"w1", "w2"} {
+			set = append(set, batch.Entry{ID: w, Service: "s", Addr: w, Room: room, ClockMs: 5, Born: 1})
+			list = append(list, batch.Machine{Name: "m-" + w, Pool: "s", State: batch.Up, Room: room, Worker: w})
+		}
+		m.Update(1000, batch.WorkersMsg{All: true, Set: set})
+		j := plainJob(1)
+		j.Steps[0].Count, j.Steps[0].Copies = 1, true
+		m.Update(1000, batch.LoadedMsg{Jobs: []batch.StoredJob{{Job: j, AtMs: 999_000}}, Runs: []batch.StoredRun{{ID: j.ID, Rev: 7, Copied: copied}}, BlindMs: 13_000})
+		m.Update(1000, batch.MachinesMsg{Sent: 1000, List: list})
+		m.Round(1010)
+		n := batch.TaskName{Job: j.ID}
+		m.Update(1020, batch.HeldMsg{Worker: "w1", Sent: 1010, Born: 1, ClockMs: 20, Running: []batch.Running{{Task: n, Run: 1, Percent: 90}}})
+		m.Round(1030)
+		m.Update(1100, batch.HeldMsg{Worker: "w1", Sent: 1030, Born: 1, ClockMs: 100, Ended: []batch.Ended{{Number: 1, Task: n, Run: 1, How: batch.Done}}})
+		return m
+	}
+	t.Run("no copies", func(t *testing.T) {
+		m := play(false)
+		is.New(t).Equal(starts(m, 1110)+starts(m, 1200), 3)
+	})
+	t.Run("copies", func(t *testing.T) {
+		is := is.New(t)
+		m := play(true)
+		is.Equal(starts(m, 1110)+starts(m, 1200)+starts(m, 13_900), 0)
+		is.Equal(starts(m, 14_100)+starts(m, 14_200), 3)
+	})
+}
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -14,17 +14,19 @@
 // job is a job under way.
 type job struct {
 	Job
-	phase   phase
-	final   State // what it ended as, while phase is ended.
-	shown   State // what callers may see of its end: final, once the store has it.
-	started bool
-	old     bool  // its record is being removed.
-	loaded  bool  // accepted by a former owner.
-	firstAt int64 // steady time at which its caller first sent it, as far as known.
-	endedAt int64
-	due     int64 // when it earns in full at the latest.
-	rounds  []*round
-	next    int // the next round to open.
+	phase        phase
+	final        State // what it ended as, while phase is ended.
+	shown        State // what callers may see of its end: final, once the store has it.
+	started      bool
+	old          bool  // its record is being removed.
+	copied       int   // version of the progress that says that copies may be started; 0 before.
+	copiedBefore bool  // a former owner may have started copies.
+	loaded       bool  // accepted by a former owner.
+	firstAt      int64 // steady time at which its caller first sent it, as far as known.
+	endedAt      int64
+	due          int64 // when it earns in full at the latest.
+	rounds       []*round
+	next         int // the next round to open.
 
 	version, stored int   // of its progress; stored is what the store has.
 	rev             int64 // of its progress in the store.
@@ -75,6 +77,7 @@
 	after  int64 // not started before.
 	avoid  []string
 	ours   bool // no former owner can have started it at a worker that has not been read.
+	sure   bool // it is done, and no former owner can know that.
 }
 
 // runState is what the owner believes of a run.
@@ -106,6 +109,7 @@
 	pace    int
 	resumed bool // it began from a checkpoint.
 	evicted bool // it was stopped by our own choice.
+	own     bool // this owner started it.
 }
 
 func (t *task) name() TaskName {
@@ -274,8 +278,9 @@
 	j.rounds, j.Steps, j.Spec = nil, nil, ""
 }
 
-// runEnded takes in how a run ended; seen tells that this owner knew it. It reports whether the job's progress changed.
-func (m *Model) runEnded(t *task, number int, how How, saved string, seen bool) bool {
+// runEnded takes in how a run ended; sure tells that no former owner can know that the task is done, if it is. It reports whether the
+// job's progress changed.
+func (m *Model) runEnded(t *task, number int, how How, saved string, sure bool) bool {
 	j := t.stage.job
 	if j.phase == ended || t.done {
 		return false
@@ -288,8 +293,9 @@
 		if t.stage.Lasting {
 			return false
 		}
+		t.sure = sure
 		m.taskDone(t)
-		if seen && t.stage.left == 0 {
+		if t.stage.left == 0 {
 			t.stage.opens()
 		}
 		return true
@@ -327,8 +333,12 @@
 	m.change(s.job)
 }
 
-// opens notes that the steps after s were closed until now, so that no former owner has started them.
+// opens notes that no former owner has started the steps after s, if for it a task of s has not ended; one that had copies may know
+// of other ends.
 func (s *stage) opens() {
+	if s.job.copiedBefore || !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.sure }) {
+		return
+	}
 	for _, o := range s.round.stages[s.number+1:] {
 		o.ours = o.ours || slices.Contains(o.After, s.number)
 	}
@@ -370,6 +380,10 @@
 	return true
 }
 
+// sure reports whether r is the only run of its task whose end a former owner could have learned of: it has begun under this owner,
+// or it is the first, and this owner found it running. Before a later run, an earlier one may have ended unheard.
+func (r *run) sure() bool { return r.own || r.number == 1 }
+
 // stop sends a stop for the run, unless one has been sent lately.
 func (m *Model) stop(r *run) {
 	if r.state == stopping && m.now-r.stopAt < stopRetryMs {
--- a/fleet/batch/world_test.go
+++ b/fleet/batch/world_test.go
@@ -45,7 +45,9 @@
 // faults are the chances, in thousandths, of what may go wrong with one order, and of what happens in one step.
 type faults struct {
 	late, lost, crash, restart, cut, depose, storeDown, storeLost, fail int
-	lapse                                                               int // of those cut off: their entries lapse too.
+	slow                                                                int  // runs that take five times as long.
+	copies                                                              bool // half of the jobs allow copies of the tasks of their first step.
+	lapse                                                               int  // of those cut off: their entries lapse too.
 }
 
 type event struct {
@@ -101,13 +103,14 @@
 		Fence: a.fence, Now: w.now, WallMs: w.now, LeaseMs: 6000, DutyGapMs: w.dutyGap,
 	})
 	w.owners = append(w.owners, a)
+	a.m.Update(w.now, batch.ServicesMsg{Services: w.park.services})
+	a.m.Update(w.now, w.entries())
+	a.m.Update(w.now, w.records())
 	if g := w.gone; g != nil {
 		a.m.Update(w.now, batch.OrdersMsg{Orders: g.m.Orders(g.diedAt).Aged(w.now - g.diedAt)})
+		a.m.Update(w.now, batch.BlindMsg{ForMs: 6_500}) // the longest lease, on a slow clock.
 	}
 	w.gone = nil
-	a.m.Update(w.now, batch.ServicesMsg{Services: w.park.services})
-	a.m.Update(w.now, w.entries())
-	a.m.Update(w.now, w.records())
 	for _, x := range w.park.waves {
 		a.m.Update(w.now, x)
 	}
@@ -127,7 +130,10 @@
 }
 
 func (w *world) records() batch.LoadedMsg {
-	m := batch.LoadedMsg{BlindMs: 14_000}
+	m := batch.LoadedMsg{}
+	if w.claims > 1 {
+		m.BlindMs = 14_000
+	}
 	for _, k := range floor.Sorted(w.rows) {
 		r := w.rows[k]
 		switch {
@@ -431,6 +437,9 @@
 func (w *world) plan(n batch.TaskName) floor.Plan {
 	s := w.judge.Find(n.Job).Job.Steps[n.Step]
 	p := floor.Plan{RunMs: s.EstimateMs/2 + w.rnd.Int64N(s.EstimateMs), How: batch.Done, Size: s.Size}
+	if w.chance(w.faults.slow) {
+		p.RunMs *= 5
+	}
 	if s.Lasting {
 		p.RunMs = floor.Never
 	}
@@ -471,7 +480,14 @@
 	}
 }
 
-// lastingJob is a job of tasks that last.
+// job is a plain job, which allows copies where the world's faults say so.
+func (w *world) job(n int) batch.Job {
+	j := plainJob(n)
+	j.Steps[0].Copies = w.faults.copies && n%2 == 0
+	return j
+}
+
+// longJob is a job of tasks that last.
 func longJob(n int) batch.Job {
 	return batch.Job{ID: jobID(n), Queue: "l", Service: "s", Steps: []batch.Step{{Count: 4, Size: batch.Size{CPU: 1000, MemMB: 1000}, EstimateMs: 500, Lasting: true, PerWorker: 1, MayMiss: 1}}}
 }
