Add a command that prints what runs on a platform, and what is stored of a job

burdockreach fleet reads the store with an entry's settings: owner and fence, entries, queues, workers, waves, keys that cannot be read; with -job ID a job's record and progress. TestReadStatus, TestReadJob; TestFleetCommand asks a running installation of processes. The latter failed first: the claim's value is the lease's document, not the holder's name alone.

--- a/cmd/burdockreach/app.go
+++ b/cmd/burdockreach/app.go
@@ -56,7 +56,7 @@
 
 // register adds every command.
 func (a *app) register(r *subcommands.Commander) {
-	for _, c := range []*command{a.entryCommand(), a.siteCommand(), a.checkCommand(), a.versionCommand()} {
+	for _, c := range []*command{a.entryCommand(), a.siteCommand(), a.fleetCommand(), a.checkCommand(), a.versionCommand()} {
 		r.Register(c, "program")
 	}
 	for _, c := range []*command{
--- a/cmd/burdockreach/site.go
+++ b/cmd/burdockreach/site.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -41,6 +43,45 @@
 	}
 }
 
+// fleetWithin bounds the reading of the store.
+const fleetWithin = 10 * time.Second
+
+// fleetCommand prints what the platform's store holds of the entries and their work, or of one job.
+func (a *app) fleetCommand() *command {
+	path, job := "", ""
+	return &command{
+		app: a, name: "fleet", synopsis: "print owner, entries, queues, workers and waves of an installation on a platform, or one job",
+		usage: program + " fleet [-job ID] -settings FILE",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&path, "settings", "", "settings file of an entry, in JSON")
+			f.StringVar(&job, "job", "", "id of a job: print what the store holds of it")
+		},
+		run: func(c context.Context, _ *flag.FlagSet) error {
+			if path == "" {
+				return eris.Wrap(errUsage, "-settings is missing")
+			}
+			s, err := node.Load(path)
+			if err != nil {
+				return err
+			}
+			c, cancel := context.WithTimeout(c, fleetWithin)
+			defer cancel()
+			var v any
+			if p := newPlatform(s); job != "" {
+				v, err = node.ReadJob(c, p, job)
+			} else {
+				v, err = node.ReadStatus(c, p)
+			}
+			if err != nil {
+				return err
+			}
+			e := json.NewEncoder(a.out)
+			e.SetIndent("", "  ")
+			return eris.Wrap(e.Encode(v), "fleet")
+		},
+	}
+}
+
 func newPlatform(s node.Settings) node.Platform {
 	return node.Platform{
 		Store: platform.NewStore(s.StoreAddr), Workers: platform.NewWorkers(), Machines: platform.NewMachines(s.MachinesAddr, s.Name),
--- /dev/null
+++ b/node/site/status.go
@@ -0,0 +1,177 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"burdockreach.dev/fleet/batch"
+	"burdockreach.dev/node/owner"
+	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/lease"
+)
+
+// Status is what the store tells of the entries and their work.
+type Status struct {
+	Owner    string                   `json:"owner"` // address and process of the holder of the claim; empty while nobody holds it.
+	Fence    int64                    `json:"fence"`
+	Entries  map[string]member        `json:"entries"` // by name.
+	Config   int64                    `json:"config"`  // version of the configuration; 0 when there is none.
+	Queues   map[string]QueueStatus   `json:"queues"`
+	Services map[string]ServiceStatus `json:"services"`
+	Waves    []WaveStatus             `json:"waves"`
+	Unread   []string                 `json:"unread,omitempty"` // keys whose values cannot be read.
+}
+
+// QueueStatus is the open jobs of one queue.
+type QueueStatus struct {
+	Service  string `json:"service"`
+	Priority int    `json:"priority"`
+	Open     int    `json:"open"` // accepted jobs that have not ended.
+}
+
+// ServiceStatus is the workers of one service.
+type ServiceStatus struct {
+	Workers  int        `json:"workers"`
+	Draining int        `json:"draining"`
+	Room     batch.Size `json:"room"` // of all workers.
+}
+
+// WaveStatus is the progress of one wave.
+type WaveStatus struct {
+	Wave     int `json:"wave"`
+	Machines int `json:"machines"`
+	Begun    int `json:"begun"` // machines whose upkeep was or may have been ordered.
+	Done     int `json:"done"`
+}
+
+// JobStatus is what the store holds of one job.
+type JobStatus struct {
+	ID       string           `json:"id"`
+	Accepted *batch.StoredJob `json:"accepted,omitempty"` // nil once the job has ended, or if it was never accepted.
+	Progress *batch.StoredRun `json:"progress,omitempty"` // nil until one of its tasks has ended.
+}
+
+// ReadStatus reads the store once; an error says which part could not be read.
+func ReadStatus(ctx context.Context, p Platform) (Status, error) {
+	s := Status{Entries: map[string]member{}, Queues: map[string]QueueStatus{}, Services: map[string]ServiceStatus{}}
+	progress := map[int]batch.StoredWave{}
+	for _, r := range []struct {
+		prefix string
+		take   func(keyval.Item) error
+	}{
+		{owner.ClaimPrefix, s.takeClaim},
+		{p.Format.OperatorPrefix(), func(i keyval.Item) error { return s.takeOrder(p.Format, i) }},
+		{p.Format.WorkersPrefix(), func(i keyval.Item) error { return s.takeWorker(p.Format, i) }},
+		{batch.JobPrefix, s.takeJob},
+		{batch.WavePrefix, func(i keyval.Item) error {
+			w := batch.StoredWave{}
+			err := json.Unmarshal(i.Value(), &w)
+			progress[w.Number] = w
+			return err
+		}},
+	} {
+		l, _, err := p.Store.All(ctx, r.prefix)
+		if err != nil {
+			return s, eris.Wrapf(err, "fleet: list %q", r.prefix)
+		}
+		for _, i := range l {
+			if r.take(i) != nil {
+				s.Unread = append(s.Unread, i.Key())
+			}
+		}
+	}
+	for i, w := range s.Waves {
+		s.Waves[i].Begun, s.Waves[i].Done = len(progress[w.Wave].Begun), len(progress[w.Wave].Done)
+	}
+	return s, nil
+}
+
+func (s *Status) takeClaim(i keyval.Item) error {
+	if i.Key() == owner.ClaimKey {
+		var v lease.Value
+		err := json.Unmarshal(i.Value(), &v)
+		s.Owner, s.Fence = v.Holder, int64(i.Rev())
+		return err
+	}
+	n, ok := strings.CutPrefix(i.Key(), entryPrefix)
+	if !ok {
+		return nil
+	}
+	var m member
+	err := json.Unmarshal(i.Value(), &m)
+	s.Entries[n] = m
+	return err
+}
+
+func (s *Status) takeOrder(f Format, i keyval.Item) error {
+	if f.IsConfig(i.Key()) {
+		c, err := f.Config(i.Value())
+		s.Config = c.Version
+		for _, q := range c.Queues {
+			s.Queues[q.Name] = QueueStatus{Service: q.Service, Priority: q.Priority}
+		}
+		return err
+	}
+	w, ok, err := f.Wave(i, false)
+	if ok {
+		s.Waves = append(s.Waves, WaveStatus{Wave: w.Number, Machines: len(w.Machines)})
+	}
+	return err
+}
+
+func (s *Status) takeWorker(f Format, i keyval.Item) error {
+	e, err := f.Entry(i)
+	if err != nil {
+		return err
+	}
+	x := s.Services[e.Service]
+	x.Workers++
+	if e.Draining {
+		x.Draining++
+	}
+	x.Room = batch.Size{CPU: x.Room.CPU + e.Room.CPU, MemMB: x.Room.MemMB + e.Room.MemMB, GPU: x.Room.GPU + e.Room.GPU}
+	s.Services[e.Service] = x
+	return nil
+}
+
+func (s *Status) takeJob(i keyval.Item) error {
+	var j batch.StoredJob
+	if err := json.Unmarshal(i.Value(), &j); err != nil {
+		return err
+	}
+	q := s.Queues[j.Job.Queue]
+	q.Service = j.Job.Service
+	q.Open++
+	s.Queues[j.Job.Queue] = q
+	return nil
+}
+
+// ReadJob reads what the store holds of the job; an error says what could not be read.
+func ReadJob(ctx context.Context, p Platform, id string) (JobStatus, error) {
+	s := JobStatus{ID: id}
+	if !batch.ValidID(id) {
+		return s, &batch.FieldError{Field: "job", Value: id, Want: "16 hexadecimal digits"}
+	}
+	for _, r := range []struct {
+		key  string
+		into func() any
+	}{
+		{batch.JobPrefix + id, func() any { s.Accepted = &batch.StoredJob{}; return s.Accepted }},
+		{batch.RunPrefix + id, func() any { s.Progress = &batch.StoredRun{}; return s.Progress }},
+	} {
+		i, err := p.Store.Get(ctx, r.key)
+		if err != nil {
+			return s, eris.Wrapf(err, "fleet: read %q", r.key)
+		}
+		if !i.Found() {
+			continue
+		}
+		if err := json.Unmarshal(i.Value(), r.into()); err != nil {
+			return s, eris.Wrapf(err, "fleet: key %q", r.key)
+		}
+	}
+	return s, nil
+}
