--- a/node/owner/carry.go
+++ b/node/owner/carry.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"burdockreach.dev/fleet/batch"
 	"burdockreach.dev/node/desk"
+	"burdockreach.dev/node/stats"
 )
 
 // Carrying calls for an owner: an owner of many workers has other entries make its calls, as most of its processor time would go into
@@ -24,6 +26,8 @@
 // Carrier makes calls for owners.
 type Carrier struct {
 	workers Workers
+	stats   *stats.Set
+	log     zerolog.Logger
 	ctx     context.Context //nolint:containedctx // the life of the process
 	group   *errgroup.Group
 
@@ -41,8 +45,8 @@
 }
 
 // NewCarrier returns a carrier whose calls end with ctx.
-func NewCarrier(ctx context.Context, g *errgroup.Group, w Workers) *Carrier {
-	return &Carrier{workers: w, ctx: ctx, group: g, sessions: map[string]*session{}}
+func NewCarrier(ctx context.Context, g *errgroup.Group, w Workers, s *stats.Set, l zerolog.Logger) *Carrier {
+	return &Carrier{workers: w, stats: s, log: l, ctx: ctx, group: g, sessions: map[string]*session{}}
 }
 
 func (c *Carrier) session(id string) *session {
@@ -117,32 +121,35 @@
 	}
 }
 
-// call makes one call; what went wrong is told by its result.
+// call makes one call; what went wrong is told by its result, and counted here.
 func (c *Carrier) call(o *desk.Order) *desk.Answer {
-	a := &desk.Answer{Id: o.GetId()}
+	a, begin := &desk.Answer{Id: o.GetId()}, time.Now()
 	if o.GetTask() == "" {
-		g, _ := c.workers.Hold(c.ctx, batch.HoldCmd{
+		g, err := c.workers.Hold(c.ctx, batch.HoldCmd{
 			Worker: o.GetWorker(), Addr: o.GetAddr(), UntilMs: o.GetUntil(), LastSeen: o.GetSeen(), WaitMs: o.GetWaitMs(), Fence: o.GetFence(),
 		})
+		count(c.stats, c.log, "carried_hold", begin, err)
 		encodeHeld(a, g)
 		return a
 	}
 	t, err := batch.ParseTaskName(o.GetTask())
 	if err != nil {
+		count(c.stats, c.log, "carried_order", begin, err)
 		a.Result = int32(batch.Rejected)
 		return a
 	}
 	var r batch.Result
 	if o.GetStop() {
-		r, a.ClockMs, _ = c.workers.Stop(c.ctx, batch.StopCmd{
+		r, a.ClockMs, err = c.workers.Stop(c.ctx, batch.StopCmd{
 			Worker: o.GetWorker(), Addr: o.GetAddr(), Task: t, Run: int(o.GetRun()), Fence: o.GetFence(),
 		})
 	} else {
-		r, a.ClockMs, _ = c.workers.Start(c.ctx, batch.StartCmd{
+		r, a.ClockMs, err = c.workers.Start(c.ctx, batch.StartCmd{
 			Worker: o.GetWorker(), Addr: o.GetAddr(), Task: t, Run: int(o.GetRun()), Spec: o.GetSpec(), UntilMs: o.GetUntil(),
 			Fence: o.GetFence(), Saved: o.GetSaved(), Ticket: o.GetTicket(),
 		})
 	}
+	count(c.stats, c.log, "carried_order", begin, err)
 	a.Result = int32(r)
 	return a
 }
--- a/node/owner/helper_test.go
+++ b/node/owner/helper_test.go
@@ -17,6 +17,7 @@
 
 	"burdockreach.dev/fleet/batch"
 	"burdockreach.dev/node/desk"
+	"burdockreach.dev/node/stats"
 )
 
 // idleWorkers answers each call after a while.
@@ -128,7 +129,7 @@
 	w := &idleWorkers{rnd: rand.New(rand.NewPCG(seed, 1)), most: 60 * time.Millisecond}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	far := &Owner{Carrier: NewCarrier(ctx, g, w)}
+	far := &Owner{Carrier: NewCarrier(ctx, g, w, stats.New(), zerolog.Nop())}
 	g.Go(func() error { return desk.Serve(ctx, l, far) })
 	pl, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
--- a/node/owner/perform.go
+++ b/node/owner/perform.go
@@ -5,7 +5,10 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"burdockreach.dev/fleet/batch"
+	"burdockreach.dev/node/stats"
 	"burdockreach.dev/plat/keyval"
 )
 
@@ -138,12 +141,18 @@
 }
 
 func (o *Owner) count(call string, begin time.Time, err error) {
-	o.stats.Time(call, time.Since(begin))
-	if err != nil {
-		o.stats.Add(call+"_errors", 1)
-		if !errors.Is(err, context.Canceled) {
-			o.log.Debug().Str("step", call).Err(err).Msg("call failed")
-		}
+	count(o.stats, o.log, call, begin, err)
+}
+
+// count notes how long a call took, and why it failed.
+func count(s *stats.Set, l zerolog.Logger, call string, begin time.Time, err error) {
+	s.Time(call, time.Since(begin))
+	if err == nil {
+		return
+	}
+	s.Add(call+"_errors", 1)
+	if !errors.Is(err, context.Canceled) {
+		l.Debug().Str("step", call).Err(err).Msg("call failed")
 	}
 }
 
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -101,7 +101,7 @@
 	e.claims.nudge = e.lease.Nudge
 	e.owner = owner.New(owner.Parts{
 		Store: p.Store, Workers: p.Workers, Machines: p.Machines, Format: p.Format, Board: e.board, Lease: e.lease, Log: e.log, Stats: e.stats,
-		Peers: e.desk, Holder: holder, Entries: e.claims, Carrier: owner.NewCarrier(e.life, &e.carried, p.Workers),
+		Peers: e.desk, Holder: holder, Entries: e.claims, Carrier: owner.NewCarrier(e.life, &e.carried, p.Workers, e.stats, e.log),
 	}, owner.Settings{AdviceAddr: s.AdviceAddr, Model: s.model(), HelperWorkers: s.HelperWorkers})
 	e.front = front.New(front.Parts{
 		Board: e.board, Claims: e.claims, Desk: e.desk, Store: p.Store, Codec: p.Codec, Log: e.log, Stats: e.stats,
