--- a/fleet/batch/takeover_test.go
+++ b/fleet/batch/takeover_test.go
@@ -266,3 +266,25 @@
 		is.Equal(starts(m, 14_100)+starts(m, 14_200), 3)
 	})
 }
+
+// Before a later run, an earlier one may have ended unheard at a worker that has not been read: the task waits for it.
+func TestSuccessorOfLaterRuns(t *testing.T) {
+	play := func(run int) int {
+		m := successor("w1", "w2")
+		m.Update(1040, batch.WorkersMsg{Set: []batch.Entry{{ID: "w2", Service: "s", Addr: "w2", Room: batch.Size{CPU: 8000}, ClockMs: 1, Born: 900_000}}})
+		n := batch.TaskName{Job: jobID(1)}
+		return adopted(m, n, run)
+	}
+	t.Run("the first run", func(t *testing.T) { is.New(t).Equal(play(1), 1) })
+	t.Run("the second run", func(t *testing.T) { is.New(t).Equal(play(2), 0) })
+}
+
+// adopted has the model find the run at a worker that it reads anew, and fail; it returns how often the task is started then.
+func adopted(m *batch.Model, n batch.TaskName, run int) int {
+	m.Update(1050, batch.WorkersMsg{Set: []batch.Entry{{ID: "w3", Service: "s", Addr: "w3", Room: batch.Size{CPU: 8000, MemMB: 8000}, ClockMs: 1, Born: 900_000}}})
+	m.Round(1100)
+	m.Update(1110, batch.HeldMsg{Worker: "w3", Sent: 1100, Born: 900_000, ClockMs: 50, Running: []batch.Running{{Task: n, Run: run, Percent: 10}}})
+	m.Round(1150)
+	m.Update(1160, batch.HeldMsg{Worker: "w3", Sent: 1150, Born: 900_000, ClockMs: 90, Ended: []batch.Ended{{Number: 1, Task: n, Run: run, How: batch.Failed}}})
+	return starts(m, 1200) + starts(m, 1300)
+}
