--- a/fleet/batch/duty.go
+++ b/fleet/batch/duty.go
@@ -272,8 +272,8 @@
 	m.log("former orders known", "", "machines", len(g.AgeMs), "spanMs", g.SpanMs)
 }
 
-// order notes that the machine is ordered now.
-func (m *Model) order(k *machine) { k.ordered, m.duty.last[k.Name] = m.now, m.now }
+// noteOrder notes that the machine is ordered now.
+func (m *Model) noteOrder(k *machine) { k.ordered, m.duty.last[k.Name] = m.now, m.now }
 
 // Orders returns the orders to machines that a successor must keep its distance from.
 func (m *Model) Orders(now int64) Orders {
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -175,7 +175,7 @@
 	m.log("machine moves", "", "machine", k.Name, "from", k.Pool, "to", pool, "want", p.demand.want, "has", p.tally.serving,
 		"waitingCoreMs", int64(p.demand.short)/1000, "rateCores", int64(p.demand.rate)/1000)
 	k.target, k.oldWorker, k.done = pool, k.Worker, 0
-	m.order(k)
+	m.noteOrder(k)
 	p.tally.coming++
 	m.pool(k.Pool).tally.serving--
 	m.do(MoveCmd{Machine: k.Name, Pool: pool, Fence: m.cfg.Fence})
@@ -210,7 +210,7 @@
 		case k.target == "":
 		case k.done == 0 && m.now-k.ordered > listWaitMs && m.mayOrderTo(k):
 			k.again = true
-			m.order(k)
+			m.noteOrder(k)
 			m.do(MoveCmd{Machine: k.Name, Pool: k.target, Fence: m.cfg.Fence})
 		case k.done != 0 && m.now-k.done > comingMs && k.State == Up && m.duty.listSent > k.done:
 			m.release(k)
--- a/fleet/batch/preempt.go
+++ b/fleet/batch/preempt.go
@@ -14,7 +14,7 @@
 		switch {
 		case r.state == stopping && r.evicted:
 			free = free.plus(r.task.stage.size())
-		case r.state == running && gives(r.task.stage, s):
+		case r.state == running && givesWay(r.task.stage, s):
 			l = append(l, r)
 		}
 	}
@@ -35,8 +35,8 @@
 	}
 }
 
-// gives reports whether tasks of o give way to s.
-func gives(o, s *stage) bool {
+// givesWay reports whether tasks of o give way to s.
+func givesWay(o, s *stage) bool {
 	if !o.Checkpoints || o.Lasting || o.Gang {
 		return false
 	}
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -67,17 +67,17 @@
 
 // task is one task of a stage.
 type task struct {
-	stage  *stage
-	index  int
-	done   bool
-	failed []int // runs that ended failed.
-	last   int   // highest run number.
-	runs   []*run
-	saved  string
-	after  int64 // not started before.
-	avoid  []string
-	ours   bool // no former owner can have started it at a worker that has not been read.
-	sure   bool // it is done, and no former owner can know that.
+	stage           *stage
+	index           int
+	done            bool
+	failed          []int // runs that ended failed.
+	last            int   // highest run number.
+	runs            []*run
+	saved           string
+	after           int64 // not started before.
+	avoid           []string
+	ours            bool // no former owner can have started it at a worker that has not been read.
+	unknownToFormer bool // it is done, and no former owner can know that.
 }
 
 // runState is what the owner believes of a run.
@@ -278,9 +278,8 @@
 	j.rounds, j.Steps, j.Spec = nil, nil, ""
 }
 
-// runEnded takes in how a run ended; sure tells that no former owner can know that the task is done, if it is. It reports whether the
-// job's progress changed.
-func (m *Model) runEnded(t *task, number int, how How, saved string, sure bool) bool {
+// runEnded takes in how a run ended, and whether a former owner can know of it. It reports whether the job's progress changed.
+func (m *Model) runEnded(t *task, number int, how How, saved string, unknownToFormer bool) bool {
 	j := t.stage.job
 	if j.phase == ended || t.done {
 		return false
@@ -293,7 +292,7 @@
 		if t.stage.Lasting {
 			return false
 		}
-		t.sure = sure
+		t.unknownToFormer = unknownToFormer
 		m.taskDone(t)
 		if t.stage.left == 0 {
 			t.stage.opens()
@@ -336,7 +335,7 @@
 // opens notes that no former owner has started the steps after s, if for it a task of s has not ended; one that had copies may know
 // of other ends.
 func (s *stage) opens() {
-	if s.job.copiedBefore || !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.sure }) {
+	if s.job.copiedBefore || !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.unknownToFormer }) {
 		return
 	}
 	for _, o := range s.round.stages[s.number+1:] {
@@ -380,9 +379,9 @@
 	return true
 }
 
-// sure reports whether r is the only run of its task whose end a former owner could have learned of: it has begun under this owner,
-// or it is the first, and this owner found it running. Before a later run, an earlier one may have ended unheard.
-func (r *run) sure() bool { return r.own || r.number == 1 }
+// unknownToFormer reports whether no former owner can know that the task is done when r ends so: r has begun under this owner, or it is
+// the first run and this owner found it running. Before a later run, an earlier one may have ended unheard.
+func (r *run) unknownToFormer() bool { return r.own || r.number == 1 }
 
 // stop sends a stop for the run, unless one has been sent lately.
 func (m *Model) stop(r *run) {
--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -211,7 +211,7 @@
 	if w.version > w.stored {
 		return // the order follows the record of it.
 	}
-	m.order(k)
+	m.noteOrder(k)
 	m.do(UpkeepCmd{Machine: k.Name, Wave: w.Number, Fence: m.cfg.Fence})
 }
 
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -377,8 +377,8 @@
 		}
 		t.last = max(t.last, e.Run)
 		t.stage.job.started = true
-		t.ours = t.ours || r != nil && r.sure()
-		if m.runEnded(t, e.Run, e.How, e.Saved, r != nil && r.sure()) || t.stage.job.version > t.stage.job.stored {
+		t.ours = t.ours || r != nil && r.unknownToFormer()
+		if m.runEnded(t, e.Run, e.How, e.Saved, r != nil && r.unknownToFormer()) || t.stage.job.version > t.stage.job.stored {
 			w.marks = append(w.marks, mark{number: e.Number, job: t.stage.job, version: t.stage.job.version})
 		}
 		m.pool(t.stage.job.Service).dirty = true
--- a/node/owner/former.go
+++ b/node/owner/former.go
@@ -94,7 +94,7 @@
 	if rev == 0 {
 		return
 	}
-	err := t.note(c, former{Fence: int64(t.fence), Holder: t.o.holder, Left: true, Orders: t.o.parted.Load().orders}, rev)
+	err := t.note(c, former{Fence: int64(t.fence), Holder: t.o.holder, Left: true, Orders: t.o.lastOrders.Load().orders}, rev)
 	t.o.log.Info().Int64("fence", int64(t.fence)).Bool("noted", err == nil).Msg("ownership handed over")
 }
 
@@ -124,8 +124,8 @@
 	return nil
 }
 
-// parted is what this process ordered until its last term ended.
-type parted struct {
+// lastOrders is what this process ordered until its last term ended.
+type lastOrders struct {
 	at     int64 // steady ms
 	orders batch.Orders
 }
@@ -135,7 +135,7 @@
 	if t := o.term.Load(); t != nil {
 		return &desk.TermReply{Holder: o.holder, Fence: int64(t.fence)}, nil
 	}
-	p := o.parted.Load()
+	p := o.lastOrders.Load()
 	a := p.orders.Aged(o.now() - p.at)
 	return &desk.TermReply{Holder: o.holder, OrderedMs: a.AgeMs, SpanMs: a.SpanMs}, nil
 }
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -96,12 +96,12 @@
 
 	peers *desk.Client
 	*Carrier
-	entries Entries
-	holder  string
-	term    atomic.Pointer[term]
-	zero    time.Time
-	yield   atomic.Bool
-	parted  atomic.Pointer[parted]
+	entries    Entries
+	holder     string
+	term       atomic.Pointer[term]
+	zero       time.Time
+	yield      atomic.Bool
+	lastOrders atomic.Pointer[lastOrders]
 }
 
 // Parts are what an owner is made of.
@@ -126,7 +126,7 @@
 		store: p.Store, workers: p.Workers, machines: p.Machines, format: p.Format, board: p.Board, lease: p.Lease,
 		set: s, log: p.Log, stats: p.Stats, peers: p.Peers, Carrier: p.Carrier, entries: p.Entries, holder: p.Holder, zero: time.Now(),
 	}
-	o.parted.Store(&parted{})
+	o.lastOrders.Store(&lastOrders{})
 	return o
 }
 
@@ -233,7 +233,7 @@
 	}
 	g.Go(func() error { return t.loop(d) })
 	err := g.Wait()
-	o.parted.Store(&parted{at: o.now(), orders: t.model.Orders(o.now())})
+	o.lastOrders.Store(&lastOrders{at: o.now(), orders: t.model.Orders(o.now())})
 	t.abandon()
 	if own.Err() != nil {
 		t.leave(ctx)
