--- a/fleet/batch/room_test.go
+++ b/fleet/batch/room_test.go
@@ -59,7 +59,7 @@
 		is := is.New(t)
 		is.Equal(pressed(t, 3, nil, batch.Job{ID: jobID(1), Queue: "l", Service: "s", AimMs: 20_000, Steps: []batch.Step{
 			{Count: 2, Size: batch.Size{CPU: 500, MemMB: 15_900}, EstimateMs: 500, Lasting: true, PerWorker: 1},
-			{Count: 2, Size: batch.Size{CPU: 3000, MemMB: 9000}, EstimateMs: 500},
+			{Count: 2, Size: batch.Size{CPU: 6000, MemMB: 9000}, EstimateMs: 500},
 		}}), 4)
 	})
 	t.Run("labelled", func(t *testing.T) {
