Close the connection when the stand-in store loses an answer

The platform's 503 says that nothing was done, so the owner was right to refuse the job, which a later owner then found stored. The trace of the entry fits: the job is refused with "the store did not take it" while answers are lost.

Ruled out: a retry inside the HTTP client (RetryIfErr is always false), and a guard that fails on a second try (a conflict answers all rows or none).

Change: an error that keyval classes as unknown closes the connection without a response, as the platform does.

--- a/fakes/infra/platform.go
+++ b/fakes/infra/platform.go
@@ -72,7 +72,7 @@
 	return r, err
 }
 
-var errAnswerLost = fmt.Errorf("infra: answer lost")
+var errAnswerLost = fmt.Errorf("infra: answer lost: %w", keyval.ErrUnknown)
 
 // New starts a platform with the given number of workers for each service, each with the given capacity. All random draws derive
 // from seed.
