Keep the number of a former lifetime's end from the next lifetime

Only a number that had been confirmed was held back, so the first poll that reached a worker after an unnoticed restart could carry the former lifetime's number.

Change: the stand-in answers nothing to a poll whose lifetime has ended. While a worker does not answer, polls carry 0, and the number is sent again once the same lifetime has answered.

--- a/fakes/infra/platform.go
+++ b/fakes/infra/platform.go
@@ -329,24 +329,30 @@
 	return false
 }
 
-// Hold implements platform.WorkerBackend. It waits up to c.WaitMs for a run to end.
+// Hold implements platform.WorkerBackend. It waits up to c.WaitMs for a run to end. If the worker's lifetime ends meanwhile, the poll is
+// not answered, and the next lifetime does not get its numbers.
 func (u *workerServer) Hold(ctx context.Context, c batch.PollCmd) batch.PolledMsg {
 	var g batch.PolledMsg
-	if !u.execute(func() { g = u.worker.Hold(c) }) {
+	born := int64(0)
+	if !u.execute(func() { g, born = u.worker.Hold(c), u.worker.LifetimeStart() }) {
 		return batch.PolledMsg{Result: batch.NoAnswer}
 	}
 	end := time.Now().Add(time.Duration(c.WaitMs) * time.Millisecond)
 	for g.Result == batch.OK && len(g.Ended) == 0 && time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(tickInterval)
 		u.platform.mu.Lock()
-		if u.worker.HasUnackedEnds(c.ForgetUpTo) || u.worker.PoweredOff() {
+		over := u.worker.PoweredOff() || u.worker.LifetimeStart() != born
+		if !over && u.worker.HasUnackedEnds(c.ForgetUpTo) {
 			g = u.worker.Hold(c)
 		}
 		u.platform.mu.Unlock()
+		if over {
+			return batch.PolledMsg{Result: batch.NoAnswer}
+		}
 	}
 	u.platform.mu.Lock()
 	defer u.platform.mu.Unlock()
-	if len(g.Ended) == 0 && g.Result == batch.OK {
+	if len(g.Ended) == 0 && g.Result == batch.OK && u.worker.LifetimeStart() == born && !u.worker.PoweredOff() {
 		g = u.worker.Hold(batch.PollCmd{Fence: c.Fence, ForgetUpTo: c.ForgetUpTo})
 	}
 	return g
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -78,11 +78,13 @@
 	case w.needsPacing():
 		h.WaitMs = tailPollWaitMs
 	}
-	w.shortPoll = false
-	w.polling, w.pollSentAt, w.sentAck = true, m.now, h.ForgetUpTo
-	if h.ForgetUpTo == w.confirmedAck {
+	if w.silentSince != 0 || h.ForgetUpTo == w.confirmedAck {
 		h.ForgetUpTo = 0 // if the worker has restarted unnoticed, it must not forget the ended runs of its new lifetime.
+	} else {
+		w.sentAck = h.ForgetUpTo
 	}
+	w.shortPoll = false
+	w.polling, w.pollSentAt = true, m.now
 	m.emit(h)
 }
 
@@ -195,6 +197,7 @@
 		w.silentSince = m.now
 		m.log("worker lost", "", "worker", w.ID, "addr", w.Addr, "runs", len(w.runs), "leaseMs", w.expiresBy(w.leaseUntil)-m.now)
 	}
+	w.sentAck = w.confirmedAck // the number is sent again once the worker answers.
 	w.nextPollAt = m.now + pollRetryMs
 	m.pool(w.Service).dirty = true
 }
