Send orders to machines at the rate that the platform takes

Change: the template passes the platform's limit (machineOrdersPerSec). Moves, upkeep, repeated orders and parking share a token bucket of that rate; there is no cap for a pool. A refusal for the rate (429) pauses the orders for 100 ms and the machine is planned again; it is no failure of the machine.

--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -86,6 +86,7 @@
 	OrderRejected
 	OrderUnsure
 	OrderNotSent
+	OrderThrottled // the platform did not take the order because too many came within a second.
 )
 
 // ListMachinesCmd requests the platform's list of machines.
@@ -146,6 +147,7 @@
 	listAskedAt      int64 // when the pending list request was sent; 0 if none is pending.
 	listReadAt       int64 // when the list was last received.
 	listSentAt       int64 // when the request for the last received list was sent.
+	pace             orderPace
 }
 
 // machine is one machine and the pending order to it.
@@ -328,7 +330,10 @@
 			m.markMaintained(k.wave, k.Name)
 		}
 		m.releaseMachine(k)
-	case OrderBusy, OrderNotSent:
+	case OrderBusy, OrderNotSent, OrderThrottled:
+		if g.Result == OrderThrottled {
+			m.fleet.pace.pause(m.now)
+		}
 		if g.Wave == 0 {
 			m.releaseMachine(k)
 		} else {
--- a/fleet/batch/machines_test.go
+++ b/fleet/batch/machines_test.go
@@ -28,6 +28,9 @@
 	reportedDone map[int]bool // waves that were reported as completed.
 	moves        int
 	workerCount  int
+	ordersPerSec int     // orders that the platform takes per second; 0 means no limit.
+	orderTimes   []int64 // of the orders within the last second.
+	throttled    int     // orders beyond the limit.
 }
 
 // fakeMachine is one simulated machine. Its worker ends with each move and each upkeep.
@@ -178,9 +181,27 @@
 	}
 }
 
+// throttle reports whether one more order exceeds the platform's limit, and counts it otherwise.
+func (p *fakeFleet) throttle() bool {
+	if p.ordersPerSec == 0 {
+		return false
+	}
+	p.orderTimes = slices.DeleteFunc(p.orderTimes, func(at int64) bool { return p.w.now-at >= 1000 })
+	if len(p.orderTimes) >= p.ordersPerSec {
+		p.throttled++
+		return true
+	}
+	p.orderTimes = append(p.orderTimes, p.w.now)
+	return false
+}
+
 // orderMachine carries out an order to a machine. Its answer may be lost.
 func (a *fakeOwner) orderMachine(name string, wave int, do func(*fakeMachine) batch.OrderResult) {
 	w := a.w
+	if w.fleet.throttle() {
+		a.deliver(5, batch.OrderDoneMsg{Machine: name, Wave: wave, Result: batch.OrderThrottled})
+		return
+	}
 	if w.now-a.renewedAt >= 900 {
 		a.deliver(1, batch.OrderDoneMsg{Machine: name, Wave: wave, Result: batch.OrderNotSent}) // the claim is not fresh.
 		return
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -39,6 +39,8 @@
 	LeaseMs    int64 // longest lease that workers grant.
 	StatusMs   int64 // how long callers can query the state of an ended job.
 	OrderGapMs int64 // wait before an order to a machine that another owner may have ordered.
+
+	OrdersPerSec float64 // orders to machines that the platform takes per second; 0 means DefaultOrdersPerSec.
 }
 
 // Model is the owner's view of jobs, workers and machines.
@@ -92,6 +94,7 @@
 	}
 	m.commits.start()
 	m.fleet.start(c.Now + formerClaimMs)
+	m.fleet.pace = newOrderPace(c.OrdersPerSec, c.Now)
 	return m
 }
 
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -15,7 +15,6 @@
 	demandHeadroom  = 1.1     // room that a pool is given, relative to its present demand.
 	backlogDrainMs  = 1_500.0 // time within which a pool's backlog is to be worked off.
 	minWorkers      = 2       // least number of machines for a pool in use.
-	maxPoolMoves    = 64      // pending moves to one pool: the platform takes about as many orders per second.
 	planIntervalMs  = 100     // between two plans.
 )
 
@@ -74,7 +73,7 @@
 
 // missingMachines returns the number of machines to move to the pool, not counting those on their way.
 func (m *Model) missingMachines(p *pool) int {
-	return min(p.demand.wantedMachines-p.counts.serving-p.counts.arriving, maxPoolMoves-p.counts.arriving)
+	return p.demand.wantedMachines - p.counts.serving - p.counts.arriving
 }
 
 // poolCounts holds the numbers of machines of one pool that the plans use.
@@ -138,6 +137,9 @@
 				i++
 				continue
 			}
+			if !m.takeOrder() {
+				return
+			}
 			m.moveMachine(l[i].k, p.name)
 			l = slices.Delete(l, i, i+1)
 			n--
@@ -198,9 +200,13 @@
 			!m.mayOrderTo(k) || !m.canSpare(k) {
 			continue // a pool keeps its machines until its first load peak.
 		}
-		if m.now-m.workerOf(k).lastUsedAt >= parkAfterIdleMs {
-			m.moveMachine(k, to)
+		if m.now-m.workerOf(k).lastUsedAt < parkAfterIdleMs {
+			continue
+		}
+		if !m.takeOrder() {
+			return
 		}
+		m.moveMachine(k, to)
 	}
 }
 
@@ -209,7 +215,7 @@
 	for _, k := range m.fleet.list {
 		switch {
 		case k.targetPool == "":
-		case k.ackedAt == 0 && m.now-k.orderedAt > orderTimeoutMs && m.mayOrderTo(k):
+		case k.ackedAt == 0 && m.now-k.orderedAt > orderTimeoutMs && m.mayOrderTo(k) && m.takeOrder():
 			k.maybeRepeated = true
 			m.recordOrder(k)
 			m.emit(MoveCmd{Machine: k.Name, Pool: k.targetPool, Fence: m.cfg.Fence})
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -37,7 +37,8 @@
 	refs          map[uint64]*worker.JobRecord // by request number.
 	judge         *worker.Checker
 	fleet         fakeFleet
-	dutyGap       int64 // ms between two owners' orders to one machine.
+	dutyGap       int64   // ms between two owners' orders to one machine.
+	ordersPerSec  float64 // the owners' setting.
 	labels        func(worker string) []string
 	deadOwner     *fakeOwner       // the last owner that is known to be dead.
 	unlistedUntil map[string]int64 // until when a worker's entry is missing, by worker ID.
@@ -101,7 +102,7 @@
 	w.claimCount++
 	a := &fakeOwner{w: w, fence: w.rev, alive: true, unreachable: map[string]bool{}}
 	a.m = batch.New(batch.Config{
-		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: 6000, OrderGapMs: w.dutyGap,
+		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: 6000, OrderGapMs: w.dutyGap, OrdersPerSec: w.ordersPerSec,
 	})
 	w.owners = append(w.owners, a)
 	a.m.Update(w.now, batch.ServicesMsg{Services: w.fleet.services})
--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -211,6 +211,9 @@
 	if w.version > w.storedVersion {
 		return // the order is sent only after its record is stored.
 	}
+	if !m.takeOrder() {
+		return
+	}
 	m.recordOrder(k)
 	m.emit(UpkeepCmd{Machine: k.Name, Wave: w.Number, Fence: m.cfg.Fence})
 }
--- a/node/site/settings.go
+++ b/node/site/settings.go
@@ -20,13 +20,14 @@
 	StoreAddr     string  `json:"storeAddr"`
 	MachinesAddr  string  `json:"machinesAddr"`
 	AdviceAddr    string  `json:"adviceAddr"`
-	LeaseMaxMs    int64   `json:"leaseMaxMs"`    // longest lease that workers grant, ms.
-	StatusSecs    int64   `json:"statusSecs"`    // how long the state of an ended job stays available, seconds.
-	DutyGapMs     int64   `json:"dutyGapMs"`     // least time between orders of two owners to one machine, ms.
-	GraceSecs     float64 `json:"graceSecs"`     // from SIGTERM until the process is killed, seconds.
-	Cores         float64 `json:"cores"`         // processor cores that the entry may use; entries with more cores are preferred as owner.
-	MemoryMB      float64 `json:"memoryMb"`      // memory that the process may use, MB.
-	HelperWorkers int     `json:"helperWorkers"` // workers per helper, an entry that makes calls for the owner; 0 means the default.
+	LeaseMaxMs    int64   `json:"leaseMaxMs"`          // longest lease that workers grant, ms.
+	StatusSecs    int64   `json:"statusSecs"`          // how long the state of an ended job stays available, seconds.
+	DutyGapMs     int64   `json:"dutyGapMs"`           // least time between orders of two owners to one machine, ms.
+	GraceSecs     float64 `json:"graceSecs"`           // from SIGTERM until the process is killed, seconds.
+	Cores         float64 `json:"cores"`               // processor cores that the entry may use; entries with more cores are preferred as owner.
+	MemoryMB      float64 `json:"memoryMb"`            // memory that the process may use, MB.
+	OrdersPerSec  float64 `json:"machineOrdersPerSec"` // orders to machines that the platform takes per second; 0 means the default.
+	HelperWorkers int     `json:"helperWorkers"`       // workers per helper, an entry that makes calls for the owner; 0 means the default.
 	LogLevel      string  `json:"logLevel"`
 }
 
@@ -83,5 +84,8 @@
 			return eris.Errorf("site: field %q is %s, want over 0", f.name, fmt.Sprint(f.value))
 		}
 	}
+	if s.OrdersPerSec < 0 {
+		return eris.Errorf("site: field %q is %s, want 0 or more", "machineOrdersPerSec", fmt.Sprint(s.OrdersPerSec))
+	}
 	return nil
 }
--- a/node/site/settings_test.go
+++ b/node/site/settings_test.go
@@ -38,7 +38,7 @@
 		field string
 		value any
 	}{
-		{"name", ""}, {"storeAddr", ""}, {"leaseMaxMs", 0}, {"graceSecs", -1}, {"cores", 0}, {"statusSecs", "x"}, {"unknown", 1}, {"helperWorkers", -3},
+		{"name", ""}, {"storeAddr", ""}, {"leaseMaxMs", 0}, {"graceSecs", -1}, {"cores", 0}, {"statusSecs", "x"}, {"unknown", 1}, {"helperWorkers", -3}, {"machineOrdersPerSec", -1},
 	} {
 		t.Run(c.field, func(t *testing.T) {
 			is := is.New(t)
