Count a cancelled drain as out until the VM is undrained

In the trace the undrain had been sent 2 ms earlier for another reason and was repeated only after the retry interval of 2 s; the next VM was drained meanwhile.

Change: the reservation is kept while the member may be drained (MaybeDrained), that is until a later host list shows the VM as live.

--- a/fleet/wave/planner_test.go
+++ b/fleet/wave/planner_test.go
@@ -31,6 +31,9 @@
 	w := newSimulation(opts...)
 	w.setWavePaused(true)
 	w.run(5, true)
+	for _, v := range w.vms {
+		w.stopsBefore[v.name] = w.member(v.name).EndedStops
+	}
 	return w
 }
 
@@ -42,12 +45,12 @@
 	}
 }
 
-// checkStops checks whether any planned stop of a serving pool has started.
+// checkStops checks whether any planned stop of a serving pool has started, those included that have ended.
 func (w *simulation) checkStops(t *testing.T, want bool) {
 	t.Helper()
 	got := 0
 	for _, v := range w.vms {
-		if m := w.member(v.name); m.Pool != "office" && (m.Op != "" || m.FinishedWave != "") {
+		if m := w.member(v.name); m.Pool != "office" && (m.Op != "" || m.FinishedWave != "" || m.EndedStops > w.stopsBefore[v.name]) {
 			got++
 		}
 	}
@@ -244,6 +247,39 @@
 	})
 }
 
+// A VM whose drain is cancelled stays drained at the platform until its undrain has been carried out. Until then it counts
+// as out, so that no other VM of the pool is drained beyond the budget.
+func TestCancelledDrainCounts(t *testing.T) {
+	w := newJoinedSimulation()
+	for i := range w.rules {
+		w.rules[i].MaxOut = 1
+	}
+	for _, v := range w.vms {
+		for _, e := range w.entries {
+			if serves(v.pool) {
+				e.inFlight[v.name] = 1 // no drain ends before it times out.
+			}
+		}
+	}
+	w.setWavePaused(false)
+	w.undrainsLost = true
+	cancelled, most := false, 0
+	for range 60 {
+		w.run(1, true)
+		out := 0
+		for _, v := range w.vms {
+			if m := w.member(v.name); v.pool == "orders" && v.drained {
+				out++
+				cancelled = cancelled || m.State == pool.Serving
+			}
+		}
+		most = max(most, out)
+	}
+	is.New(t).True(cancelled)
+	is.New(t).Equal(most, 1)
+	is.New(t).Equal(w.violations, nil)
+}
+
 func TestDocumentsAreReadAgain(t *testing.T) {
 	w := newJoinedSimulation()
 	w.advanceClock(DefaultMaxAge/2 + 1)
--- a/fleet/wave/reserve.go
+++ b/fleet/wave/reserve.go
@@ -73,6 +73,8 @@
 			if m.State == pool.Failed && m.Op != "" {
 				b = b.Fail(a)
 			}
+		case m.State == pool.Serving && m.MaybeDrained:
+			// The platform may still drain the VM, so it counts as out until a later host list shows it as live.
 		case m.State == pool.Serving && !p.failing[a.VM]:
 			if a.Planned() || p.isFresh(p.shards[p.table.Index(a.VM)]) {
 				b = b.Release(a.VM)
--- a/fleet/wave/simulation_test.go
+++ b/fleet/wave/simulation_test.go
@@ -57,6 +57,8 @@
 	opts            []Option
 	rules           []ServicePolicy
 	reboots         int
+	undrainsLost    bool
+	stopsBefore     map[string]int64 // by VM: planned stops that had ended when the wave began.
 	highestVersions map[string]int64 // highest version that each shard had.
 	violations      []string
 }
@@ -73,7 +75,7 @@
 func newSimulation(opts ...Option) *simulation {
 	w := &simulation{
 		now: 1_000_000, shards: map[string][]storedDoc[pool.Shard]{}, budgets: map[string]storedDoc[Budget]{},
-		lists: map[string][][]Host{}, opts: opts, rules: slices.Clone(simServices), highestVersions: map[string]int64{},
+		lists: map[string][][]Host{}, stopsBefore: map[string]int64{}, opts: opts, rules: slices.Clone(simServices), highestVersions: map[string]int64{},
 		wave: Wave{ID: "w1", Pools: []string{"orders", "grants", "office"}},
 	}
 	for _, dc := range []string{"a", "b"} {
@@ -317,7 +319,7 @@
 	case DrainCmd:
 		w.vm(c.VM).drained = true
 	case UndrainCmd:
-		w.vm(c.VM).drained = false
+		w.vm(c.VM).drained = w.vm(c.VM).drained && w.undrainsLost
 	case AssignCmd:
 		w.vm(c.VM).pool = c.Pool
 	case RebootCmd:
