Tell callers when a submission certainly did not reach the owner

Nothing had been sent, but only a failed dial counted as not sent. A caller cannot try an unsafe request again after 504.

Change: a request that never got a connection is marked as not sent, so that the caller gets 503 with the time to come back.

--- a/node/desk/client.go
+++ b/node/desk/client.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,16 +44,33 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[addr]
 	if !ok {
-		d := net.Dialer{Timeout: dialTimeout}
-		t := &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		}
-		p = peer{desk: NewDeskProtobufClient("http://"+addr, &http.Client{Transport: t}), http: t}
+		p = newPeer(addr, (&net.Dialer{Timeout: dialTimeout}).DialContext)
 		c.peers[addr] = p
 	}
 	return p.desk
 }
 
+func newPeer(addr string, dial func(context.Context, string, string) (net.Conn, error)) peer {
+	t := &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+	return peer{desk: NewDeskProtobufClient("http://"+addr, &http.Client{Transport: transport{t}}), http: t}
+}
+
+// transport marks the errors of requests that never got a connection with ErrNotSent.
+type transport struct{ base http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	x := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	a, err := t.base.RoundTrip(r.WithContext(x))
+	if err != nil && !connected.Load() {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	return a, err
+}
+
 // Reset closes the idle connections to addr, which may be dead.
 func (c *Client) Reset(addr string) {
 	c.mu.Lock()
@@ -72,13 +91,10 @@
 
 // IsNotSent reports whether err means that the call certainly had no effect.
 func IsNotSent(err error) bool {
-	var o *net.OpError
 	var t twirp.Error
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return true
-	case errors.As(err, &o) && o.Op == "dial":
-		return true
 	case errors.As(err, &t):
 		return t.Code() == twirp.FailedPrecondition
 	}
