Remember sizes that fit nowhere while tasks are placed

Profile: two thirds in emptiest and chooseWorker, as each waiting stage looked at every worker in each placement, and roomOnceEmptied at every run of each worker.

Change: a placement filters the workers once, remembers the sizes that fit none of them, and takes the emptiest worker from a heap. Each worker knows what its lasting tasks hold.

Also: moves are logged once for each plan and direction instead of once a machine (the owner dropped most of its lines in a turn), and once a second a line says what each pool lacks; a worker that is listed before the machines' list shows it no longer counts as on its way a second time.

--- a/fleet/batch/bench_test.go
+++ b/fleet/batch/bench_test.go
@@ -37,3 +37,23 @@
 		b.ReportMetric(float64(w.judge.TaskCount()), "tasks")
 	}
 }
+
+// BenchmarkLargePool simulates a pool of 600 workers of 32 cores in a load peak. It reports the owner's processor time
+// per simulated time, in cores.
+func BenchmarkLargePool(b *testing.B) {
+	const workers, cores = 600, 600 * 32
+	for _, c := range []struct {
+		name   string
+		factor float64
+	}{{"full", 0.9}, {"overload", 1.4}} {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				x := callerLoad{
+					seed: 1, pools: pools(map[string]int{"s": workers}), until: 9_000, from: 2_000, to: 8_000,
+					queues: map[string]queueLoad{"s": {checks, peak(0.3*cores, c.factor*cores, 3_000, 500, 8_000)}},
+				}.play(&testing.T{})
+				b.ReportMetric(x.modelSeconds/6, "cores")
+			}
+		})
+	}
+}
--- a/fleet/batch/copies.go
+++ b/fleet/batch/copies.go
@@ -60,7 +60,9 @@
 	if t.stage.job.storedVersion < t.stage.job.copiesVersion {
 		return
 	}
-	w := m.chooseWorker(p, t, map[*worker]bool{r.worker: true})
+	c := m.newCandidates(p)
+	c.reserve(r.worker)
+	w := c.choose(t)
 	if w == nil {
 		return
 	}
--- /dev/null
+++ b/fleet/batch/load_test.go
@@ -0,0 +1,258 @@
+package batch_test
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"burdockreach.dev/fakes/worker"
+	"burdockreach.dev/fleet/batch"
+)
+
+// callerLoad is a load of jobs whose callers' estimates are far off and whose run times differ.
+type callerLoad struct {
+	seed     uint64
+	pools    []string             // pool of each machine; the pool "parked" is on standby.
+	queues   map[string]queueLoad // by pool.
+	lasting  int                  // lasting jobs in each pool.
+	from, to int64                // jobs submitted in this time count.
+	until    int64
+}
+
+// queueLoad is the load of one queue.
+type queueLoad struct {
+	kind  jobKind
+	cores func(now int64) float64 // submitted work per time.
+}
+
+// jobKind gives the means of a kind of job.
+type jobKind struct {
+	steps      float64
+	runMs      float64
+	cpu        float64
+	maxCPU     float64
+	memMB      float64
+	taskSpread float64
+}
+
+// Kinds of jobs: short checks, and larger builds.
+var (
+	checks = jobKind{steps: 1.6, runMs: 1_000, cpu: 4_500, maxCPU: 13_000, memMB: 6_400, taskSpread: 0.15}
+	builds = jobKind{steps: 2, runMs: 1_300, cpu: 9_700, maxCPU: 29_000, memMB: 18_000, taskSpread: 0.3}
+)
+
+// callerResult is what the callers got, in shares of the jobs' value, and what it took.
+type callerResult struct {
+	inTime, late, lost float64
+	moves              int
+	lastingJobs        int
+	modelSeconds       float64 // processor time of the owner.
+	poolSeconds        float64 // of machines outside the parked pool.
+}
+
+// Parameters of the jobs. Spreads are standard deviations of the logarithm.
+const (
+	machineCPU       = 32_000
+	machineMemMB     = 64_000
+	runSpread        = 0.5
+	estimateSpread   = 0.9
+	meanTasks        = 8.0
+	cpuSpread        = 0.45
+	objectiveFactor  = 1.6
+	objectiveExtraMs = 600
+	lateValue        = 0.07
+	lateLimit        = 3 // times the objective.
+)
+
+// lognormal draws from a lognormal distribution with the given mean.
+func lognormal(r *rand.Rand, mean, spread float64) float64 {
+	return mean * math.Exp(spread*r.NormFloat64()-spread*spread/2)
+}
+
+// callerJob is one job with the run times of its tasks.
+type callerJob struct {
+	batch.Job
+	runMs     [][]int64 // by step and task.
+	work      float64   // cores times milliseconds.
+	objective int64
+	sentAt    int64
+	endedAt   int64
+}
+
+func newCallerJob(r *rand.Rand, k jobKind, n int, pool string) *callerJob {
+	j := &callerJob{Job: batch.Job{
+		ID: jobID(n), Queue: "q-" + pool, Service: pool, Attempts: 3, ObjectiveFactor: objectiveFactor, ObjectiveExtraMs: objectiveExtraMs,
+	}}
+	scale := lognormal(r, k.runMs, runSpread)
+	chain := int64(0)
+	steps := int(k.steps)
+	if r.Float64() < k.steps-float64(steps) {
+		steps++
+	}
+	for i := range steps {
+		s := batch.Step{
+			Count:      min(max(int(lognormal(r, meanTasks, 0.6)), 1), 32),
+			Size:       batch.Size{CPU: int64(min(lognormal(r, k.cpu, cpuSpread), k.maxCPU)), MemMB: int64(min(lognormal(r, k.memMB, 0.6), 3*k.memMB))},
+			EstimateMs: int64(max(scale*math.Exp(estimateSpread*r.NormFloat64()), 1)),
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		l, longest := []int64{}, int64(0)
+		for range s.Count {
+			ms := int64(lognormal(r, scale, k.taskSpread))
+			l, longest = append(l, ms), max(longest, ms)
+			j.work += float64(ms * s.Size.CPU)
+		}
+		chain += longest
+		j.Steps, j.runMs = append(j.Steps, s), append(j.runMs, l)
+	}
+	j.objective = int64(objectiveFactor*float64(chain)) + objectiveExtraMs
+	return j
+}
+
+// lastingJob returns a job of four lasting tasks on different workers.
+func lastingJob(r *rand.Rand, n int, pool string) batch.Job {
+	return batch.Job{ID: jobID(n), Queue: "l-" + pool, Service: pool, ObjectiveFactor: 2.2, ObjectiveExtraMs: 2_500, Steps: []batch.Step{{
+		Count: 4, Size: batch.Size{CPU: 4_800, MemMB: int64(min(lognormal(r, 22_000, 0.6), 60_000))}, EstimateMs: 500,
+		Lasting: true, PerWorker: 1, MayMiss: 1,
+	}}}
+}
+
+// play runs the load and returns what the callers got.
+func (o callerLoad) play(t testing.TB) callerResult {
+	t.Helper()
+	w := newSimulation(t, o.seed, 0, faults{})
+	w.ordersPerSec = 500
+	w.fleet.services = []batch.Service{{Name: "parked", Standby: true}}
+	for _, p := range slices.Sorted(maps.Keys(o.queues)) {
+		w.fleet.services = append(w.fleet.services, batch.Service{Name: p, Guards: true})
+	}
+	for _, p := range o.pools {
+		w.fleet.add(p, batch.Size{CPU: machineCPU, MemMB: machineMemMB})
+	}
+	w.owners = nil
+	w.startOwner()
+	r := rand.New(rand.NewPCG(o.seed, 99))
+	jobs := map[string]*callerJob{}
+	w.runMs = func(n batch.TaskName) int64 {
+		if jobs[n.Job] == nil {
+			return worker.Never
+		}
+		return jobs[n.Job].runMs[n.Step][n.Index]
+	}
+	x := callerResult{}
+	owed := map[string]float64{}
+	w.run(o.until, func() {
+		for _, p := range slices.Sorted(maps.Keys(o.queues)) {
+			q := o.queues[p]
+			if w.now == 2_000 {
+				for range o.lasting {
+					x.lastingJobs++
+					w.submit(lastingJob(r, 1_000_000+x.lastingJobs, p))
+				}
+			}
+			for owed[p] += q.cores(w.now) * 1000 * stepMs; owed[p] > 0 && q.cores(w.now) > 0; {
+				j := newCallerJob(r, q.kind, len(jobs)+1, p)
+				j.sentAt = w.now
+				jobs[j.ID] = j
+				owed[p] -= j.work
+				w.submit(j.Job)
+			}
+		}
+		for id, j := range jobs {
+			if j.endedAt == 0 && w.owners[0].m.State(id) == batch.StateCompleted {
+				j.endedAt = w.now
+			}
+		}
+		for _, m := range w.fleet.machines {
+			if m.pool != "parked" {
+				x.poolSeconds += float64(stepMs) / 1000
+			}
+		}
+	})
+	w.report()
+	x.moves, x.modelSeconds = w.fleet.moves, w.modelTime.Seconds()
+	x.count(jobs, o.from, o.to)
+	return x
+}
+
+// count adds up the shares of the jobs that were submitted in the given time.
+func (x *callerResult) count(jobs map[string]*callerJob, from, to int64) {
+	mean, total := 0.0, 0.0
+	for _, j := range jobs {
+		mean += j.work / float64(len(jobs))
+	}
+	for _, j := range jobs {
+		if j.sentAt < from || j.sentAt >= to {
+			continue
+		}
+		v := 0.3 + 0.7*min(j.work/mean, 4)
+		total += v
+		switch took := j.endedAt - j.sentAt; {
+		case j.endedAt == 0 || took > lateLimit*j.objective:
+			x.lost += v
+		case took > j.objective:
+			x.late += v
+		default:
+			x.inTime += v
+		}
+	}
+	x.inTime, x.late, x.lost = x.inTime/total, x.late/total, x.lost/total
+}
+
+// mean returns the mean of the results with several seeds.
+func (o callerLoad) mean(t *testing.T, seeds uint64) callerResult {
+	t.Helper()
+	var sum callerResult
+	for i := range seeds {
+		o.seed = i + 1
+		x := o.play(t)
+		n := float64(seeds)
+		sum.inTime, sum.late, sum.lost = sum.inTime+x.inTime/n, sum.late+x.late/n, sum.lost+x.lost/n
+		sum.moves, sum.poolSeconds = sum.moves+x.moves/int(seeds), sum.poolSeconds+x.poolSeconds/n
+	}
+	return sum
+}
+
+// String returns the result as text.
+func (x callerResult) String() string {
+	return fmt.Sprintf("in time %.2f, late %.2f, lost %.2f, %d moves, %.0f pool seconds", x.inTime, x.late, x.lost, x.moves, x.poolSeconds)
+}
+
+// peak returns a load that rises linearly from base to top in the given time, and lasts until the end.
+func peak(base, top float64, from, rise, to int64) func(int64) float64 {
+	return func(now int64) float64 {
+		switch {
+		case now < from || now >= to && now < to+2_000:
+			return base
+		case now >= to:
+			return 0
+		}
+		return base + (top-base)*min(float64(now-from)/float64(rise), 1)
+	}
+}
+
+// bump returns a load that rises from base to top and falls again within ms milliseconds.
+func bump(base, top float64, from, ms int64) func(int64) float64 {
+	return func(now int64) float64 {
+		if now < from || now > from+ms {
+			return base
+		}
+		s := math.Sin(math.Pi * float64(now-from) / float64(ms))
+		return base + (top-base)*s*s
+	}
+}
+
+func pools(n map[string]int) []string {
+	var l []string
+	for _, p := range slices.Sorted(maps.Keys(n)) {
+		for range n[p] {
+			l = append(l, p)
+		}
+	}
+	return l
+}
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -148,6 +148,8 @@
 	listReadAt       int64 // when the list was last received.
 	listSentAt       int64 // when the request for the last received list was sent.
 	pace             orderPace
+	moved            map[route][]string // machines that the present plan moves.
+	poolsLoggedAt    int64
 }
 
 // machine is one machine and the pending order to it.
@@ -164,6 +166,7 @@
 
 func (d *fleet) start(from int64) {
 	d.noOrdersBefore, d.ordersKnownSince = from, from
+	d.moved = map[route][]string{}
 	d.machines, d.waves = map[string]*machine{}, map[int]*wave{}
 	d.lastOrderAt, d.formerOrderAt = map[string]int64{}, map[string]int64{}
 }
@@ -317,7 +320,9 @@
 	if k == nil || k.orderedAt == 0 {
 		return
 	}
-	m.log("machine ordered", "", "machine", g.Machine, "wave", g.Wave, "pool", k.targetPool, "result", int(g.Result))
+	if g.Result != OrderOK {
+		m.log("machine not ordered", "", "machine", g.Machine, "wave", g.Wave, "pool", k.targetPool, "result", int(g.Result))
+	}
 	switch g.Result {
 	case OrderOK:
 		k.ackedAt = m.now
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 )
 
 // Planning of moves between pools. Times in milliseconds.
@@ -31,6 +33,8 @@
 		m.giveMachines(l)
 	}
 	m.parkIdle()
+	m.logMoves()
+	m.logPools()
 }
 
 // setWantedMachines sets how many machines each pool should have now.
@@ -50,11 +54,7 @@
 func (m *Model) lastingCPU(p *pool) float64 {
 	n := int64(0)
 	for _, w := range p.workers {
-		for _, r := range w.runs {
-			if r.task.stage.Lasting {
-				n += r.task.stage.size().CPU
-			}
-		}
+		n += w.lasting.CPU
 	}
 	return float64(n)
 }
@@ -96,8 +96,10 @@
 		}
 	}
 	cpu := int64(0)
+	known := make(map[string]bool, len(m.fleet.list))
 	for _, k := range m.fleet.list {
 		cpu += k.Room.CPU
+		known[k.Worker] = true
 		t := &m.pool(k.Pool).counts
 		if k.State == MachineUp && k.Worker != "" && m.workerOf(k) == nil {
 			t.unlisted++
@@ -110,6 +112,13 @@
 			m.pool(k.targetPool).counts.arriving++
 		}
 	}
+	for _, p := range m.pools {
+		for _, w := range p.workers {
+			if w.listed && !w.dead && !known[w.ID] && p.counts.arriving > 0 {
+				p.counts.arriving-- // it has arrived since the list of machines was read.
+			}
+		}
+	}
 	m.fleet.meanCPU = float64(cpu) / float64(max(len(m.fleet.list), 1))
 }
 
@@ -122,10 +131,7 @@
 	}
 	var l []offer
 	for _, k := range m.fleet.list {
-		if k.State != MachineUp || k.wave != nil || k.targetPool != "" || !m.mayOrderTo(k) {
-			continue
-		}
-		if c, ok := m.giveCost(k); ok {
+		if c, ok := m.mayGive(k); ok {
 			l = append(l, offer{k, c})
 		}
 	}
@@ -147,6 +153,14 @@
 	}
 }
 
+// mayGive returns the cost of giving the machine away, and false if it must stay or may not be ordered now.
+func (m *Model) mayGive(k *machine) (float64, bool) {
+	if k.State != MachineUp || k.wave != nil || k.targetPool != "" || !m.mayOrderTo(k) {
+		return 0, false
+	}
+	return m.giveCost(k)
+}
+
 // giveCost returns the cost to the machine's pool of giving the machine away, and false if it must stay.
 func (m *Model) giveCost(k *machine) (float64, bool) {
 	if m.services[k.Pool].Standby {
@@ -175,8 +189,8 @@
 		w.cordoned = true
 	}
 	p := m.pool(pool)
-	m.log("machine moves", "", "machine", k.Name, "from", k.Pool, "to", pool, "want", p.demand.wantedMachines, "has", p.counts.serving,
-		"waitingCoreMs", int64(p.demand.waitingWork)/1000, "rateCores", int64(p.demand.rate)/1000)
+	r := route{from: k.Pool, to: pool}
+	m.fleet.moved[r] = append(m.fleet.moved[r], k.Name)
 	k.targetPool, k.oldWorkerID, k.ackedAt = pool, k.Worker, 0
 	m.recordOrder(k)
 	p.counts.arriving++
@@ -184,6 +198,56 @@
 	m.emit(MoveCmd{Machine: k.Name, Pool: pool, Fence: m.cfg.Fence})
 }
 
+// route is the direction of a move.
+type route struct{ from, to string }
+
+func compareRoutes(a, b route) int {
+	return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to))
+}
+
+// maxLoggedNames limits the length of a log line.
+const maxLoggedNames = 100
+
+// logMoves logs the moves of one plan, one line for each direction.
+func (m *Model) logMoves() {
+	for _, r := range slices.SortedFunc(maps.Keys(m.fleet.moved), compareRoutes) {
+		l, p := m.fleet.moved[r], m.pool(r.to)
+		m.log("machines move", "", "from", r.from, "to", r.to, "count", len(l), "machines", strings.Join(l[:min(len(l), maxLoggedNames)], " "),
+			"want", p.demand.wantedMachines, "has", p.counts.serving, "waitingCoreMs", int64(p.demand.waitingWork)/1000, "rateCores", int64(p.demand.rate)/1000)
+	}
+	clear(m.fleet.moved)
+}
+
+// poolLogIntervalMs is the time between two log lines on pools that lack machines, in ms.
+const poolLogIntervalMs = 1_000
+
+// logPools logs the pools that lack machines.
+func (m *Model) logPools() {
+	if m.now-m.fleet.poolsLoggedAt < poolLogIntervalMs {
+		return
+	}
+	m.fleet.poolsLoggedAt = m.now
+	for _, n := range sortedKeys(m.pools) {
+		p := m.pools[n]
+		if c := p.counts; p.demand.wantedMachines > c.serving {
+			m.log("pool lacks machines", "", "pool", n, "want", p.demand.wantedMachines, "has", c.serving, "arriving", c.arriving, "upkeep", c.upkeep,
+				"spareElsewhere", m.spareMachines(n), "waitingCoreMs", int64(p.demand.waitingWork)/1000, "rateCores", int64(p.demand.rate)/1000,
+				"backlogCoreMs", int64(p.backlog)/1000)
+		}
+	}
+}
+
+// spareMachines returns the number of machines in other pools that could be moved now.
+func (m *Model) spareMachines(pool string) int {
+	n := 0
+	for _, k := range m.fleet.list {
+		if _, ok := m.mayGive(k); ok && k.Pool != pool {
+			n++
+		}
+	}
+	return n
+}
+
 // parkIdle moves machines that no pool needs to a pool where they cost nothing.
 func (m *Model) parkIdle() {
 	to := ""
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
@@ -37,23 +36,25 @@
 // place starts the waiting tasks of the pool in service order. A task that does not fit reserves the emptiest worker.
 func (m *Model) place(p *pool) {
 	l := m.readyStages(p)
-	reserved := map[*worker]bool{}
+	if len(l) == 0 {
+		return
+	}
+	c := m.newCandidates(p)
 	for _, s := range l {
-		if len(reserved) >= len(p.workers) {
+		if len(c.workers) == 0 {
 			return // every worker is reserved.
 		}
 		if s.Gang {
-			m.placeGang(p, s, reserved)
+			m.placeGang(c, s)
 			continue
 		}
 		for _, t := range s.tasks {
 			if !m.mayStart(t) {
 				continue
 			}
-			w := m.chooseWorker(p, t, reserved)
+			w := c.choose(t)
 			if w == nil {
-				if k := m.emptiest(p, s, reserved, nil); k != nil {
-					reserved[k] = true
+				if k := c.reserveEmptiest(s); k != nil {
 					m.preempt(k, s)
 				}
 				break
@@ -165,13 +166,20 @@
 	return slices.ContainsFunc(m.pool(service).workers, func(w *worker) bool { return !w.synced && !w.dead })
 }
 
-// eligible reports whether w may be given a task of s, apart from the room that it needs.
-func (m *Model) eligible(w *worker, s *stage) bool {
+// usable reports whether w may be given tasks at all, apart from their room.
+func (m *Model) usable(w *worker) bool {
 	switch {
 	case !w.listed, w.dead, !w.synced, w.silentSince != 0, w.Draining, w.cordoned, m.now < w.noStartsBefore, m.now < w.quarantinedUntil:
 		return false
 	case !m.claimFresh && w.lifetimeKnownAt > m.soleOwnerUntil:
 		return false // the worker may have restarted since a successor fenced it, and would not refuse this owner's commands.
+	}
+	return true
+}
+
+// allows reports whether a task of s may be started at a usable worker, apart from its room.
+func (m *Model) allows(w *worker, s *stage) bool {
+	switch {
 	case s.Label != "" && !slices.Contains(w.Labels, s.Label):
 		return false
 	case s.PerWorker > 0 && s.runsOn(w) >= s.PerWorker:
@@ -183,21 +191,30 @@
 // freeRoom returns the resources that are free at w.
 func (w *worker) freeRoom() Size { return w.Room.minus(w.used) }
 
-// chooseWorker returns the cheapest worker for t, or nil if none has room.
-func (m *Model) chooseWorker(p *pool, t *task, reserved map[*worker]bool) *worker {
-	var best *worker
+// cheapest returns the cheapest of the usable workers for t, or nil if none may be given it, and whether any has room.
+func (m *Model) cheapest(l []*worker, t *task) (best *worker, found bool) {
 	lowest := 0.0
 	s := t.stage
 	size := s.size()
-	for _, w := range p.workers {
-		if reserved[w] || !size.Fits(w.freeRoom()) || !m.eligible(w, s) {
+	for _, w := range l {
+		if !size.Fits(w.freeRoom()) {
+			continue
+		}
+		found = true
+		if !m.allows(w, s) {
 			continue
 		}
 		if c := m.cost(w, t); best == nil || c < lowest {
 			best, lowest = w, c
 		}
 	}
-	return best
+	return best, found
+}
+
+// hasWorkerFor reports whether a worker of t's pool has room for it.
+func (m *Model) hasWorkerFor(t *task) bool {
+	w, _ := m.cheapest(m.newCandidates(m.pool(t.stage.job.Service)).workers, t)
+	return w != nil
 }
 
 // cost returns the cost of starting t at w. Short tasks go to the fullest worker, so that other workers become empty
@@ -246,31 +263,8 @@
 	return float64(a) / float64(b)
 }
 
-// emptiest returns the worker with the most free CPU that will have room for a task of s, besides extra, once its short
-// tasks have ended.
-func (m *Model) emptiest(p *pool, s *stage, reserved map[*worker]bool, extra map[*worker]Size) *worker {
-	var best *worker
-	for _, w := range p.workers {
-		if reserved[w] || !s.size().Fits(w.roomOnceEmptied().minus(extra[w])) || !m.eligible(w, s) {
-			continue
-		}
-		if best == nil || w.freeRoom().minus(extra[w]).CPU > best.freeRoom().minus(extra[best]).CPU {
-			best = w
-		}
-	}
-	return best
-}
-
 // roomOnceEmptied returns the resources that are free at w once all but its lasting tasks have ended.
-func (w *worker) roomOnceEmptied() Size {
-	free := w.Room
-	for _, r := range w.runs {
-		if r.task.stage.Lasting {
-			free = free.minus(r.task.stage.size())
-		}
-	}
-	return free
-}
+func (w *worker) roomOnceEmptied() Size { return w.Room.minus(w.lasting) }
 
 // startRun starts run n of t at w.
 func (m *Model) startRun(t *task, w *worker, n int) {
@@ -291,18 +285,18 @@
 }
 
 // placeGang starts all tasks of s together, or none.
-func (m *Model) placeGang(p *pool, s *stage, reserved map[*worker]bool) {
+func (m *Model) placeGang(c *candidates, s *stage) {
 	for _, t := range s.tasks {
 		if !m.mayStart(t) {
 			return
 		}
 	}
-	workers := m.gangWorkers(p, s, reserved, "")
+	workers := m.gangWorkers(c.workers, s, "")
 	if s.SameRack {
-		workers = m.gangInRack(p, s, reserved, workers)
+		workers = m.gangInRack(c.workers, s, workers)
 	}
 	if workers == nil {
-		m.reserveForGang(p, s, reserved)
+		m.reserveForGang(c, s)
 		return
 	}
 	n := 0
@@ -317,33 +311,39 @@
 }
 
 // reserveForGang reserves the emptiest workers for the tasks of s, unless they do not all fit even there.
-func (m *Model) reserveForGang(p *pool, s *stage, reserved map[*worker]bool) {
+func (m *Model) reserveForGang(c *candidates, s *stage) {
 	extra, count := map[*worker]Size{}, map[*worker]int{}
-	full := maps.Clone(reserved)
 	for range s.tasks {
-		w := m.emptiest(p, s, full, extra)
-		if w == nil {
+		var best *worker
+		for _, w := range c.workers {
+			if !s.size().Fits(w.roomOnceEmptied().minus(extra[w])) || !m.allows(w, s) || s.PerWorker > 0 && s.runsOn(w)+count[w] >= s.PerWorker {
+				continue
+			}
+			if best == nil || w.freeRoom().minus(extra[w]).CPU > best.freeRoom().minus(extra[best]).CPU {
+				best = w
+			}
+		}
+		if best == nil {
 			return
 		}
-		extra[w] = extra[w].plus(s.size())
-		count[w]++
-		full[w] = s.PerWorker > 0 && s.runsOn(w)+count[w] >= s.PerWorker
+		extra[best] = extra[best].plus(s.size())
+		count[best]++
 	}
 	for w := range extra {
-		reserved[w] = true
+		c.reserve(w)
 	}
 }
 
 // gangInRack returns workers of a single rack if all tasks fit there, or else spread.
-func (m *Model) gangInRack(p *pool, s *stage, reserved map[*worker]bool, spread []*worker) []*worker {
+func (m *Model) gangInRack(l []*worker, s *stage, spread []*worker) []*worker {
 	var racks []string
-	for _, w := range p.workers {
+	for _, w := range l {
 		if !slices.Contains(racks, w.rack) {
 			racks = append(racks, w.rack)
 		}
 	}
 	for _, r := range racks {
-		if l := m.gangWorkers(p, s, reserved, r); l != nil {
+		if l := m.gangWorkers(l, s, r); l != nil {
 			return l
 		}
 	}
@@ -352,14 +352,14 @@
 
 // gangWorkers returns a worker for each task of s, or nil if they do not all fit. If rack is not empty, it uses only
 // workers of that rack.
-func (m *Model) gangWorkers(p *pool, s *stage, reserved map[*worker]bool, rack string) []*worker {
+func (m *Model) gangWorkers(usable []*worker, s *stage, rack string) []*worker {
 	var l []*worker
 	extra, size := map[*worker]Size{}, s.size()
 	count := map[*worker]int{}
 	for range s.tasks {
 		var best *worker
-		for _, w := range p.workers {
-			if reserved[w] || (rack != "" && w.rack != rack) || !m.eligible(w, s) || !size.Fits(w.freeRoom().minus(extra[w])) {
+		for _, w := range usable {
+			if (rack != "" && w.rack != rack) || !size.Fits(w.freeRoom().minus(extra[w])) || !m.allows(w, s) {
 				continue
 			}
 			if s.PerWorker > 0 && s.runsOn(w)+count[w] >= s.PerWorker {
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"burdockreach.dev/fakes/worker"
 	"burdockreach.dev/fleet/batch"
@@ -17,7 +18,7 @@
 // simulation runs a store, workers and owners in virtual time and injects faults. It checks what callers and workers
 // see.
 type simulation struct {
-	t          *testing.T
+	t          testing.TB
 	seed       uint64
 	rnd        *rand.Rand
 	now        int64
@@ -37,8 +38,10 @@
 	refs          map[uint64]*worker.JobRecord // by request number.
 	judge         *worker.Checker
 	fleet         fakeFleet
-	dutyGap       int64   // ms between two owners' orders to one machine.
-	ordersPerSec  float64 // the owners' setting.
+	dutyGap       int64                      // ms between two owners' orders to one machine.
+	ordersPerSec  float64                    // the owners' setting.
+	modelTime     time.Duration              // processor time of the owners.
+	runMs         func(batch.TaskName) int64 // run time of a task in ms, if not nil.
 	labels        func(worker string) []string
 	deadOwner     *fakeOwner       // the last owner that is known to be dead.
 	unlistedUntil map[string]int64 // until when a worker's entry is missing, by worker ID.
@@ -72,7 +75,7 @@
 
 const stepMs = 10
 
-func newSimulation(t *testing.T, seed uint64, workers int, f faults) *simulation {
+func newSimulation(t testing.TB, seed uint64, workers int, f faults) *simulation {
 	w := &simulation{
 		t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), rows: map[string]batch.Row{}, rev: 10, now: 1000,
 		faults: f, dutyGap: 3500, refs: map[uint64]*worker.JobRecord{},
@@ -267,7 +270,10 @@
 		a.m.Update(w.now, batch.ClaimMsg{Fresh: w.now-a.renewedAt < 900, RenewedAt: a.renewedAt})
 		a.m.Update(w.now, w.entries())
 	}
-	for _, c := range a.m.Commands(w.now) {
+	begin := time.Now()
+	l := a.m.Commands(w.now)
+	w.modelTime += time.Since(begin)
+	for _, c := range l {
 		a.perform(c)
 	}
 }
@@ -275,7 +281,9 @@
 func (a *fakeOwner) deliver(delay int64, m batch.Msg) {
 	a.w.schedule(delay, func() {
 		if a.alive {
+			begin := time.Now()
 			a.m.Update(a.w.now, m)
+			a.w.modelTime += time.Since(begin)
 		}
 	})
 }
@@ -438,6 +446,9 @@
 // runPlan decides how a run of the task goes.
 func (w *simulation) runPlan(n batch.TaskName) worker.Plan {
 	s := w.judge.FindJob(n.Job).Job.Steps[n.Step]
+	if w.runMs != nil {
+		return worker.Plan{RunMs: w.runMs(n), Reason: batch.EndDone, Size: s.Size}
+	}
 	p := worker.Plan{RunMs: s.EstimateMs/2 + w.rnd.Int64N(s.EstimateMs), Reason: batch.EndDone, Size: s.Size}
 	if w.chance(w.faults.slow) {
 		p.RunMs *= 5
--- a/fleet/batch/submit.go
+++ b/fleet/batch/submit.go
@@ -108,12 +108,7 @@
 		if !w.listed || w.Draining || w.silentSince != 0 {
 			continue
 		}
-		n += w.Room.CPU
-		for _, r := range w.runs {
-			if r.task.stage.Lasting {
-				n -= r.task.stage.size().CPU
-			}
-		}
+		n += w.roomOnceEmptied().CPU
 	}
 	return float64(n)
 }
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -239,6 +239,9 @@
 		w.unansweredStarts--
 	}
 	w.used = w.used.minus(r.task.stage.size())
+	if r.task.stage.Lasting {
+		w.lasting = w.lasting.minus(r.task.stage.size())
+	}
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	if len(r.task.runs) == 0 && !r.task.done {
 		r.task.stage.tasksWaiting++
@@ -255,6 +258,9 @@
 		r.worker.unansweredStarts++
 	}
 	r.worker.used = r.worker.used.plus(r.task.stage.size())
+	if r.task.stage.Lasting {
+		r.worker.lasting = r.worker.lasting.plus(r.task.stage.size())
+	}
 	r.task.runs = append(r.task.runs, r)
 	if len(r.task.runs) == 1 && !r.task.done {
 		r.task.stage.tasksWaiting--
--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -245,7 +245,7 @@
 	}
 	s := r.task.stage
 	switch {
-	case s.Lasting && m.mayStopLasting(r) && m.chooseWorker(m.pool(s.job.Service), r.task, nil) != nil:
+	case s.Lasting && m.mayStopLasting(r) && m.hasWorkerFor(r.task):
 	case !s.Lasting && urgent:
 	default:
 		return
@@ -279,7 +279,7 @@
 		}
 		for _, r := range w.runsCopy() {
 			s := r.task.stage
-			if r.state == running && (s.Lasting || s.Checkpoints) && m.chooseWorker(m.pool(s.job.Service), r.task, nil) != nil {
+			if r.state == running && (s.Lasting || s.Checkpoints) && m.hasWorkerFor(r.task) {
 				m.log("run evicted", s.job.ID, "task", r.task.name().String(), "run", r.number, "worker", w.ID, "draining", true)
 				r.evicted = true
 				m.stopRun(r)
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -23,7 +23,8 @@
 
 	runs             []*run // in the order of their starts.
 	used             Size
-	unansweredStarts int // runs whose start has not been answered.
+	lasting          Size // part of used that lasting tasks hold.
+	unansweredStarts int  // runs whose start has not been answered.
 
 	clockMs      int64 // lower bound of the worker's clock at clockAt.
 	clockAt      int64
