--- a/fleet/batch/load_test.go
+++ b/fleet/batch/load_test.go
@@ -8,18 +8,21 @@
 	"slices"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"burdockreach.dev/fakes/worker"
 	"burdockreach.dev/fleet/batch"
 )
 
 // callerLoad is a load of jobs whose callers' estimates are far off and whose run times differ.
 type callerLoad struct {
-	seed     uint64
-	pools    []string             // pool of each machine; the pool "parked" is on standby.
-	queues   map[string]queueLoad // by pool.
-	lasting  int                  // lasting jobs in each pool.
-	from, to int64                // jobs submitted in this time count.
-	until    int64
+	seed      uint64
+	pools     []string             // pool of each machine; the pool "parked" is on standby.
+	queues    map[string]queueLoad // by pool.
+	lasting   int                  // lasting jobs in each pool.
+	noStandby bool                 // there is no pool on standby.
+	from, to  int64                // jobs submitted in this time count.
+	until     int64
 }
 
 // queueLoad is the load of one queue.
@@ -127,7 +130,11 @@
 	t.Helper()
 	w := newSimulation(t, o.seed, 0, faults{})
 	w.ordersPerSec = 500
-	w.fleet.services = []batch.Service{{Name: "parked", Standby: true}}
+	if !o.noStandby {
+		w.fleet.services = []batch.Service{{Name: "parked", Standby: true}}
+	} else {
+		w.fleet.services = nil
+	}
 	for _, p := range slices.Sorted(maps.Keys(o.queues)) {
 		w.fleet.services = append(w.fleet.services, batch.Service{Name: p, Guards: true})
 	}
@@ -256,3 +263,42 @@
 	}
 	return l
 }
+
+// peakOfOnePool returns a load on one pool of 60 machines: it rises within two seconds to a multiple of what the pool can
+// serve, and lasts for four more.
+func peakOfOnePool(factor float64) callerLoad {
+	const cores = 60 * machineCPU / 1000
+	return callerLoad{
+		pools:  pools(map[string]int{"s": 60}),
+		queues: map[string]queueLoad{"s": {checks, peak(0.2*cores, factor*cores, 6_000, 2_000, 12_000)}}, from: 6_000, to: 14_000, until: 32_000,
+	}
+}
+
+// Parking idle machines saves their cost, but must not take them from a pool whose load rises.
+func TestParkingSparesPeak(t *testing.T) {
+	o := peakOfOnePool(1.3)
+	with := o.mean(t, 4)
+	o.noStandby = true
+	without := o.mean(t, 4)
+	t.Logf("with a pool on standby: %v; without: %v", with, without)
+	is.New(t).True(with.inTime >= without.inTime-0.05)
+}
+
+// The pools together have room for peaks that come one after the other, although each peak exceeds its own pool.
+func TestTurns(t *testing.T) {
+	q := map[string]queueLoad{}
+	for i, p := range []string{"a", "b", "c", "d"} {
+		k := checks
+		if i%2 == 1 {
+			k = builds
+		}
+		q[p] = queueLoad{k, bump(2*machineCPU/1000, 62*machineCPU/1000, 4_000+int64(i)*10_000, 10_000)}
+	}
+	for _, n := range []int{0, 5} {
+		t.Run(fmt.Sprintf("%d lasting jobs in each pool", n), func(t *testing.T) {
+			x := callerLoad{pools: pools(map[string]int{"a": 22, "b": 24, "c": 27, "d": 30, "parked": 20}), queues: q, lasting: n, from: 3_000, to: 44_000, until: 54_000}.mean(t, 2)
+			t.Log(x)
+			is.New(t).True(x.inTime >= 0.95)
+		})
+	}
+}
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -41,11 +41,14 @@
 func (m *Model) setWantedMachines() {
 	room := max(m.fleet.meanCPU, 1)
 	for _, p := range m.pools {
-		need := p.demand.rate*demandHeadroom + p.backlog/backlogDrainMs
+		need := p.demand.forecast()*demandHeadroom + p.backlog/backlogDrainMs
 		p.demand.wantedMachines = max(int(math.Ceil((need+m.lastingCPU(p))/room)), minWorkers)
 		if len(p.workers) == 0 && len(p.openJobs) == 0 && p.demand.rate < 1 {
 			p.demand.wantedMachines = 0
 		}
+		if p.demand.wantedMachines > p.counts.serving {
+			p.demand.lastLackedAt = m.now
+		}
 		p.demand.everLackedMachines = p.demand.everLackedMachines || p.demand.wantedMachines > p.counts.machines && p.counts.machines > 0
 	}
 }
@@ -180,7 +183,7 @@
 		return false
 	}
 	idle := m.now - w.lastUsedAt
-	return idle >= minIdleToGiveMs && p.counts.serving+p.counts.arriving > p.demand.wantedMachines || idle >= unneededIdleMs && p.demand.waitingWork == 0
+	return idle >= minIdleToGiveMs && p.counts.serving > p.demand.wantedMachines || idle >= unneededIdleMs && p.demand.waitingWork == 0
 }
 
 // moveMachine orders an empty machine to another pool.
@@ -264,7 +267,7 @@
 			!m.mayOrderTo(k) || !m.canSpare(k) {
 			continue // a pool keeps its machines until its first load peak.
 		}
-		if m.now-m.workerOf(k).lastUsedAt < parkAfterIdleMs {
+		if m.now-m.workerOf(k).lastUsedAt < parkAfterIdleMs || m.now-m.pool(k.Pool).demand.lastLackedAt < parkAfterIdleMs {
 			continue
 		}
 		if !m.takeOrder() {
