Store orders to machines before they are sent

Change: an owner stores the names of the machines that it is about to order, one record for all orders of a plan, and sends the orders once the store has them. A successor that reads the record of the former term may at once order all other machines. The record says whether any can be missing; without one, or with that of an earlier term or an older build, the successor waits as before.

Tests: TestSuccessorReadsStoredOrders, TestOrdersWaitForStore, and TestMovesUnderFaults, which moves machines between alternating peaks while owners are deposed and answers are lost.

--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -49,6 +49,7 @@
 	retryAt      int64
 	failing      bool // the last write failed.
 	dirtyWaves   map[int]*wave
+	orders       orderRecord
 }
 
 // transaction is one transaction in flight.
@@ -58,13 +59,17 @@
 	versions    []int  // version of each of them, as written.
 	wave        *wave
 	waveVersion int
+
+	ordersVersion int // of the orders that it writes; 0 if it writes none.
 }
 
 func (c *commits) start() {
 	c.queued, c.writing, c.inFlight, c.dirtyWaves = map[*job]bool{}, map[*job]bool{}, map[uint64]*transaction{}, map[int]*wave{}
 }
 
-func (c *commits) waiting() bool { return len(c.accepts)+len(c.dirty)+len(c.dirtyWaves) > 0 }
+func (c *commits) waiting() bool {
+	return len(c.accepts)+len(c.dirty)+len(c.dirtyWaves) > 0 || c.orders.waiting()
+}
 
 func (c *commits) addAccept(j *job) { c.accepts = append(c.accepts, j) }
 
@@ -105,6 +110,9 @@
 	f := &transaction{}
 	var rows []Row
 	room := maxTxnEntries
+	if m.addOrdersRow(f, &rows) {
+		room--
+	}
 	if m.addWaveRow(f, &rows) {
 		room -= 2
 	}
@@ -208,6 +216,9 @@
 	if f.wave != nil {
 		m.commits.dirtyWaves[f.wave.Number] = f.wave
 	}
+	if f.ordersVersion != 0 {
+		m.commits.orders.sending = 0
+	}
 }
 
 func (m *Model) applyWritten(f *transaction, rev int64) {
@@ -229,6 +240,10 @@
 	if f.wave != nil {
 		f.wave.rev, f.wave.storedVersion = rev, max(f.wave.storedVersion, f.waveVersion)
 	}
+	if f.ordersVersion != 0 {
+		m.commits.orders.sending, m.commits.orders.stored = 0, f.ordersVersion
+		m.sendStoredOrders()
+	}
 	for _, w := range m.workers {
 		if len(w.unsavedEnds) > 0 {
 			w.nextPollAt = 0
@@ -374,6 +389,7 @@
 		n++
 	}
 	m.loadWaves(g.Waves)
+	m.loadOrders(g.Orders, g.FormerFence)
 	m.loaded = true
 	m.log("records loaded", "", "open", n, "ended", len(m.jobs)-n, "blindMs", g.BlindMs)
 	l := m.deferred
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -140,16 +140,20 @@
 	ordersKnownSince int64            // all orders to machines since this time are known.
 	lastOrderAt      map[string]int64 // when this owner last ordered each machine.
 	formerOrderAt    map[string]int64 // when former owners last ordered each machine, as far as known.
-	machines         map[string]*machine
-	list             []*machine // by name
-	meanCPU          float64    // mean CPU of a machine, in thousandths of a core.
-	waves            map[int]*wave
-	listAskedAt      int64 // when the pending list request was sent; 0 if none is pending.
-	listReadAt       int64 // when the list was last received.
-	listSentAt       int64 // when the request for the last received list was sent.
-	pace             orderPace
-	moved            map[route][]string // machines that the present plan moves.
-	poolsLoggedAt    int64
+
+	loadedOrders      map[string]bool // machines that the former owner stored as ordered.
+	loadedOrdersUntil int64           // until when it may have ordered them.
+
+	machines      map[string]*machine
+	list          []*machine // by name
+	meanCPU       float64    // mean CPU of a machine, in thousandths of a core.
+	waves         map[int]*wave
+	listAskedAt   int64 // when the pending list request was sent; 0 if none is pending.
+	listReadAt    int64 // when the list was last received.
+	listSentAt    int64 // when the request for the last received list was sent.
+	pace          orderPace
+	moved         map[route][]string // machines that the present plan moves.
+	poolsLoggedAt int64
 }
 
 // machine is one machine and the pending order to it.
@@ -161,6 +165,7 @@
 	orderedAt      int64  // when the last order was sent; 0 if there is none.
 	ackedAt        int64  // when the order was acknowledged; 0 before.
 	oldWorkerID    string
+	unsentVersion  int  // version of the stored orders with which the planned order is sent; 0 if none is planned.
 	maybeRepeated  bool // an earlier order may have been carried out already, so the acknowledgement does not tell when.
 }
 
@@ -244,6 +249,7 @@
 		return
 	}
 	m.countMachines()
+	m.markOrdersComplete()
 	for _, n := range m.waveNumbers() {
 		m.advanceWave(d.waves[n])
 	}
@@ -257,7 +263,7 @@
 // its last possible order, or its worker is older than that. An order would have ended the worker.
 func (m *Model) mayOrderTo(k *machine) bool {
 	last := m.fleet.ordersKnownSince
-	if orderedAt, ok := m.fleet.formerOrderAt[k.Name]; ok {
+	if orderedAt, ok := m.fleet.formerOrderOf(k.Name); ok {
 		last = max(last, orderedAt)
 	}
 	if m.now >= last+m.cfg.OrderGapMs {
@@ -271,6 +277,7 @@
 func (m *Model) takeFormerOrders(g OrdersMsg) {
 	d := &m.fleet
 	d.noOrdersBefore, d.ordersKnownSince = min(d.noOrdersBefore, m.now), min(d.ordersKnownSince, m.now-g.SpanMs)
+	d.loadedOrders = nil // the times are known now.
 	for n, a := range g.AgeMs {
 		if orderedAt, ok := d.formerOrderAt[n]; !ok || orderedAt < m.now-a {
 			d.formerOrderAt[n] = m.now - a
@@ -285,6 +292,11 @@
 // Orders returns the recent orders to machines. A successor must wait before it orders these machines.
 func (m *Model) Orders(now int64) Orders {
 	o := Orders{AgeMs: map[string]int64{}, SpanMs: max(now-m.fleet.ordersKnownSince, 0)}
+	for n := range m.fleet.loadedOrders {
+		if a := now - m.fleet.loadedOrdersUntil; a < m.cfg.OrderGapMs {
+			o.AgeMs[n] = max(a, 0)
+		}
+	}
 	for _, l := range []map[string]int64{m.fleet.formerOrderAt, m.fleet.lastOrderAt} {
 		for n, orderedAt := range l {
 			if now-orderedAt < m.cfg.OrderGapMs {
@@ -355,7 +367,7 @@
 		w.cordoned = false
 		m.pool(w.Service).dirty = true
 	}
-	k.wave, k.targetPool, k.orderedAt, k.ackedAt, k.oldWorkerID, k.maybeRepeated = nil, "", 0, 0, "", false
+	k.wave, k.targetPool, k.orderedAt, k.ackedAt, k.oldWorkerID, k.maybeRepeated, k.unsentVersion = nil, "", 0, 0, "", false, 0
 }
 
 // workerOf returns the machine's worker, or nil if it is not known.
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -195,10 +195,9 @@
 	r := route{from: k.Pool, to: pool}
 	m.fleet.moved[r] = append(m.fleet.moved[r], k.Name)
 	k.targetPool, k.oldWorkerID, k.ackedAt = pool, k.Worker, 0
-	m.recordOrder(k)
+	m.sendOrder(k)
 	p.counts.arriving++
 	m.pool(k.Pool).counts.serving--
-	m.emit(MoveCmd{Machine: k.Name, Pool: pool, Fence: m.cfg.Fence})
 }
 
 // route is the direction of a move.
@@ -232,7 +231,7 @@
 	m.fleet.poolsLoggedAt = m.now
 	for _, n := range sortedKeys(m.pools) {
 		p := m.pools[n]
-		if c := p.counts; p.demand.wantedMachines > c.serving {
+		if c := p.counts; !m.services[n].Standby && p.demand.wantedMachines > c.serving {
 			m.log("pool lacks machines", "", "pool", n, "want", p.demand.wantedMachines, "has", c.serving, "arriving", c.arriving, "upkeep", c.upkeep,
 				"spareElsewhere", m.spareMachines(n), "waitingCoreMs", int64(p.demand.waitingWork)/1000, "rateCores", int64(p.demand.rate)/1000,
 				"backlogCoreMs", int64(p.backlog)/1000)
@@ -282,10 +281,13 @@
 	for _, k := range m.fleet.list {
 		switch {
 		case k.targetPool == "":
+		case k.unsentVersion != 0:
+			if m.now-k.orderedAt > orderTimeoutMs {
+				m.releaseMachine(k) // the store does not take it; it was not sent.
+			}
 		case k.ackedAt == 0 && m.now-k.orderedAt > orderTimeoutMs && m.mayOrderTo(k) && m.takeOrder():
 			k.maybeRepeated = true
-			m.recordOrder(k)
-			m.emit(MoveCmd{Machine: k.Name, Pool: k.targetPool, Fence: m.cfg.Fence})
+			m.sendOrder(k)
 		case k.ackedAt != 0 && m.now-k.ackedAt > arrivalTimeoutMs && k.State == MachineUp && m.fleet.listSentAt > k.ackedAt:
 			m.releaseMachine(k)
 		}
--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -38,6 +38,9 @@
 	Runs    []StoredRun
 	Waves   []StoredWave
 	BlindMs int64 // how long a former owner's commands may still be carried out at unreachable workers.
+
+	Orders      StoredOrders // the last that were stored.
+	FormerFence int64        // fence of the former term; 0 if it is not known.
 }
 
 // BlindMsg shortens the time in which a former owner's commands may still be carried out.
--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -198,7 +198,7 @@
 		}
 		return
 	}
-	if k.orderedAt != 0 && m.now-k.orderedAt < upkeepRetryMs {
+	if k.unsentVersion != 0 || k.orderedAt != 0 && m.now-k.orderedAt < upkeepRetryMs {
 		return
 	}
 	if k.orderedAt == 0 && !m.evacuate(k) || !m.mayOrderTo(k) {
@@ -214,8 +214,7 @@
 	if !m.takeOrder() {
 		return
 	}
-	m.recordOrder(k)
-	m.emit(UpkeepCmd{Machine: k.Name, Wave: w.Number, Fence: m.cfg.Fence})
+	m.sendOrder(k)
 }
 
 // evacuate moves lasting tasks off the machine, and reports whether nothing runs there any more.
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -270,7 +270,7 @@
 			m, err = t.o.readRecords(ctx)
 		}
 		if err == nil {
-			m.BlindMs = former.orderLifetime().Milliseconds()
+			m.BlindMs, m.FormerFence = former.orderLifetime().Milliseconds(), former.Fence
 			t.send(ctx, m)
 			return t.probeFormer(ctx, former)
 		}
@@ -329,6 +329,15 @@
 		}
 		m.Waves = append(m.Waves, s)
 	}
+	orders, err := o.store.Get(ctx, batch.OrdersKey)
+	if err != nil {
+		return m, err
+	}
+	if orders.Found() {
+		if err := json.Unmarshal(orders.Value(), &m.Orders); err != nil {
+			o.log.Error().Str("key", batch.OrdersKey).Err(err).Msg("record cannot be read")
+		}
+	}
 	return m, nil
 }
 
