--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -43,7 +43,9 @@
 var soakRegressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{14, "a poll passed the number of a former lifetime's end to a restarted worker, and the stand-in store answered 503 to writes that it had applied"},
+}
 
 const (
 	soakHost = "jobs.example"
