Let started jobs keep their place in overload

In order of due time, jobs start when their slack is used up, and are put behind all others once their mean run time no longer fits: what they had used was lost for those that came after.

Change: a job that has not started counts as late once its slowest tasks, 1.2 times the mean, cannot end in time; one that has started keeps its place until it is due.

Also taken out: the rate's trend.

--- a/fleet/batch/demand.go
+++ b/fleet/batch/demand.go
@@ -6,20 +6,14 @@
 const (
 	// rateTimeConstantMs is the time constant of the average rate, in milliseconds: short compared with a load peak of
 	// some seconds, long compared with single jobs.
-	rateTimeConstantMs     = 700.0
-	slowRateTimeConstantMs = 2_100.0
-	moveTimeMs             = 2_000.0 // from the order to move a machine until its worker takes tasks.
-	trendDeviations        = 1.0     // a smaller rise of the rate, in standard deviations, is not a trend.
-	maxGrowth              = 3.0     // largest forecast, as a multiple of the present rate.
-	maxCountedJobs         = 20_000  // when demandCounted has this many jobs, it is cleared.
+	rateTimeConstantMs = 700.0
+	maxCountedJobs     = 20_000 // when demandCounted has this many jobs, it is cleared.
 )
 
 // demand is the recent demand of a pool. Its times are those of the steady clock, in milliseconds.
 type demand struct {
 	rate               float64 // submitted work per time, averaged, in thousandths of a core.
-	slowRate           float64 // the same over a longer time, from which the trend is seen.
-	variance           float64 // of rate, as jobs come at random times.
-	rateAt             int64   // time up to which the averages have decayed.
+	rateAt             int64   // time up to which rate has decayed.
 	lastWaitingAt      int64   // when a task was last found to wait for room.
 	waitingWork        float64 // work that waits for room, in thousandths of a core times milliseconds.
 	wantedMachines     int     // number of machines that the pool should have.
@@ -30,32 +24,11 @@
 // decay lets the rate decay exponentially over the time since rateAt.
 func (d *demand) decay(now int64) {
 	if now > d.rateAt {
-		passed := float64(now - d.rateAt)
-		d.rate *= math.Exp(-passed / rateTimeConstantMs)
-		d.slowRate *= math.Exp(-passed / slowRateTimeConstantMs)
-		d.variance *= math.Exp(-2 * passed / rateTimeConstantMs)
+		d.rate *= math.Exp(-float64(now-d.rateAt) / rateTimeConstantMs)
 		d.rateAt = now
 	}
 }
 
-// add adds submitted work, in thousandths of a core times milliseconds.
-func (d *demand) add(work float64) {
-	d.rate += work / rateTimeConstantMs
-	d.slowRate += work / slowRateTimeConstantMs
-	d.variance += work / rateTimeConstantMs * work / rateTimeConstantMs
-}
-
-// forecast returns the rate that is expected when machines that are ordered now have arrived. A rising rate is
-// extrapolated as far as the rise is larger than the deviation of the average; a falling one is not.
-func (d *demand) forecast() float64 {
-	rise := d.rate - d.slowRate - trendDeviations*math.Sqrt(d.variance)
-	if rise <= 0 {
-		return d.rate
-	}
-	slope := rise / (slowRateTimeConstantMs - rateTimeConstantMs)
-	return min(d.rate+slope*(rateTimeConstantMs+moveTimeMs), maxGrowth*d.rate)
-}
-
 // addDemand adds the work of a submitted job to its pool's demand. It adds a job only once, however often the job is
 // submitted; after demandCounted is cleared, a job can be added again. Jobs with rounds or lasting steps are not added.
 func (m *Model) addDemand(j *job) {
@@ -72,7 +45,7 @@
 	}
 	d := &m.pool(j.Service).demand
 	d.decay(m.now)
-	d.add(work)
+	d.rate += work / rateTimeConstantMs
 }
 
 // measureWaiting brings the demand of each pool up to now, and measures the work that waits for room there. Lasting steps
--- a/fleet/batch/load_test.go
+++ b/fleet/batch/load_test.go
@@ -33,12 +33,11 @@
 
 // jobKind gives the means of a kind of job.
 type jobKind struct {
-	steps      float64
-	runMs      float64
-	cpu        float64
-	maxCPU     float64
-	memMB      float64
-	taskSpread float64
+	steps       float64
+	runMs       float64 // of one task.
+	cpu, maxCPU float64 // of one task, in thousandths of a core.
+	memMB       float64 // of one task.
+	taskSpread  float64 // of the run times within a job.
 }
 
 // Kinds of jobs: short checks, and larger builds.
@@ -58,16 +57,18 @@
 
 // Parameters of the jobs. Spreads are standard deviations of the logarithm.
 const (
-	machineCPU       = 32_000
+	machineCPU       = 32_000 // thousandths of a core
 	machineMemMB     = 64_000
 	runSpread        = 0.5
 	estimateSpread   = 0.9
 	meanTasks        = 8.0
+	maxTasks         = 32
+	sizeSpread       = 0.6 // of the number of tasks and of their memory.
 	cpuSpread        = 0.45
 	objectiveFactor  = 1.6
 	objectiveExtraMs = 600
-	lateValue        = 0.07
-	lateLimit        = 3 // times the objective.
+	lateLimit        = 3 // multiple of the objective after which a job is of no use.
+	ordersPerSec     = 500
 )
 
 // lognormal draws from a lognormal distribution with the given mean.
@@ -79,10 +80,10 @@
 type callerJob struct {
 	batch.Job
 	runMs     [][]int64 // by step and task.
-	work      float64   // cores times milliseconds.
-	objective int64
+	work      float64   // thousandths of a core times milliseconds.
+	objective int64     // ms
 	sentAt    int64
-	endedAt   int64
+	endedAt   int64 // 0 before.
 }
 
 func newCallerJob(r *rand.Rand, k jobKind, n int, pool string) *callerJob {
@@ -97,8 +98,8 @@
 	}
 	for i := range steps {
 		s := batch.Step{
-			Count:      min(max(int(lognormal(r, meanTasks, 0.6)), 1), 32),
-			Size:       batch.Size{CPU: int64(min(lognormal(r, k.cpu, cpuSpread), k.maxCPU)), MemMB: int64(min(lognormal(r, k.memMB, 0.6), 3*k.memMB))},
+			Count:      min(max(int(lognormal(r, meanTasks, sizeSpread)), 1), maxTasks),
+			Size:       batch.Size{CPU: int64(min(lognormal(r, k.cpu, cpuSpread), k.maxCPU)), MemMB: int64(min(lognormal(r, k.memMB, sizeSpread), 3*k.memMB))},
 			EstimateMs: int64(max(scale*math.Exp(estimateSpread*r.NormFloat64()), 1)),
 		}
 		if i > 0 {
@@ -120,7 +121,7 @@
 // lastingJob returns a job of four lasting tasks on different workers.
 func lastingJob(r *rand.Rand, n int, pool string) batch.Job {
 	return batch.Job{ID: jobID(n), Queue: "l-" + pool, Service: pool, ObjectiveFactor: 2.2, ObjectiveExtraMs: 2_500, Steps: []batch.Step{{
-		Count: 4, Size: batch.Size{CPU: 4_800, MemMB: int64(min(lognormal(r, 22_000, 0.6), 60_000))}, EstimateMs: 500,
+		Count: 4, Size: batch.Size{CPU: 4_800, MemMB: int64(min(lognormal(r, 22_000, sizeSpread), 60_000))}, EstimateMs: 500,
 		Lasting: true, PerWorker: 1, MayMiss: 1,
 	}}}
 }
@@ -129,11 +130,10 @@
 func (o callerLoad) play(t testing.TB) callerResult {
 	t.Helper()
 	w := newSimulation(t, o.seed, 0, faults{})
-	w.ordersPerSec = 500
+	w.ordersPerSec = ordersPerSec
+	w.fleet.services = nil
 	if !o.noStandby {
-		w.fleet.services = []batch.Service{{Name: "parked", Standby: true}}
-	} else {
-		w.fleet.services = nil
+		w.fleet.services = append(w.fleet.services, batch.Service{Name: "parked", Standby: true})
 	}
 	for _, p := range slices.Sorted(maps.Keys(o.queues)) {
 		w.fleet.services = append(w.fleet.services, batch.Service{Name: p, Guards: true})
@@ -284,6 +284,22 @@
 	is.New(t).True(with.inTime >= without.inTime-0.05)
 }
 
+// In overload, a pool serves at least two thirds of what its room allows in time. The room lasts from the rise of the
+// load until the callers' patience after it ends, at 1.5 s for a mean job.
+func TestOverload(t *testing.T) {
+	for _, f := range []float64{1.3, 1.7, 2.5} {
+		t.Run(fmt.Sprintf("%.1f times the room", f), func(t *testing.T) {
+			o := peakOfOnePool(f)
+			o.noStandby = true
+			x := o.mean(t, 4)
+			room := float64(o.to-o.from)/1000 + 1.5
+			submitted := (0.2 + f) + 4*f + 2*0.2 // the rise, the peak and the load after it, in seconds of the pool.
+			t.Log(x)
+			is.New(t).True(x.inTime >= 2.0/3*min(room/submitted, 1))
+		})
+	}
+}
+
 // The pools together have room for peaks that come one after the other, although each peak exceeds its own pool.
 func TestTurns(t *testing.T) {
 	q := map[string]queueLoad{}
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -41,7 +41,7 @@
 func (m *Model) setWantedMachines() {
 	room := max(m.fleet.meanCPU, 1)
 	for _, p := range m.pools {
-		need := p.demand.forecast()*demandHeadroom + p.backlog/backlogDrainMs
+		need := p.demand.rate*demandHeadroom + p.backlog/backlogDrainMs
 		p.demand.wantedMachines = max(int(math.Ceil((need+m.lastingCPU(p))/room)), minWorkers)
 		if len(p.workers) == 0 && len(p.openJobs) == 0 && p.demand.rate < 1 {
 			p.demand.wantedMachines = 0
@@ -282,8 +282,8 @@
 		switch {
 		case k.targetPool == "":
 		case k.unsentVersion != 0:
-			if m.now-k.orderedAt > orderTimeoutMs {
-				m.releaseMachine(k) // the store does not take it; it was not sent.
+			if m.now-k.orderedAt > orderTimeoutMs && !k.maybeRepeated {
+				m.releaseMachine(k) // the store does not take it, and it was never sent.
 			}
 		case k.ackedAt == 0 && m.now-k.orderedAt > orderTimeoutMs && m.mayOrderTo(k) && m.takeOrder():
 			k.maybeRepeated = true
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -14,6 +14,7 @@
 	maxUnansweredStarts = 24    // most unanswered starts at one worker.
 	minStuckMs          = 1_500 // ms; a task without progress for this long, and for stuckFactor times its run time, is restarted elsewhere.
 	stuckFactor         = 2.5
+	slowestTaskFactor   = 1.2 // a step ends with its slowest task, which takes about this multiple of the expected run time.
 )
 
 // placeAll places the waiting tasks of every pool that has changed.
@@ -93,7 +94,8 @@
 }
 
 // rank is the position of a stage in service order: lasting tasks first, then what can still be on time, by priority
-// and due time, then what is late. Lasting tasks that fill come last.
+// and due time, then what is late. Lasting tasks that fill come last. In overload, a job that has not started is late
+// once it cannot end in time; one that has started keeps its place until it is due.
 type rank struct {
 	class int
 	late  bool
@@ -102,7 +104,11 @@
 
 func (m *Model) rankOf(s *stage) rank {
 	r := rank{class: priorityClass(s), due: m.dueTime(s)}
-	r.late = !s.Lasting && m.now+int64(s.chainMs) > r.due
+	left := int64(slowestTaskFactor * s.chainMs)
+	if s.job.started {
+		left = 0 // what it has used would be lost for the jobs that come after it.
+	}
+	r.late = !s.Lasting && m.now+left > r.due
 	return r
 }
 
