--- a/node/site/settings.go
+++ b/node/site/settings.go
@@ -27,6 +27,7 @@
 	Cores         float64 `json:"cores"`               // processor cores that the entry may use; entries with more cores are preferred as owner.
 	MemoryMB      float64 `json:"memoryMb"`            // memory that the process may use, MB.
 	OrdersPerSec  float64 `json:"machineOrdersPerSec"` // orders to machines that the platform takes per second; 0 means the default.
+	LinkMbps      float64 `json:"linkMbps"`            // bandwidth of the network link, Mbit/s; 0 means that it is not known.
 	HelperWorkers int     `json:"helperWorkers"`       // workers per helper, an entry that makes calls for the owner; 0 means the default.
 	LogLevel      string  `json:"logLevel"`
 }
@@ -34,6 +35,18 @@
 // defaultHelperWorkers is about the largest number of workers that an entry of 0.4 cores can call in a busy round.
 const defaultHelperWorkers = 60
 
+// workersPerMbps is the number of workers that a helper can call for each Mbit/s of its link. A busy worker takes about
+// 0.16 Mbit/s: some starts, each with the job's specification, and the answers to its polls.
+const workersPerMbps = 6
+
+// defaultHelpers returns the number of workers per helper for an entry with the given link. Helpers are as large as the owner.
+func defaultHelpers(linkMbps float64) int {
+	if linkMbps <= 0 {
+		return defaultHelperWorkers
+	}
+	return min(max(int(workersPerMbps*linkMbps), 1), defaultHelperWorkers)
+}
+
 // maxFileBytes is the largest size of a settings file.
 const maxFileBytes = 64 << 10
 
@@ -58,7 +71,7 @@
 		return Settings{}, eris.Wrap(err, "site: settings")
 	}
 	if s.HelperWorkers == 0 {
-		s.HelperWorkers = defaultHelperWorkers
+		s.HelperWorkers = defaultHelpers(s.LinkMbps)
 	}
 	return s, s.check()
 }
@@ -84,8 +97,13 @@
 			return eris.Errorf("site: field %q is %s, want over 0", f.name, fmt.Sprint(f.value))
 		}
 	}
-	if s.OrdersPerSec < 0 {
-		return eris.Errorf("site: field %q is %s, want 0 or more", "machineOrdersPerSec", fmt.Sprint(s.OrdersPerSec))
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{{"machineOrdersPerSec", s.OrdersPerSec}, {"linkMbps", s.LinkMbps}} {
+		if f.value < 0 {
+			return eris.Errorf("site: field %q is %s, want 0 or more", f.name, fmt.Sprint(f.value))
+		}
 	}
 	return nil
 }
--- a/node/site/settings_test.go
+++ b/node/site/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -38,7 +39,7 @@
 		field string
 		value any
 	}{
-		{"name", ""}, {"storeAddr", ""}, {"leaseMaxMs", 0}, {"graceSecs", -1}, {"cores", 0}, {"statusSecs", "x"}, {"unknown", 1}, {"helperWorkers", -3}, {"machineOrdersPerSec", -1},
+		{"name", ""}, {"storeAddr", ""}, {"leaseMaxMs", 0}, {"graceSecs", -1}, {"cores", 0}, {"statusSecs", "x"}, {"unknown", 1}, {"helperWorkers", -3}, {"machineOrdersPerSec", -1}, {"linkMbps", -2},
 	} {
 		t.Run(c.field, func(t *testing.T) {
 			is := is.New(t)
@@ -49,6 +50,22 @@
 	}
 }
 
+// An entry with a narrow link needs more helpers than one with a wide link: through a link of 2 Mbit/s, the starts of a few
+// hundred tasks take seconds, in which the leases of workers lapse.
+func TestHelpersByLink(t *testing.T) {
+	for _, c := range []struct {
+		mbps, helperWorkers any
+		want                int
+	}{{2, 0, 12}, {0.1, 0, 1}, {20, 0, 60}, {1000, 0, 60}, {0, 0, 60}, {2, 30, 30}} {
+		t.Run(fmt.Sprint(c.mbps, " Mbit/s, set ", c.helperWorkers), func(t *testing.T) {
+			is := is.New(t)
+			s, err := parse(t, func(m map[string]any) { m["linkMbps"], m["helperWorkers"] = c.mbps, c.helperWorkers })
+			is.NoErr(err)
+			is.Equal(s.HelperWorkers, c.want)
+		})
+	}
+}
+
 func TestLargerEntry(t *testing.T) {
 	is := is.New(t)
 	c := newClaims(Settings{Name: "weak", Cores: 0.2})
