--- a/node/owner/helper.go
+++ b/node/owner/helper.go
@@ -33,6 +33,8 @@
 	addr string
 
 	mu            sync.Mutex
+	session       *carrySession
+	sessions      int // number of sessions so far.
 	lastID        uint64
 	queue         []*desk.Order
 	inFlight      map[uint64]pendingOrder // orders without an answer, by id.
@@ -41,8 +43,26 @@
 	failedAt      time.Time
 }
 
-func newHelper(t *term, addr string) *helper {
-	return &helper{t: t, addr: addr, inFlight: map[uint64]pendingOrder{}, sendSignal: make(chan struct{}, 1), collectSignal: make(chan struct{}, 1)}
+func newHelper(ctx context.Context, t *term, addr string) *helper {
+	p := &helper{t: t, addr: addr, inFlight: map[uint64]pendingOrder{}, sendSignal: make(chan struct{}, 1), collectSignal: make(chan struct{}, 1)}
+	p.session = p.newSession(ctx)
+	return p
+}
+
+// carrySession is a session at the helper. A failed request ends it: at the helper, that request may still be waiting for answers, and
+// it takes those of its session only.
+type carrySession struct {
+	id     string
+	ctx    context.Context //nolint:containedctx // canceled when a request of the session fails
+	cancel context.CancelFunc
+}
+
+// newSession returns the next session of this term at the helper.
+func (p *helper) newSession(ctx context.Context) *carrySession {
+	p.sessions++
+	s := &carrySession{id: fmt.Sprintf("%s/%d/%d", p.t.o.holder, p.t.fence, p.sessions)}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	return s
 }
 
 // pendingOrder is a call that a helper has not answered yet.
@@ -86,7 +106,7 @@
 		}
 		p := h.byAddr[a]
 		if p == nil {
-			p = newHelper(t, a)
+			p = newHelper(ctx, t, a)
 			h.byAddr[a] = p
 			t.group.Go(func() error { return p.send(ctx) })
 			t.group.Go(func() error { return p.collect(ctx) })
@@ -156,9 +176,6 @@
 	panic(fmt.Sprintf("owner: %T cannot be sent through a helper", c)) // a bug in perform.
 }
 
-// sessionID identifies this term at the helper.
-func (p *helper) sessionID() string { return fmt.Sprintf("%s/%d", p.t.o.holder, p.t.fence) }
-
 // send sends queued calls to the helper until ctx ends.
 func (p *helper) send(ctx context.Context) error {
 	for {
@@ -172,11 +189,12 @@
 			n := min(len(p.queue), maxOrdersPerRequest)
 			l := p.queue[:n]
 			p.queue = p.queue[n:]
+			s := p.session
 			p.mu.Unlock()
 			if n == 0 {
 				break
 			}
-			p.exchange(ctx, &desk.CarryRequest{Session: p.sessionID(), Orders: l})
+			p.exchange(ctx, s, &desk.CarryRequest{Orders: l})
 		}
 	}
 }
@@ -185,7 +203,7 @@
 func (p *helper) collect(ctx context.Context) error {
 	for ctx.Err() == nil {
 		p.mu.Lock()
-		idle := len(p.inFlight) == 0
+		idle, s := len(p.inFlight) == 0, p.session
 		p.mu.Unlock()
 		if idle {
 			select {
@@ -194,19 +212,20 @@
 			}
 			continue
 		}
-		p.exchange(ctx, &desk.CarryRequest{Session: p.sessionID(), WaitMs: collectTimeout.Milliseconds()})
+		p.exchange(ctx, s, &desk.CarryRequest{WaitMs: collectTimeout.Milliseconds()})
 	}
 	return nil
 }
 
-// exchange makes one Carry request and passes the answers to the model. When the request fails, the outcome of all calls in flight
-// is unknown.
-func (p *helper) exchange(ctx context.Context, r *desk.CarryRequest) {
-	c, cancel := context.WithTimeout(ctx, carryTimeout)
+// exchange makes one Carry request of session s and passes the answers to the model. When the request fails, the outcome of all calls
+// in flight is unknown.
+func (p *helper) exchange(ctx context.Context, s *carrySession, r *desk.CarryRequest) {
+	c, cancel := context.WithTimeout(s.ctx, carryTimeout)
 	defer cancel()
+	r.Session = s.id
 	a, err := p.t.o.peers.At(p.addr).Carry(c, r)
 	if err != nil {
-		p.fail(ctx, err)
+		p.fail(ctx, s, err)
 		return
 	}
 	for _, x := range a.GetAnswers() {
@@ -220,9 +239,16 @@
 	}
 }
 
-// fail drops the calls in flight after a failed request, reports them to the model as unanswered, and chooses helpers again.
-func (p *helper) fail(ctx context.Context, err error) {
+// fail ends session s after a failed request, reports its calls in flight to the model as unanswered, and chooses helpers again.
+// It does nothing if another request has ended s already.
+func (p *helper) fail(ctx context.Context, s *carrySession, err error) {
 	p.mu.Lock()
+	if p.session != s {
+		p.mu.Unlock()
+		return
+	}
+	s.cancel()
+	p.session = p.newSession(ctx)
 	l := p.inFlight
 	p.inFlight, p.queue = map[uint64]pendingOrder{}, nil
 	p.failedAt = time.Now()
