Keep denials and tickets of advice across requests

Cause: an answer with tickets replaced all tickets and denials of the step, though a request names at most 100 workers. In a pool of more than 200 workers the first two hundreds were asked for in turn, and a worker behind them never: the step did not start (TestAdviceInLargePool, 0 of 4 tasks started before). A start that a restarted worker rejected for its ticket was repeated with the same ticket on each pass (TestRejectedTicketIsAskedAnew: 197 rejected starts in 2 s for one request for advice before, one each after). Ruled out: denials that change later (the protocol says that the workers that may run a step do not change). Change: answers change only the workers that were asked for; workers with a valid ticket are not asked for again; a full request may be followed by the next at once; NoTicket drops the ticket. Both tests failed before and pass after; fleet/batch passes (37 s).

--- a/fleet/batch/answers.go
+++ b/fleet/batch/answers.go
@@ -72,6 +72,8 @@
 		w.dead, w.listed = true, false
 	case NotSent:
 		m.markUnreachable(w)
+	case NoTicket: // the worker has restarted since the ticket was granted.
+		delete(t.stage.tickets, w.ID)
 	case Rejected:
 		t.notBefore = m.now + minQuarantineMs
 	}
--- a/fleet/batch/job_kinds_test.go
+++ b/fleet/batch/job_kinds_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -109,6 +110,88 @@
 	}
 }
 
+// In a pool with more workers than one request may name, the worker that may run the step is found, and no worker is asked for again
+// while its ticket is valid or after it was denied.
+func TestAdviceInLargePool(t *testing.T) {
+	is := is.New(t)
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
+	m.Update(1000, batch.ClaimMsg{Fresh: true, RenewedAt: 1000})
+	const workers, granted = 250, "w231"
+	var l []batch.WorkerEntry
+	for i := range workers {
+		n := fmt.Sprintf("w%03d", i)
+		l = append(l, batch.WorkerEntry{ID: n, Service: "s", Addr: n, Room: batch.Size{CPU: 8000, MemMB: 8000}, ClockMs: 5})
+	}
+	m.Update(1000, batch.WorkersMsg{All: true, Set: l})
+	m.Update(1000, batch.LoadedMsg{})
+	j := plainJob(1)
+	j.Advised = true
+	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+	asked := map[string]int{}
+	var started []string
+	for now := int64(1000); now < 3000; now += 10 {
+		for _, c := range m.Commands(now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+			case batch.PollCmd:
+				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 1})
+			case batch.AdviseCmd:
+				g := batch.AdvisedMsg{Task: k.Task, Sent: now, ValidMs: 10_000, Tickets: map[string]string{}}
+				for _, w := range k.Workers {
+					asked[w]++
+					if w == granted {
+						g.Tickets[w] = "t-1"
+					}
+				}
+				m.Update(now, g)
+			case batch.StartCmd:
+				started = append(started, k.Worker)
+			}
+		}
+	}
+	is.Equal(len(started), 4)
+	for _, w := range started {
+		is.Equal(w, granted)
+	}
+	for _, n := range asked {
+		is.Equal(n, 1)
+	}
+}
+
+// A worker that rejects a ticket gets no other start of the step before a new ticket is granted.
+func TestRejectedTicketIsAskedAnew(t *testing.T) {
+	is := is.New(t)
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
+	m.Update(1000, batch.ClaimMsg{Fresh: true, RenewedAt: 1000})
+	m.Update(1000, batch.WorkersMsg{All: true, Set: []batch.WorkerEntry{
+		{ID: "w1", Service: "s", Addr: "w1", Room: batch.Size{CPU: 1000, MemMB: 8000}, ClockMs: 5},
+	}})
+	m.Update(1000, batch.LoadedMsg{})
+	j := plainJob(1)
+	j.Advised, j.Steps = true, []batch.Step{{Count: 1, Size: batch.Size{CPU: 1000, MemMB: 10}, EstimateMs: 500}}
+	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+	asked, rejected := 0, 0
+	for now := int64(1000); now < 3000; now += 10 {
+		for _, c := range m.Commands(now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+			case batch.PollCmd:
+				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 1})
+			case batch.AdviseCmd:
+				asked++
+				m.Update(now, batch.AdvisedMsg{Task: k.Task, Sent: now, ValidMs: 10_000, Tickets: map[string]string{"w1": "t-1"}})
+			case batch.StartCmd:
+				rejected++
+				m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Sent: now, Result: batch.NoTicket})
+			}
+		}
+	}
+	is.True(rejected > 1)
+	is.Equal(asked, rejected)
+}
+
 // Filling tasks are slowed down while a lasting task beside them misses its latency target, and sped up again
 // afterwards.
 func TestPace(t *testing.T) {
--- a/fleet/batch/ticket.go
+++ b/fleet/batch/ticket.go
@@ -37,22 +37,27 @@
 	if !s.job.Advised {
 		return true
 	}
-	if t, ok := s.tickets[w.ID]; ok && t.validUntil > m.now+startExpiryMs/4 {
+	if m.isTicketValid(w, s) {
 		return true
 	}
 	m.requestAdvice(s)
 	return false
 }
 
+// isTicketValid reports whether the step's ticket for w is valid for long enough to start a task with it.
+func (m *Model) isTicketValid(w *worker, s *stage) bool {
+	return s.tickets[w.ID].validUntil > m.now+startExpiryMs/4
+}
+
 // requestAdvice requests tickets for the step, unless a request is pending or was answered less than refusalBackoffMs ago.
-// It does not ask for workers that the last answer denied.
+// It does not ask for workers that were denied or have a valid ticket.
 func (m *Model) requestAdvice(s *stage) {
 	if s.adviceInFlight || m.now < s.nextAdviceAt {
 		return
 	}
 	var l []string
 	for _, w := range m.pool(s.job.Service).workers {
-		if w.listed && !w.Draining && len(l) < maxAdviceWorkers && !s.denied[w.ID] {
+		if w.listed && !w.Draining && len(l) < maxAdviceWorkers && !s.denied[w.ID] && !m.isTicketValid(w, s) {
 			l = append(l, w.ID)
 		}
 	}
@@ -63,8 +68,9 @@
 	m.emit(AdviseCmd{Task: s.tasks[0].name(), Workers: l})
 }
 
-// adviceAnswered replaces the step's tickets with those of the answer. A worker that was asked for and got none must not
-// run the step, and is denied. The denials of earlier answers are dropped. A failed answer changes neither.
+// adviceAnswered takes the step's tickets from the answer. A worker that was asked for and got none must not run the step, and is
+// denied until an answer grants it a ticket. Workers that were not asked for keep their tickets and denials. A failed answer changes
+// neither.
 func (m *Model) adviceAnswered(g AdvisedMsg) {
 	t := m.task(g.Task)
 	if t == nil {
@@ -76,12 +82,22 @@
 	if g.Failed {
 		return
 	}
-	s.tickets, s.denied = map[string]ticket{}, map[string]bool{}
-	for w, x := range g.Tickets {
-		s.tickets[w] = ticket{text: x, validUntil: g.Sent + g.ValidMs}
+	if len(s.askedWorkers) == maxAdviceWorkers {
+		s.nextAdviceAt = m.now // there may be more workers to ask for.
+	}
+	if s.tickets == nil {
+		s.tickets, s.denied = map[string]ticket{}, map[string]bool{}
 	}
 	for _, w := range s.askedWorkers {
-		s.denied[w] = s.tickets[w].text == ""
+		delete(s.tickets, w)
+		s.denied[w] = true
+	}
+	for w, x := range g.Tickets {
+		if x == "" {
+			continue // not granted.
+		}
+		s.tickets[w] = ticket{text: x, validUntil: g.Sent + g.ValidMs}
+		delete(s.denied, w)
 	}
 }
 
