Apply the configured limits of requests

Cause: board.Limits was read and applied nowhere; a body over 1 MiB was refused though the configuration allowed it, and one over a lower limit was taken. Change: the server takes the body limit of the current configuration for each request; a header over its limit gets 431. Unreadable requests get an answer in the callers' format, with a log line. The two timeouts of the same section are no longer read: fasthttp has no timeouts that change while it runs, and the defaults (10 s, 30 s) stay.

--- a/node/board/board.go
+++ b/node/board/board.go
@@ -31,11 +31,8 @@
 // Advice holds the times, in ms, of the service that decides which workers may run a step.
 type Advice struct{ DecideMs, EachMs, ValidMs int64 }
 
-// Limits holds the limits of callers' requests and connections.
-type Limits struct {
-	HeaderBytes, BodyBytes int
-	HeaderMs, IdleMs       int64
-}
+// Limits holds the limits of callers' requests. A limit that is zero is not set.
+type Limits struct{ HeaderBytes, BodyBytes int }
 
 // Board holds the newest configuration and the operator's waves. It is safe for concurrent use.
 type Board struct {
--- a/node/front/front.go
+++ b/node/front/front.go
@@ -36,7 +36,7 @@
 	defaultRetryAfterMs = 1_000 // sent to callers while no owner answers; a change of owner takes about this time.
 )
 
-// maxBodyBytes is the largest request body.
+// maxBodyBytes is the largest request body while the configuration sets no limit.
 const maxBodyBytes = 1 << 20
 
 // Codec decodes the bodies of callers' requests and encodes those of the responses.
@@ -81,7 +81,8 @@
 func New(p Dependencies) *Front {
 	f := &Front{board: p.Board, claims: p.Claims, desk: p.Desk, store: p.Store, codec: p.Codec, log: p.Log, stats: p.Stats}
 	f.server = &fasthttp.Server{
-		Handler: f.handle, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxRequestBodySize: maxBodyBytes,
+		Handler: f.handle, ErrorHandler: f.handleUnreadable, HeaderReceived: f.requestConfig,
+		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, Logger: discardLogger{},
 	}
 	return f
@@ -136,6 +137,8 @@
 	q, rest, version, ok := f.board.Find(host, path)
 	var a answer
 	switch {
+	case f.headerTooLarge(&c.Request.Header):
+		a = f.refuse(fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large", 0)
 	case version == 0:
 		a = f.refuse(fasthttp.StatusServiceUnavailable, "no configuration yet", defaultRetryAfterMs)
 	case !ok:
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -98,7 +99,7 @@
 	r.t.Helper()
 	l := fasthttputil.NewInmemoryListener()
 	g := errgroup.Group{}
-	g.Go(func() error { return fasthttp.Serve(l, r.front.handle) })
+	g.Go(func() error { return r.front.server.Serve(l) })
 	defer func() { _ = g.Wait() }()
 	defer func() { _ = l.Close() }()
 	c := fasthttp.HostClient{Addr: "h.example", Dial: func(string) (net.Conn, error) { return l.Dial() }}
@@ -190,6 +191,26 @@
 	is.Equal(r.send("DELETE", "/a/"+id, "", 600).StatusCode(), 503) // the job is stored, so an owner that does not know it is a former one.
 }
 
+// The configured limits of requests count, also above the server's own.
+func TestLimits(t *testing.T) {
+	check := func(name string, l board.Limits, path string, bodyBytes, status int) {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t, &fakeDesk{answers: []func() (*desk.Reply, error){reply(batch.Accepted, 0)}}, true)
+			c, _ := r.board.Config()
+			c.Version, c.Limits = 2, l
+			r.board.PutConfig(c)
+			a := r.send(fasthttp.MethodPost, path, body+strings.Repeat(" ", bodyBytes-len(body)), 1000)
+			is.New(t).Equal(a.StatusCode(), status)
+		})
+	}
+	long := "/a/" + id + "?" + strings.Repeat("x", 600)
+	check("body without a limit", board.Limits{}, "/a/"+id, maxBodyBytes, fasthttp.StatusOK)
+	check("body under a larger limit", board.Limits{BodyBytes: 2 * maxBodyBytes}, "/a/"+id, maxBodyBytes+1, fasthttp.StatusOK)
+	check("body over the limit", board.Limits{BodyBytes: 100}, "/a/"+id, 101, fasthttp.StatusRequestEntityTooLarge)
+	check("header under the limit", board.Limits{HeaderBytes: 1000}, long, 60, fasthttp.StatusOK)
+	check("header over the limit", board.Limits{HeaderBytes: 500}, long, 60, fasthttp.StatusRequestHeaderFieldsTooLarge)
+}
+
 func TestOldConfigurationIsIgnored(t *testing.T) {
 	is := is.New(t)
 	b := board.New()
