Refuse long files of jobs, and encode a drain wait of 0

Cause: a file over 16 MiB was cut there, and text after the array was ignored, both in silence. setup.New could not express a drain wait of 0, because an omitted field means the default. Change: both files get an error that names the reason. drainWaitMs is always encoded; setup.New, which only a test used, is gone. Tests: two lines in TestJobCommands, TestNoDrainWait.

--- a/cmd/burdockreach/job.go
+++ b/cmd/burdockreach/job.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -77,10 +78,23 @@
 		defer func() { _ = f.Close() }()
 		r = f
 	}
+	b, err := io.ReadAll(io.LimitReader(r, maxJobsFileBytes+1))
+	if err != nil {
+		return nil, eris.Wrapf(err, "read jobs of %s", file)
+	}
+	if len(b) > maxJobsFileBytes {
+		return nil, eris.Errorf("read jobs of %s: the file is over %d bytes", file, maxJobsFileBytes)
+	}
 	var q []jobs.Spec
-	d := json.NewDecoder(io.LimitReader(r, maxJobsFileBytes))
+	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
-	return q, eris.Wrapf(d.Decode(&q), "read jobs of %s", file)
+	if err := d.Decode(&q); err != nil {
+		return nil, eris.Wrapf(err, "read jobs of %s", file)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, eris.Errorf("read jobs of %s: there is text after the array", file)
+	}
+	return q, nil
 }
 
 func (a *app) jobCancelCommand() *command {
--- a/cmd/burdockreach/job_test.go
+++ b/cmd/burdockreach/job_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -48,6 +49,8 @@
 	file := s.write("jobs.json", `[{"id":"night-3","dataCentre":"east","pool":"ledger","team":"back","kind":"nightly","cores":1,"memoryMB":9,"runMs":1,"finishBy":1}]`)
 	s.assertRun(0, "accepted", "job", "submit", "-file", file)
 	s.assertRun(0, "night-3", "job", "list", "-state", "waiting")
+	s.assertRun(1, "text after the array", "job", "submit", "-file", s.write("two.json", `[] []`))
+	s.assertRun(1, "the file is over 16777216 bytes", "job", "submit", "-file", s.write("long.json", "[]"+strings.Repeat(" ", maxJobsFileBytes)))
 	s.assertRun(0, "waiting", "job", "show", "night-1")
 	s.assertRun(1, "no such job", "job", "show", "night-9")
 	s.assertRun(0, "canceled", "job", "cancel", "-data-centre", "east", "night-1", "night-3")
--- a/node/setup/document.go
+++ b/node/setup/document.go
@@ -1,7 +1,8 @@
 package setup
 
 // Document is the JSON document in a settings file. Unknown fields are invalid.
-// The fields that are marked omitempty may be left out and then get their defaults.
+// The fields that are marked omitempty may be left out and then get their defaults. DrainWaitMs may be left out of a file too; it is
+// always encoded because 0, which means no wait, is not its default.
 type Document struct {
 	Name                 string   `json:"name"`
 	DataCentre           string   `json:"dataCentre"`
@@ -20,7 +21,7 @@
 	MaxQueueBytes        int64    `json:"maxQueueBytes,omitempty"`
 	DefaultDeadlineMs    int64    `json:"defaultDeadlineMs,omitempty"`
 	MaxDeadlineMs        int64    `json:"maxDeadlineMs,omitempty"`
-	DrainWaitMs          int64    `json:"drainWaitMs,omitempty"`
+	DrainWaitMs          int64    `json:"drainWaitMs"`
 	ConnectTimeoutMs     int64    `json:"connectTimeoutMs,omitempty"`
 	IdleConnMs           int64    `json:"idleConnMs,omitempty"`
 	PlatformTimeoutMs    int64    `json:"platformTimeoutMs,omitempty"`
--- a/node/setup/parse.go
+++ b/node/setup/parse.go
@@ -50,15 +50,6 @@
 	return Settings{d: d}, nil
 }
 
-// New validates d. A number that is zero gets its default. If d is invalid, the error is an *Error that lists every fault.
-func New(d Document) (Settings, error) {
-	b, err := json.Marshal(d)
-	if err != nil {
-		return Settings{}, eris.Wrap(err, "setup: encode settings")
-	}
-	return Parse(b)
-}
-
 // decode sets the fields of d from m and returns the faults of individual fields, including unknown ones.
 func decode(m map[string]json.RawMessage, d *Document) []Fault {
 	var fs []Fault
--- a/node/setup/setup_test.go
+++ b/node/setup/setup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -42,14 +43,28 @@
 
 func TestDefaults(t *testing.T) {
 	i := is.New(t)
-	s, err := setup.New(validDocument())
+	s, err := setup.Parse([]byte(`{"name":"entry-a-1","dataCentre":"a","dataCentres":["a","b"],"callerAddr":"127.0.0.1:7000",
+		"peerAddr":"127.0.0.1:7001","operatorAddr":"127.0.0.1:7002","platformAddr":"127.0.0.1:7100"}`))
 	i.NoErr(err)
+	i.Equal(s.DrainTimeout(), 30*time.Second)
 	i.Equal(s.HeartbeatInterval(), 500*time.Millisecond)
 	i.Equal(s.MaxBodyBytes(), 1<<20)
 	i.Equal(s.LogLevel(), "info")
 	i.Equal(len(s.PeerAddrs()), 0)
 }
 
+// A drain wait of 0 in a Document means no wait.
+func TestNoDrainWait(t *testing.T) {
+	i := is.New(t)
+	d := validDocument()
+	d.DrainWaitMs = 0
+	b, err := json.Marshal(d)
+	i.NoErr(err)
+	s, err := setup.Parse(b)
+	i.NoErr(err)
+	i.Equal(s.DrainTimeout(), time.Duration(0))
+}
+
 func TestFaults(t *testing.T) {
 	for name, c := range map[string]struct {
 		in    string
