Deliver a settlement again to a holder that has restarted

Cause: outbox kept the names of the entries that had confirmed a settlement. A holder that restarted before the other holder was reached has lost its records, but counted as told. Change: it keeps members, and compares incarnations. Test: TestRestartedHolderGetsSettlementAgain, failed before (no holder left to tell), passes after; node/relay passes.

--- a/node/relay/outbox.go
+++ b/node/relay/outbox.go
@@ -33,7 +33,7 @@
 	record          ledger.Record
 	holders         []ledger.Member // holders that were asked to grant the claim
 	mayHaveStoreKey bool            // whether the copy may have created the key in the platform's key-value service
-	confirmed       []string        // ids of entries that have the settlement
+	confirmed       []ledger.Member // members that have the settlement
 	needsRetry      bool            // whether this round missed a holder in the roster or the service, or found a newer roster
 	deadline        time.Time
 }
@@ -87,7 +87,7 @@
 		return
 	}
 	k.settleLocal(j.record)
-	j.confirmed = append(j.confirmed, k.self.Entry)
+	j.confirmed = append(j.confirmed, k.self)
 }
 
 // finish removes the settlement from the counts. If dropped is set, its delivery is given up: holders may lack it, or the service may
@@ -207,7 +207,7 @@
 	for _, j := range p.settlements {
 		r := o.k.Roster(j.home)
 		if p.err == nil {
-			j.confirmed = append(j.confirmed, p.to.Entry)
+			j.confirmed = append(j.confirmed, p.to)
 			j.needsRetry = j.needsRetry || p.rosterNumber > r.Number()
 		} else if m, in := r.Member(p.to.Entry); in && m.SameIncarnation(p.to) {
 			j.needsRetry = true
@@ -267,7 +267,7 @@
 			l = append(l, m)
 		}
 	}
-	return slices.DeleteFunc(l, func(m ledger.Member) bool { return slices.Contains(j.confirmed, m.Entry) })
+	return slices.DeleteFunc(l, func(m ledger.Member) bool { return slices.ContainsFunc(j.confirmed, m.SameIncarnation) })
 }
 
 func (j *settlement) request() *SettleRequest {
