Date the failure of a serving VM from when it was found

Cause: newFailure took the time of the member's last change of state, which for a serving member is when it began to serve. Change: the time at which the failure was found. Nothing decides by it; operators read it in the budget's document. Test: TestFailureBeginsWhenFound, failed before, passes after; fleet/wave passes.

--- a/fleet/wave/budget.go
+++ b/fleet/wave/budget.go
@@ -20,7 +20,7 @@
 	VM         string `json:"v"`
 	DataCentre string `json:"d"`
 	Rack       string `json:"r,omitempty"`
-	Since      int64  `json:"t"`           // time of the reservation, or of the VM's last change of state for a failure; Unix milliseconds.
+	Since      int64  `json:"t"`           // when the stop was reserved, the failure was found or the VM left the state serving; Unix milliseconds.
 	Wave       string `json:"w,omitempty"` // wave of a planned stop; empty for moves and failures.
 	Op         string `json:"o,omitempty"` // id of a planned stop; empty for a failure without one.
 	StopNumber int64  `json:"q,omitempty"` // number of the planned stop among those of the VM.
--- a/fleet/wave/planner_test.go
+++ b/fleet/wave/planner_test.go
@@ -280,6 +280,18 @@
 	is.New(t).Equal(w.violations, nil)
 }
 
+// The absence of a VM that fails while it serves begins when the failure is found.
+func TestFailureBeginsWhenFound(t *testing.T) {
+	w := newJoinedSimulation()
+	w.run(10, true)
+	v, crashed := w.vms[0], w.now
+	w.crash(v)
+	w.run(20, true)
+	a, ok := w.budgets["orders"].doc.Find(v.name)
+	is.New(t).True(ok)
+	is.New(t).True(a.Since >= crashed)
+}
+
 func TestDocumentsAreReadAgain(t *testing.T) {
 	w := newJoinedSimulation()
 	w.advanceClock(DefaultMaxAge/2 + 1)
--- a/fleet/wave/reserve.go
+++ b/fleet/wave/reserve.go
@@ -119,7 +119,11 @@
 
 // newFailure returns the absence of a VM that is out without a planned stop.
 func (p *Planner) newFailure(m pool.Member) Absence {
-	return Absence{VM: m.VM, DataCentre: p.dataCentre, Rack: m.Rack, Since: m.StateSince}
+	since := m.StateSince
+	if m.State == pool.Serving {
+		since = p.now // the failure has just been found.
+	}
+	return Absence{VM: m.VM, DataCentre: p.dataCentre, Rack: m.Rack, Since: since}
 }
 
 // reserveStops adds planned stops for the next VMs of the pool's queue while the budget of every service of the pool has room.
