Delete fields and messages without a reader

termRecord.rev, the first heartbeat of a peer, electionInterval, openShare, batch.ForgetMsg and batch.TickMsg. The duration of a request for advice is counted from its start, and burn.Late says what node/entry counts: answers after the deadline; requests without an answer are failed or refused.

--- a/bench/live/load.go
+++ b/bench/live/load.go
@@ -21,7 +21,6 @@
 	minLatency    = int64(time.Microsecond)
 	maxLatency    = int64(10 * time.Second)
 	latencyDigits = 3 // significant digits of a latency
-	openShare     = 0.5
 )
 
 // Kind is the kind of request that callers send.
--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -59,9 +59,6 @@
 	ID  string
 }
 
-// ForgetMsg says that nobody waits for the answer to Ref any more.
-type ForgetMsg struct{ Ref uint64 }
-
 // PolledMsg is the answer to a [PollCmd]. The worker read its clock between Sent and the arrival of the message.
 type PolledMsg struct {
 	Worker   string
@@ -183,16 +180,12 @@
 	RenewedAt int64 // when the last successful renewal was sent.
 }
 
-// TickMsg only lets time pass.
-type TickMsg struct{}
-
 func (ServicesMsg) msg()  {}
 func (WorkersMsg) msg()   {}
 func (LoadedMsg) msg()    {}
 func (BlindMsg) msg()     {}
 func (SubmitMsg) msg()    {}
 func (CancelMsg) msg()    {}
-func (ForgetMsg) msg()    {}
 func (PolledMsg) msg()    {}
 func (StartedMsg) msg()   {}
 func (StoppedMsg) msg()   {}
@@ -201,7 +194,6 @@
 func (WallClockMsg) msg() {}
 func (PacedMsg) msg()     {}
 func (ClaimLostMsg) msg() {}
-func (TickMsg) msg()      {}
 
 // Cmd is a command that the model wants carried out.
 type Cmd interface{ cmd() }
--- a/flow/ledger/member.go
+++ b/flow/ledger/member.go
@@ -35,19 +35,14 @@
 // ProposeCmd asks the runner to write a roster in place of the current one.
 type ProposeCmd struct{ Roster Roster }
 
-type peer struct {
-	lastBeat  HeartbeatMsg
-	firstBeat time.Time // first heartbeat of this incarnation
-}
-
 // Membership decides when to propose a new roster for a data centre. Every entry runs one.
 type Membership struct {
 	self              Member
 	dataCentre        string
 	roster            Roster
 	adoptedAt         time.Time
-	changeWantedSince time.Time // zero while no change is wanted or allowed
-	peers             map[string]peer
+	changeWantedSince time.Time               // zero while no change is wanted or allowed
+	beats             map[string]HeartbeatMsg // last heartbeats, by entry
 	goneEntries       []string
 	vmListReadAt      time.Time // when goneEntries was read
 	stopping          bool
@@ -55,21 +50,17 @@
 
 // NewMembership returns the Membership that the entry self runs.
 func NewMembership(self Member, dataCentre string) *Membership {
-	return &Membership{self: self, dataCentre: dataCentre, peers: map[string]peer{}}
+	return &Membership{self: self, dataCentre: dataCentre, beats: map[string]HeartbeatMsg{}}
 }
 
 // Heartbeat records a heartbeat. A heartbeat of a former incarnation is ignored.
 func (s *Membership) Heartbeat(m HeartbeatMsg) {
-	p, ok := s.peers[m.Member.Entry]
-	if ok && p.lastBeat.Member.Incarnation > m.Member.Incarnation {
+	b, ok := s.beats[m.Member.Entry]
+	if ok && b.Member.Incarnation > m.Member.Incarnation {
 		return
 	}
-	if !ok || !p.lastBeat.Member.SameIncarnation(m.Member) {
-		p.firstBeat = m.Now
-	}
-	p.lastBeat = m
-	s.peers[m.Member.Entry] = p
-	maps.DeleteFunc(s.peers, func(_ string, p peer) bool { return m.Now.Sub(p.lastBeat.Now) > RecordTTL })
+	s.beats[m.Member.Entry] = m
+	maps.DeleteFunc(s.beats, func(_ string, b HeartbeatMsg) bool { return m.Now.Sub(b.Now) > RecordTTL })
 }
 
 // UpdateVMList records which entries are permanently gone.
@@ -93,8 +84,8 @@
 	if now.Sub(s.vmListReadAt) <= vmListMaxAge && slices.Contains(s.goneEntries, entry) {
 		return true
 	}
-	for _, p := range s.peers {
-		if now.Sub(p.lastBeat.Now) < HeartbeatTimeout && slices.Contains(p.lastBeat.Gone, entry) {
+	for _, b := range s.beats {
+		if now.Sub(b.Now) < HeartbeatTimeout && slices.Contains(b.Gone, entry) {
 			return true
 		}
 	}
@@ -121,8 +112,8 @@
 
 func (s *Membership) timedOut(m Member, now time.Time) bool {
 	last := s.adoptedAt
-	if p, ok := s.peers[m.Entry]; ok && p.lastBeat.Now.After(last) {
-		last = p.lastBeat.Now
+	if b, ok := s.beats[m.Entry]; ok && b.Now.After(last) {
+		last = b.Now
 	}
 	return now.Sub(last) >= HeartbeatTimeout
 }
@@ -135,11 +126,11 @@
 	if m.Entry == s.self.Entry {
 		return s.self.Incarnation > m.Incarnation
 	}
-	p, ok := s.peers[m.Entry]
+	b, ok := s.beats[m.Entry]
 	switch {
-	case ok && p.lastBeat.Member.Incarnation > m.Incarnation:
+	case ok && b.Member.Incarnation > m.Incarnation:
 		return true
-	case ok && p.lastBeat.Member.SameIncarnation(m) && now.Sub(p.lastBeat.Now) < HeartbeatTimeout/2:
+	case ok && b.Member.SameIncarnation(m) && now.Sub(b.Now) < HeartbeatTimeout/2:
 		return false
 	default:
 		return s.isGone(m.Entry, now)
@@ -193,8 +184,8 @@
 	if m.Entry == s.self.Entry {
 		return s.stopping
 	}
-	p, ok := s.peers[m.Entry]
-	return ok && p.lastBeat.Member.SameIncarnation(m) && p.lastBeat.Leaving
+	b, ok := s.beats[m.Entry]
+	return ok && b.Member.SameIncarnation(m) && b.Leaving
 }
 
 // isCutOff reports whether m has timed out at this entry and at a majority of the members that it hears, itself included.
@@ -204,12 +195,12 @@
 	}
 	votes, voters := 1, 1
 	for _, o := range s.roster.members {
-		p, ok := s.peers[o.Entry]
+		b, ok := s.beats[o.Entry]
 		if o.Entry == s.self.Entry || o.Entry == m.Entry || !ok || s.timedOut(o, now) {
 			continue
 		}
 		voters++
-		if slices.Contains(p.lastBeat.Unheard, m.Entry) {
+		if slices.Contains(b.Unheard, m.Entry) {
 			votes++
 		}
 	}
@@ -221,8 +212,7 @@
 	if !s.stopping && !containsMember(s.roster.members, s.self) {
 		j = append(j, s.self)
 	}
-	for _, p := range s.peers {
-		b := p.lastBeat
+	for _, b := range s.beats {
 		fresh := now.Sub(b.Now) < HeartbeatTimeout/2 && !b.Leaving
 		if fresh && b.Member.Entry != s.self.Entry && !containsMember(s.roster.members, b.Member) {
 			j = append(j, b.Member)
@@ -244,7 +234,7 @@
 			continue
 		}
 		stay++
-		if p := s.peers[m.Entry]; !p.lastBeat.Member.SameIncarnation(m) || p.lastBeat.ActiveRoster != s.roster.number {
+		if b := s.beats[m.Entry]; !b.Member.SameIncarnation(m) || b.ActiveRoster != s.roster.number {
 			return false
 		}
 	}
@@ -257,7 +247,7 @@
 // ActiveEverywhere reports whether the current roster is active at all of its members. An entry that has left the roster may then exit.
 func (s *Membership) ActiveEverywhere() bool {
 	for _, m := range s.roster.members {
-		if p := s.peers[m.Entry]; !p.lastBeat.Member.SameIncarnation(m) || p.lastBeat.ActiveRoster != s.roster.number {
+		if b := s.beats[m.Entry]; !b.Member.SameIncarnation(m) || b.ActiveRoster != s.roster.number {
 			return false
 		}
 	}
--- a/node/burn/msg.go
+++ b/node/burn/msg.go
@@ -8,7 +8,7 @@
 const (
 	// Good is a complete answer by the deadline.
 	Good Outcome = iota
-	// Late is a complete answer after the deadline, or none by the deadline.
+	// Late is a complete answer after the deadline.
 	Late
 	// Failed is a 5xx answer of the target or an unknown outcome.
 	Failed
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -25,11 +25,10 @@
 )
 
 const (
-	leaveTimeout     = 5 * time.Second // for handing over the records at shutdown
-	compactInterval  = 5 * time.Second
-	flushInterval    = time.Second
-	addressInterval  = 2 * time.Second
-	electionInterval = time.Second
+	leaveTimeout    = 5 * time.Second // for handing over the records at shutdown
+	compactInterval = 5 * time.Second
+	flushInterval   = time.Second
+	addressInterval = 2 * time.Second
 )
 
 // Daemon is one entry process.
--- a/node/owner/former.go
+++ b/node/owner/former.go
@@ -30,7 +30,6 @@
 	Holder string       `json:"holder"`
 	Left   bool         `json:"left"`   // the process has stopped giving orders.
 	Orders batch.Orders `json:"orders"` // to machines, as of the end of the term; set with Left.
-	rev    keyval.Revision
 }
 
 // orderLifetime is how long the orders of this term may still be carried out, or extend a lease, at workers that the successor
@@ -60,7 +59,6 @@
 	if f.Fence == int64(t.fence) { // an earlier attempt replaced the former record, which is unknown now.
 		return termRecord{Fence: f.Fence}, nil
 	}
-	f.rev = i.Rev()
 	return f, t.writeRecord(ctx, termRecord{Fence: int64(t.fence), Holder: t.o.holder}, i.Rev())
 }
 
--- a/node/owner/perform.go
+++ b/node/owner/perform.go
@@ -219,10 +219,10 @@
 }
 
 func (t *term) advise(ctx context.Context, k batch.AdviseCmd, sent int64) {
-	n := k.Task.String()
+	begin, n := time.Now(), k.Task.String()
 	step := n[:lastDot(n)]
 	a, valid, err := t.o.workers.Advise(ctx, t.o.settings.AdviceAddr, step, k.Workers, adviceQueueTime)
-	t.o.count("advise", time.Now(), err)
+	t.o.count("advise", begin, err)
 	t.send(ctx, batch.AdvisedMsg{Task: k.Task, Failed: err != nil, ValidMs: valid, Sent: sent, Tickets: a})
 }
 
