--- a/node/owner/helper.go
+++ b/node/owner/helper.go
@@ -19,6 +19,8 @@
 	collectTimeout      = 800 * time.Millisecond // how long one request waits for answers at the helper.
 	carryTimeout        = 1500 * time.Millisecond
 	helperCooldown      = 5 * time.Second // a helper that did not answer gets no calls for this time.
+	probeAfter          = time.Second     // a helper that has not answered for this time is asked whether it answers.
+	maxAnswerAge        = 2 * time.Second // only a helper that answered within this time is chosen.
 	maxOrdersPerRequest = 200
 )
 
@@ -41,6 +43,8 @@
 	sendSignal    chan struct{}           // wakes send: calls are queued.
 	collectSignal chan struct{}           // wakes collect: calls are in flight.
 	failedAt      time.Time
+	answeredAt    time.Time // zero after a failure.
+	probing       bool
 }
 
 func newHelper(ctx context.Context, t *term, addr string) *helper {
@@ -93,15 +97,17 @@
 	}
 }
 
-// chooseHelpers takes one helper for each HelperWorkers workers, in the order of Helpers. It skips those that failed lately.
+// chooseHelpers takes one helper for each HelperWorkers workers, in the order of Helpers. It skips those that failed lately or have not
+// answered yet, and asks twice as many as it needs whether they answer.
 func (t *term) chooseHelpers(ctx context.Context) {
 	n := int(t.workerCount.Load()) / t.o.settings.HelperWorkers
 	h := &t.helpers
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var use []*helper
+	asked := 0
 	for _, a := range t.o.entries.Helpers() {
-		if len(use) >= n {
+		if len(use) >= n || asked >= 2*n {
 			break
 		}
 		p := h.byAddr[a]
@@ -111,7 +117,12 @@
 			t.group.Go(func() error { return p.send(ctx) })
 			t.group.Go(func() error { return p.collect(ctx) })
 		}
-		if p.cooledDown() {
+		if !p.cooledDown() {
+			continue
+		}
+		asked++
+		p.probe(ctx)
+		if p.hasAnswered() || slices.Contains(h.active, p) {
 			use = append(use, p)
 		}
 	}
@@ -144,6 +155,34 @@
 	return time.Since(p.failedAt) > helperCooldown
 }
 
+// hasAnswered reports whether the helper has answered within maxAnswerAge.
+func (p *helper) hasAnswered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.answeredAt) < maxAnswerAge
+}
+
+// probe sends an empty request to a helper that has not answered for probeAfter, and chooses helpers again once it answers.
+func (p *helper) probe(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.probing || time.Since(p.answeredAt) < probeAfter {
+		return
+	}
+	p.probing = true
+	s := p.session
+	p.t.group.Go(func() error {
+		p.exchange(ctx, s, &desk.CarryRequest{})
+		p.mu.Lock()
+		p.probing = false
+		p.mu.Unlock()
+		if p.hasAnswered() {
+			p.t.chooseHelpers(ctx)
+		}
+		return nil
+	})
+}
+
 // enqueue queues a call for the helper and wakes its goroutines.
 func (p *helper) enqueue(c batch.Cmd) {
 	p.mu.Lock()
@@ -228,6 +267,11 @@
 		p.fail(ctx, s, err)
 		return
 	}
+	p.mu.Lock()
+	if p.session == s {
+		p.answeredAt = time.Now()
+	}
+	p.mu.Unlock()
 	for _, x := range a.GetAnswers() {
 		p.mu.Lock()
 		o, ok := p.inFlight[x.GetId()]
@@ -251,7 +295,7 @@
 	p.session = p.newSession(ctx)
 	l := p.inFlight
 	p.inFlight, p.queue = map[uint64]pendingOrder{}, nil
-	p.failedAt = time.Now()
+	p.failedAt, p.answeredAt = time.Now(), time.Time{}
 	p.mu.Unlock()
 	if ctx.Err() != nil {
 		return
--- a/node/owner/helper_test.go
+++ b/node/owner/helper_test.go
@@ -170,7 +170,7 @@
 	is.NoErr(err)
 	p := &flakyProxy{Listener: pl, to: l.Addr().String()}
 	p.wg.Go(func() error { p.serve(); return nil })
-	o := &Owner{log: zerolog.New(io.Discard), peers: desk.NewClient(), holder: "h/1", started: time.Now(), entries: noEntries{}, settings: Settings{HelperWorkers: 60}}
+	o := &Owner{log: zerolog.New(io.Discard), peers: desk.NewClient(), holder: "h/1", started: time.Now(), entries: entryList{}, settings: Settings{HelperWorkers: 60}}
 	m := &term{o: o, fence: 7, msgs: make(chan batch.Msg, maxQueuedMsgs), group: g}
 	m.helpers.byAddr = map[string]*helper{}
 	h := newHelper(ctx, m, pl.Addr().String())
@@ -194,10 +194,10 @@
 	return len(p.inFlight)
 }
 
-// noEntries lists no helpers.
-type noEntries struct{}
+// entryList lists helpers by their addresses.
+type entryList []string
 
-func (noEntries) Helpers() []string { return nil }
+func (l entryList) Helpers() []string { return l }
 
 // Each order that is queued for a helper gets an answer, from the worker or NoAnswer, even if connections to the helper are closed or
 // stalled.
@@ -282,3 +282,25 @@
 	waitMsg(t, m)
 	is.Equal(h.unanswered(), 0)
 }
+
+// A helper that cannot be reached gets no orders, also from a new owner that has never called it.
+func TestUnreachableHelperGetsNoOrders(t *testing.T) {
+	is := is.New(t)
+	m, h, _ := newTermWithDesk(t, silentWorkers{}, func(o *Owner) desk.Desk { return o })
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // connections are not accepted.
+	is.NoErr(err)
+	t.Cleanup(func() { _ = silent.Close() })
+	m.o.entries = entryList{silent.Addr().String(), h.addr}
+	m.workerCount.Store(int64(m.o.settings.HelperWorkers))
+	ctx, stop := context.WithCancel(t.Context())
+	m.group.Go(func() error { return m.manageHelpers(ctx) })
+	t.Cleanup(stop)
+	for begin := time.Now(); m.helperOf("w") == nil && time.Since(begin) < time.Second; {
+		time.Sleep(time.Millisecond)
+	}
+	m.sendOrder(ctx, "w", batch.StopCmd{Worker: "w", Task: batch.TaskName{Job: "0123456789abcdef"}, Run: 1})
+	g, ok := waitMsg(t, m).(batch.StoppedMsg)
+	is.True(ok)
+	is.Equal(g.Result, batch.OK)
+	is.Equal(m.helperOf("w").addr, h.addr)
+}
