--- a/node/owner/commit_test.go
+++ b/node/owner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -62,3 +63,21 @@
 		is.True(!written)
 	})
 }
+
+// An owner that has lost the claim must not record an end of its term: its successor would not wait for its orders.
+func TestTermRecordNeedsClaim(t *testing.T) {
+	is, x := is.New(t), context.Background()
+	s := keyval.NewMemory()
+	f, err := s.Put(x, ClaimKey, []byte("a"), keyval.Absent, 0)
+	is.NoErr(err)
+	m := newTestTerm(s, f)
+	is.NoErr(m.writeRecord(x, termRecord{Fence: int64(f)}, keyval.Absent))
+	before, err := s.Get(x, termKey)
+	is.NoErr(err)
+	_, err = s.Put(x, ClaimKey, []byte("b"), f, 0)
+	is.NoErr(err)
+	is.True(errors.Is(m.writeRecord(x, termRecord{Fence: int64(f), Left: true}, before.Rev()), errClaimLost))
+	after, err := s.Get(x, termKey)
+	is.NoErr(err)
+	is.Equal(string(after.Value()), string(before.Value()))
+}
