--- a/flow/ledger/random_test.go
+++ b/flow/ledger/random_test.go
@@ -143,13 +143,13 @@
 		w := newCluster(t, entryNames...)
 		runTrace(t, w)
 		if rapid.IntRange(0, 3).Draw(t, "heal") == 0 {
-			w.heal()
+			w.endFaults()
 			w.expectProgress()
 		}
 	})
 }
 
-func (w *cluster) heal() {
+func (w *cluster) endFaults() {
 	w.logf("heal")
 	for _, e := range entryNames {
 		if !w.processes[e].alive || w.processes[e].membership.Leaving() {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -33,24 +33,24 @@
 
 // Daemon is one entry process.
 type Daemon struct {
-	settings  setup.Settings
-	log       zerolog.Logger
-	store     *keyval.Client
-	platform  *hosts.Client
-	conf      *conf.Holder
-	committer *conf.Committer
-	lease     *lease.Lease
-	client    *relay.Client
-	keeper    *relay.Keeper
-	beater    *relay.Beater
-	views     *view.Holder
-	gossip    *gossip
-	entry     *entry.Entry
-	loop      *leader.Loop
-	burn      *burn.Meter
-	jobs      *jobRunner
-	slotLoans *slotLoans
-	self      ledger.Member
+	settings    setup.Settings
+	log         zerolog.Logger
+	store       *keyval.Client
+	platform    *hosts.Client
+	conf        *conf.Holder
+	committer   *conf.Committer
+	lease       *lease.Lease
+	client      *relay.Client
+	keyHolder   *relay.KeyHolder
+	heartbeater *relay.Heartbeater
+	views       *view.Holder
+	gossip      *gossip
+	entry       *entry.Entry
+	loop        *leader.Loop
+	burn        *burn.Meter
+	jobs        *jobRunner
+	slotLoans   *slotLoans
+	self        ledger.Member
 }
 
 // New returns the process that the settings describe. It starts nothing.
@@ -71,10 +71,10 @@
 func (d *Daemon) initRelay() {
 	s := d.settings
 	d.client = relay.NewClient(relay.WithCallTimeout(s.PeerTimeout()))
-	d.keeper = relay.NewKeeper(d.self, s.DataCentre(), s.DataCentres(), d.store, d.client, relay.WithLog(d.log),
+	d.keyHolder = relay.NewKeyHolder(d.self, s.DataCentre(), s.DataCentres(), d.store, d.client, relay.WithLog(d.log),
 		relay.WithBookOptions(ledger.WithRecords(s.MaxKeys()), ledger.WithAnswerBytes(maxKeptAnswerBytes)))
 	d.gossip = newGossip(d)
-	d.beater = relay.NewBeater(d.keeper, d.client, d.gossip, relay.WithInterval(s.HeartbeatInterval()), relay.WithLeader(d.gossip.leader), relay.WithOnBeat(d.gossip.receive))
+	d.heartbeater = relay.NewHeartbeater(d.keyHolder, d.client, d.gossip, relay.WithInterval(s.HeartbeatInterval()), relay.WithLeader(d.gossip.leader), relay.WithOnBeat(d.gossip.receive))
 }
 
 // maxKeptAnswerBytes limits the answers kept with their idempotency keys. The oldest are evicted first.
@@ -85,11 +85,11 @@
 	s := d.settings
 	d.slotLoans = &slotLoans{d: d}
 	d.entry = entry.New(s, d.log, d.conf, d.views,
-		entry.WithKeys(keyClaimer{d.keeper}), entry.WithShareName(instanceName(d.self)), entry.WithOutcomeCounter(d.burn), entry.WithReadyCheck(d.hasPlace),
-		entry.WithLeaderCheck(d.gossip.hasLeader), entry.WithOnLeaving(d.beater.BeatNow))
+		entry.WithKeys(keyClaimer{d.keyHolder}), entry.WithShareName(instanceName(d.self)), entry.WithOutcomeCounter(d.burn), entry.WithReadyCheck(d.hasPlace),
+		entry.WithLeaderCheck(d.gossip.hasLeader), entry.WithOnLeaving(d.heartbeater.BeatNow))
 	d.loop = leader.New(s.DataCentre(), s.Name(), d.store, d.platform, d.lease, d.conf, d.gossip, d.views,
 		leader.WithTick(s.LeaderTick()), leader.WithLogger(d.log), leader.WithOtherDataCentres(exclude(s.DataCentres(), s.DataCentre())),
-		leader.WithOnEntriesGone(d.keeper.SetGone))
+		leader.WithOnEntriesGone(d.keyHolder.SetGone))
 	d.jobs = newRunner(d)
 }
 
@@ -109,7 +109,7 @@
 
 // inRoster reports whether this incarnation of the entry is in its data centre's roster.
 func (d *Daemon) inRoster() bool {
-	m, ok := d.keeper.Roster(d.settings.DataCentre()).Member(d.settings.Name())
+	m, ok := d.keyHolder.Roster(d.settings.DataCentre()).Member(d.settings.Name())
 	return ok && m.SameIncarnation(d.self)
 }
 
@@ -147,7 +147,7 @@
 func (d *Daemon) leave(ctx context.Context) error {
 	x, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	if err := d.keeper.Leave(x); err != nil {
+	if err := d.keyHolder.Leave(x); err != nil {
 		d.log.Warn().Str("step", "leave").Err(err).Msg("recordsNotHandedOver")
 	}
 	return nil
@@ -172,10 +172,10 @@
 // background starts everything except the handling of callers' requests.
 func (d *Daemon) background(ctx context.Context, g *errgroup.Group, l listeners) {
 	follower := conf.NewFollower(d.store, d.conf, conf.WithLogger(d.log), conf.WithWatchTimeout(d.settings.MaxWatchWait()))
-	server := relay.NewServer(relay.Service{Keeper: d.keeper, Beater: d.beater, Lender: d.slotLoans})
+	server := relay.NewServer(relay.Service{KeyHolder: d.keyHolder, Heartbeater: d.heartbeater, Lender: d.slotLoans})
 	api := oper.New(d.settings.Name(), d.settings.OperatorTokenDigests(), configAPI{d}, fleetAPI{d}, d.burn, oper.WithLogger(d.log), d.jobs.operOption())
 	for _, f := range []func(context.Context) error{
-		follower.Run, d.lease.Run, d.keeper.Run, d.beater.Run, d.loop.Run, d.jobs.run, d.refreshAddresses, d.compact, d.flushBurnRates, d.kick, d.slotLoans.run,
+		follower.Run, d.lease.Run, d.keyHolder.Run, d.heartbeater.Run, d.loop.Run, d.jobs.run, d.refreshAddresses, d.compact, d.flushBurnRates, d.kick, d.slotLoans.run,
 		func(x context.Context) error { return server.Serve(x, l.peers) },
 		func(x context.Context) error { return api.ServeListener(x, l.operators) },
 	} {
@@ -207,14 +207,14 @@
 func (d *Daemon) updateAddresses() {
 	var l []relay.Address
 	for _, n := range d.settings.DataCentres() {
-		for _, m := range d.keeper.Roster(n).Members() {
+		for _, m := range d.keyHolder.Roster(n).Members() {
 			l = append(l, relay.NewAddress(m.Entry, m.Addr, n))
 		}
 	}
 	for _, a := range d.settings.PeerAddrs() {
 		l = append(l, relay.NewAddress(a, a, d.settings.DataCentre()))
 	}
-	d.beater.SetEntries(l)
+	d.heartbeater.SetEntries(l)
 }
 
 // compact periodically writes configuration snapshots while this entry leads the first data centre in the settings.
@@ -240,7 +240,7 @@
 			case <-x.Done():
 				return nil
 			case <-s:
-				d.beater.BeatNow()
+				d.heartbeater.BeatNow()
 			}
 		}
 	})
@@ -250,7 +250,7 @@
 			if d.views.Wait(x, v) != nil {
 				return nil
 			}
-			d.beater.BeatNow()
+			d.heartbeater.BeatNow()
 		}
 	})
 	return g.Wait()
--- a/node/daemon/gossip.go
+++ b/node/daemon/gossip.go
@@ -208,7 +208,7 @@
 func (n *gossip) EntryReports() []leader.EntryReport {
 	now := time.Now()
 	l := []leader.EntryReport{{Entry: n.d.settings.Name(), ReceivedAt: now, Drained: drainedVMs(n.d.entry.DrainedVMs()), Failing: n.failing(), Loads: n.ownLoads(), ShardVersions: shardVersions(n.d.views.View())}}
-	for _, p := range n.d.beater.Peers() {
+	for _, p := range n.d.heartbeater.Peers() {
 		e := p.Address().Entry()
 		n.mu.Lock()
 		h, ok := n.received[e]
--- a/node/daemon/keys.go
+++ b/node/daemon/keys.go
@@ -10,8 +10,8 @@
 	"burdockreach.dev/node/relay"
 )
 
-// keyClaimer claims idempotency keys through the relay's keeper.
-type keyClaimer struct{ k *relay.Keeper }
+// keyClaimer claims idempotency keys through the relay's key holder.
+type keyClaimer struct{ k *relay.KeyHolder }
 
 // Claim implements entry.Keys.
 func (k keyClaimer) Claim(ctx context.Context, key, attempt string, digest []byte) entry.ClaimResult {
--- a/node/daemon/operapi.go
+++ b/node/daemon/operapi.go
@@ -61,9 +61,9 @@
 // caughtUp reports whether no peer has applied a newer change. Without a beat of any peer, it reports whether the roster has fewer
 // than two members.
 func (d *Daemon) caughtUp() bool {
-	peers := d.beater.Peers()
+	peers := d.heartbeater.Peers()
 	if len(peers) == 0 {
-		return len(d.keeper.Roster(d.settings.DataCentre()).Members()) < 2
+		return len(d.keyHolder.Roster(d.settings.DataCentre()).Members()) < 2
 	}
 	for _, p := range peers {
 		if conf.Number(p.Applied()) > d.conf.Document().Number() {
@@ -106,10 +106,10 @@
 	_, lead := d.lease.Held()
 	l := []oper.Entry{{
 		Name: d.settings.Name(), DataCentre: d.settings.DataCentre(), PeerAddr: d.settings.PeerAddr(), Self: true, Reachable: true,
-		Applied: d.conf.Document().Number(), Roster: d.keeper.Roster(d.settings.DataCentre()).Number(), Leader: lead,
+		Applied: d.conf.Document().Number(), Roster: d.keyHolder.Roster(d.settings.DataCentre()).Number(), Leader: lead,
 	}}
 	now := time.Now()
-	for _, p := range d.beater.Peers() {
+	for _, p := range d.heartbeater.Peers() {
 		silent := now.Sub(p.HeardAt())
 		l = append(l, oper.Entry{
 			Name: p.Address().Entry(), DataCentre: p.Address().DataCentre(), PeerAddr: p.Address().Addr(),
--- a/node/daemon/shares.go
+++ b/node/daemon/shares.go
@@ -54,7 +54,7 @@
 
 // followRoster applies a roster that is newer than last, and returns the number of the roster in use.
 func (s *slotLoans) followRoster(now time.Time, last int64) int64 {
-	r := s.d.keeper.Roster(s.d.settings.DataCentre())
+	r := s.d.keyHolder.Roster(s.d.settings.DataCentre())
 	if r.Number() <= last {
 		return last
 	}
@@ -65,7 +65,7 @@
 		}
 	}
 	s.d.entry.SetRoster(now, r.Number(), names)
-	s.d.beater.BeatNow()
+	s.d.heartbeater.BeatNow()
 	return r.Number()
 }
 
@@ -84,23 +84,23 @@
 	if !s.platformDown.Load() {
 		return nil
 	}
-	heard := make(map[string]bool)
+	reported := make(map[string]bool)
 	place := 0 // silent members left to other new entries whose names sort first
-	for _, p := range s.d.beater.Peers() {
+	for _, p := range s.d.heartbeater.Peers() {
 		e := p.Address().Entry()
 		if now.Sub(p.HeardAt()) > ledger.HeartbeatTimeout || p.Address().DataCentre() != s.d.settings.DataCentre() {
 			continue
 		}
 		_, in := r.Member(e)
 		if in && p.Incarnation() == incarnation(r, e) {
-			heard[e] = true
+			reported[e] = true
 		} else if e < s.d.settings.Name() {
 			place++
 		}
 	}
 	names := instanceNames(r)
 	for k, m := range r.Members() {
-		if heard[m.Entry] {
+		if reported[m.Entry] {
 			continue
 		}
 		if place == 0 {
@@ -144,7 +144,7 @@
 func (s *slotLoans) updateQuotas(now time.Time, old quotaInputs) quotaInputs {
 	b := quotaInputs{doc: s.d.conf.Document()}
 	for _, n := range s.d.settings.DataCentres() {
-		b.entries += len(s.d.keeper.Roster(n).Members())
+		b.entries += len(s.d.keyHolder.Roster(n).Members())
 	}
 	if b == old || b.entries == 0 {
 		return old
@@ -186,7 +186,7 @@
 // roster or does not reply.
 func (s *slotLoans) requestSlots(ctx context.Context, a entry.BorrowRequest) {
 	var to ledger.Member
-	for _, m := range s.d.keeper.Roster(s.d.settings.DataCentre()).Members() {
+	for _, m := range s.d.keyHolder.Roster(s.d.settings.DataCentre()).Members() {
 		if instanceName(m) == a.To {
 			to = m
 		}
--- a/node/daemon/vars.go
+++ b/node/daemon/vars.go
@@ -88,8 +88,8 @@
 	}
 	w := d.views.View()
 	v.View = ViewVars{Fence: w.Version().Fence, Count: w.Version().Count, Targets: w.Len()}
-	v.Keys.Records, v.Keys.AnswerBytes = d.keeper.Size()
-	v.Keys.Roster, v.Keys.Holding = d.keeper.Roster(d.settings.DataCentre()).Number(), d.keeper.Holding()
+	v.Keys.Records, v.Keys.AnswerBytes = d.keyHolder.Size()
+	v.Keys.Roster, v.Keys.Holding = d.keyHolder.Roster(d.settings.DataCentre()).Number(), d.keyHolder.Holding()
 	return v
 }
 
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -28,7 +28,7 @@
 	t     testing.TB
 	entry *Entry
 	addr  string
-	shelf *view.Holder
+	views *view.Holder
 	stop  context.CancelFunc
 	done  *errgroup.Group
 }
@@ -87,9 +87,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &testEntry{t: t, addr: ln.Addr().String(), shelf: view.NewHolder()}
+	r := &testEntry{t: t, addr: ln.Addr().String(), views: view.NewHolder()}
 	r.publish(1, true, targets...)
-	r.entry = New(settings(t), zerolog.Nop(), document(t), r.shelf, opts...)
+	r.entry = New(settings(t), zerolog.Nop(), document(t), r.views, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop, r.done = cancel, &errgroup.Group{}
 	r.done.Go(func() error { return r.entry.Run(ctx, ln) })
@@ -104,7 +104,7 @@
 	for _, a := range targets {
 		ts = append(ts, view.Target{VM: "vm-" + a, Addr: a, Rack: "r", Pool: "p", Serving: serving, ShardVersion: n})
 	}
-	if err := r.shelf.Put(view.New(view.Version{Fence: 1, Count: n}, ts)); err != nil {
+	if err := r.views.Put(view.New(view.Version{Fence: 1, Count: n}, ts)); err != nil {
 		r.t.Fatal(err)
 	}
 }
--- a/node/oper/oper_test.go
+++ b/node/oper/oper_test.go
@@ -67,8 +67,8 @@
 
 // fleet is a Fleet of two VMs and two entries; the fields set the state of the second entry.
 type fleet struct {
-	applied conf.Number
-	heard   bool
+	applied   conf.Number
+	reachable bool
 }
 
 func (f *fleet) VMs() []oper.VM {
@@ -76,7 +76,7 @@
 }
 
 func (f *fleet) Entries() []oper.Entry {
-	return []oper.Entry{{Name: "e1", Self: true, Reachable: true, Applied: 9}, {Name: "e2", Reachable: f.heard, Applied: f.applied}}
+	return []oper.Entry{{Name: "e1", Self: true, Reachable: true, Applied: 9}, {Name: "e2", Reachable: f.reachable, Applied: f.applied}}
 }
 
 type reporter struct{}
@@ -270,13 +270,13 @@
 		_, m := b.call(token, "GET", "/op/applied?n=1", "")
 		return m["inForce"]
 	}
-	b.fleet.heard = true
+	b.fleet.reachable = true
 	i.Equal(inForce(), false) // the other entry has not applied the change
 	b.fleet.applied = 1
 	i.Equal(inForce(), true)
-	b.fleet.heard = false
+	b.fleet.reachable = false
 	i.Equal(inForce(), false) // an entry whose heartbeat is missing does not count as having the change
-	b.fleet.heard, b.fleet.applied = true, 2
+	b.fleet.reachable, b.fleet.applied = true, 2
 	_, m := b.call(token, "GET", "/op/applied?n=2", "")
 	i.Equal(m["inForce"], false) // the asked entry itself does not have the change
 	assertStatus(t, b, token, "GET", "/op/applied?n=-1", 400)
--- a/node/relay/chaos_test.go
+++ b/node/relay/chaos_test.go
@@ -44,7 +44,7 @@
 					time.Sleep(time.Duration(c.r.IntN(300)) * time.Millisecond)
 				}
 				_ = c.group.Wait()
-				c.heal()
+				c.endFaults()
 				t.Logf("granted %d, refused %d, repeats %d", c.granted, c.refused, c.repeats)
 				if c.granted < 30 {
 					t.Fatal("fewer than 30 copies were granted, too few for a meaningful run")
@@ -54,9 +54,9 @@
 	}
 }
 
-// heal ends all faults and checks that all entries agree on one roster within a minute. Then it waits until keys whose holders all died
+// endFaults ends all faults and checks that all entries agree on one roster within a minute. Then it waits until keys whose holders all died
 // can be claimed again, and checks that every entry can claim a new key.
-func (c *chaos) heal() {
+func (c *chaos) endFaults() {
 	c.store.down.Store(false)
 	var l []*node
 	for _, n := range c.nodes {
--- a/node/relay/example_test.go
+++ b/node/relay/example_test.go
@@ -13,11 +13,11 @@
 )
 
 // A single entry claims a key for the first copy of a request; the second copy gets the answer of the first one.
-func ExampleKeeper() {
+func ExampleKeyHolder() {
 	ctx, end := context.WithCancel(context.Background())
 	c := relay.NewClient()
 	self := ledger.Member{Entry: "a", Addr: "127.0.0.1:7101", Incarnation: 1}
-	k := relay.NewKeeper(self, "east", []string{"east"}, keyval.NewMemory(), c)
+	k := relay.NewKeyHolder(self, "east", []string{"east"}, keyval.NewMemory(), c)
 	g, x := errgroup.WithContext(ctx)
 	g.Go(func() error { return k.Run(x) })
 	k.WaitForRoster(ctx)
--- a/node/relay/fleet_test.go
+++ b/node/relay/fleet_test.go
@@ -50,13 +50,13 @@
 
 // node is one incarnation of an entry.
 type node struct {
-	*Keeper
-	beater    *Beater
-	state     *fakeState
-	benchKeys atomic.Int64 // number of keys that nextBenchKey has returned
-	ctx       context.Context
-	end       func()
-	group     *errgroup.Group
+	*KeyHolder
+	heartbeater *Heartbeater
+	state       *fakeState
+	benchKeys   atomic.Int64 // number of keys that nextBenchKey has returned
+	ctx         context.Context
+	end         func()
+	group       *errgroup.Group
 }
 
 func (n *node) kill() {
@@ -211,19 +211,19 @@
 // serve runs an entry with its server on l until it is killed or the test ends.
 func (f *fleet) serve(entry, dataCentre string, l net.Listener, addr string, c *Client) *node {
 	m := ledger.Member{Entry: entry, Addr: addr, Incarnation: f.lastIncarnation}
-	n := &node{Keeper: NewKeeper(m, dataCentre, []string{"east", "west"}, f.store, c), state: &fakeState{}}
-	n.beater = NewBeater(n.Keeper, c, n.state, WithLeader(func() string { return "b" }))
+	n := &node{KeyHolder: NewKeyHolder(m, dataCentre, []string{"east", "west"}, f.store, c), state: &fakeState{}}
+	n.heartbeater = NewHeartbeater(n.KeyHolder, c, n.state, WithLeader(func() string { return "b" }))
 	f.addrs = append(f.addrs, NewAddress(entry, m.Addr, dataCentre))
 	f.nodes = append(f.nodes, n)
 	for _, o := range f.nodes {
-		o.beater.SetEntries(f.addrs)
+		o.heartbeater.SetEntries(f.addrs)
 	}
 	ctx, end := context.WithCancel(f.t.Context())
 	g, x := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.Run(x) })
-	g.Go(func() error { return n.beater.Run(x) })
+	g.Go(func() error { return n.heartbeater.Run(x) })
 	g.Go(func() error {
-		return NewServer(Service{n.Keeper, n.beater, fakeLender{}}, WithStopTimeout(time.Second)).Serve(x, l)
+		return NewServer(Service{n.KeyHolder, n.heartbeater, fakeLender{}}, WithStopTimeout(time.Second)).Serve(x, l)
 	})
 	n.ctx, n.group, n.end = x, g, func() { end(); _ = g.Wait(); c.Close() }
 	f.t.Cleanup(n.kill)
--- a/node/relay/beater.go
+++ b/node/relay/heartbeater.go
@@ -46,14 +46,14 @@
 	Report() Report
 }
 
-// Beater exchanges heartbeats with the other entries and remembers what each one last reported.
-type Beater struct {
-	keeper   *Keeper
-	client   *Client
-	state    EntryState
-	interval time.Duration
-	leader   func() string
-	onBeat   func(Peer, []byte)
+// Heartbeater exchanges heartbeats with the other entries and remembers what each one last reported.
+type Heartbeater struct {
+	keyHolder *KeyHolder
+	client    *Client
+	state     EntryState
+	interval  time.Duration
+	leader    func() string
+	onBeat    func(Peer, []byte)
 
 	mu      sync.Mutex
 	entries []Address
@@ -64,24 +64,26 @@
 	aheadPeers   chan Address  // peers with newer configuration changes; a beat to them returns the changes
 }
 
-// BeaterOption configures a Beater.
-type BeaterOption func(*Beater)
+// HeartbeaterOption configures a Heartbeater.
+type HeartbeaterOption func(*Heartbeater)
 
 // WithInterval sets the time between rounds of beats.
-func WithInterval(d time.Duration) BeaterOption { return func(b *Beater) { b.interval = d } }
+func WithInterval(d time.Duration) HeartbeaterOption { return func(b *Heartbeater) { b.interval = d } }
 
 // WithLeader sets how the leader of the local data centre is found. Loads go to the leader alone, every fourth round, and to all
 // local entries while f returns an empty name.
-func WithLeader(f func() string) BeaterOption { return func(b *Beater) { b.leader = f } }
+func WithLeader(f func() string) HeartbeaterOption { return func(b *Heartbeater) { b.leader = f } }
 
 // WithOnBeat sets a function that is called after each received beat, with the sender and its delta of the membership document. It
 // must not block.
-func WithOnBeat(f func(p Peer, members []byte)) BeaterOption { return func(b *Beater) { b.onBeat = f } }
+func WithOnBeat(f func(p Peer, members []byte)) HeartbeaterOption {
+	return func(b *Heartbeater) { b.onBeat = f }
+}
 
-// NewBeater returns the beater of the keeper's entry. It beats at once when the keeper's roster or state changes.
-func NewBeater(k *Keeper, c *Client, r EntryState, o ...BeaterOption) *Beater {
-	b := &Beater{
-		keeper: k, client: c, state: r, interval: beatInterval, leader: func() string { return "" }, onBeat: func(Peer, []byte) {},
+// NewHeartbeater returns the heartbeater of the key holder's entry. It beats at once when the key holder's roster or state changes.
+func NewHeartbeater(k *KeyHolder, c *Client, r EntryState, o ...HeartbeaterOption) *Heartbeater {
+	b := &Heartbeater{
+		keyHolder: k, client: c, state: r, interval: beatInterval, leader: func() string { return "" }, onBeat: func(Peer, []byte) {},
 		peers: map[string]Peer{}, beatRequests: make(chan struct{}, 1), aheadPeers: make(chan Address, 8),
 	}
 	for _, f := range o {
@@ -94,14 +96,14 @@
 }
 
 // SetEntries replaces the list of known entries of all data centres.
-func (b *Beater) SetEntries(l []Address) {
+func (b *Heartbeater) SetEntries(l []Address) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.entries = slices.Clone(l)
 }
 
 // BeatNow sends a beat to the entries of the local data centre at once, because the state to report has changed. It does not block.
-func (b *Beater) BeatNow() {
+func (b *Heartbeater) BeatNow() {
 	select {
 	case b.beatRequests <- struct{}{}:
 	default:
@@ -109,7 +111,7 @@
 }
 
 // Peers returns what the other entries last reported, sorted by their ids.
-func (b *Beater) Peers() []Peer {
+func (b *Heartbeater) Peers() []Peer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := make([]Peer, 0, len(b.peers))
@@ -121,7 +123,7 @@
 }
 
 // Run sends beats until ctx ends.
-func (b *Beater) Run(ctx context.Context) error {
+func (b *Heartbeater) Run(ctx context.Context) error {
 	t := time.NewTicker(b.interval)
 	defer t.Stop()
 	for {
@@ -142,7 +144,7 @@
 
 // send sends a beat to each of l. The entries of the local data centre share one request; a second one with loads goes to those that are
 // due for them.
-func (b *Beater) send(ctx context.Context, l []Address) {
+func (b *Heartbeater) send(ctx context.Context, l []Address) {
 	leader := b.leader()
 	full := b.localRequest()
 	withoutLoads := full
@@ -152,7 +154,7 @@
 	}
 	forEach(ctx, beatConcurrency, l, func(c context.Context, a Address) {
 		switch {
-		case a.dataCentre != b.keeper.dataCentre:
+		case a.dataCentre != b.keyHolder.dataCentre:
 			b.beat(c, a, b.request(a.dataCentre))
 		case a.entry == leader && b.loadsDue():
 			b.beat(c, a, full)
@@ -163,16 +165,16 @@
 }
 
 // loadsDue reports whether the leader gets a report of loads in this round.
-func (b *Beater) loadsDue() bool {
+func (b *Heartbeater) loadsDue() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.round%loadReportRounds == 0
 }
 
 // Beat implements Relay.
-func (b *Beater) Beat(_ context.Context, r *BeatRequest) (*BeatReply, error) {
+func (b *Heartbeater) Beat(_ context.Context, r *BeatRequest) (*BeatReply, error) {
 	p := b.recordPeer(NewAddress(r.GetEntry(), r.GetAddr(), r.GetDataCentre()), r.GetIncarnation(), func(p *Peer) { p.fromRequest(r) })
-	k := b.keeper
+	k := b.keyHolder
 	own := k.Roster(k.dataCentre)
 	if r.GetDataCentre() == k.dataCentre && r.GetRoster() > own.Number() {
 		k.requestRefresh(k.dataCentre)
@@ -198,7 +200,7 @@
 }
 
 // beat sends q to one entry and applies its reply; a failed call is ignored.
-func (b *Beater) beat(ctx context.Context, a Address, q *BeatRequest) {
+func (b *Heartbeater) beat(ctx context.Context, a Address, q *BeatRequest) {
 	o, err := b.client.Beat(ctx, a.addr, q)
 	if err != nil {
 		return
@@ -207,14 +209,14 @@
 	if len(o.GetChanges()) > 0 || len(o.GetSnapshot()) > 0 {
 		b.state.Offer(o.GetChanges(), o.GetSnapshot())
 	}
-	if err := b.keeper.LearnRoster(o.GetRosterDocument()); err != nil {
-		b.keeper.log.Warn().Err(err).Str("step", "beat").Str("peer", a.entry).Msg("roster unreadable")
+	if err := b.keyHolder.LearnRoster(o.GetRosterDocument()); err != nil {
+		b.keyHolder.log.Warn().Err(err).Str("step", "beat").Str("peer", a.entry).Msg("roster unreadable")
 	}
 }
 
 // request returns the part of a beat that goes to entries of every data centre.
-func (b *Beater) request(dataCentre string) *BeatRequest {
-	k := b.keeper
+func (b *Heartbeater) request(dataCentre string) *BeatRequest {
+	k := b.keyHolder
 	return &BeatRequest{
 		Entry: k.self.Entry, DataCentre: k.dataCentre, Incarnation: k.self.Incarnation, Addr: k.self.Addr,
 		Applied: b.state.Applied(), Roster: k.Roster(k.dataCentre).Number(), Holding: k.Holding(),
@@ -223,16 +225,16 @@
 }
 
 // localRequest returns the beat for entries of the local data centre.
-func (b *Beater) localRequest() *BeatRequest {
-	q, r := b.request(b.keeper.dataCentre), b.state.Report()
+func (b *Heartbeater) localRequest() *BeatRequest {
+	q, r := b.request(b.keyHolder.dataCentre), b.state.Report()
 	q.Loads, q.Drained, q.Leaving, q.Failing, q.Members = r.Loads, r.Drained, r.Leaving, r.Failing, r.Members
-	q.Unheard, q.Gone = b.keeper.unheardAndGone()
+	q.Unheard, q.Gone = b.keyHolder.unheardAndGone()
 	return q
 }
 
 // recordPeer stores what a peer reported; a report from an earlier incarnation than the newest known one is dropped.
-func (b *Beater) recordPeer(a Address, incarnation int64, f func(*Peer)) Peer {
-	k := b.keeper
+func (b *Heartbeater) recordPeer(a Address, incarnation int64, f func(*Peer)) Peer {
+	k := b.keyHolder
 	now := k.now()
 	b.mu.Lock()
 	p := b.peers[a.entry]
@@ -254,8 +256,8 @@
 }
 
 // localPeers returns every other entry of the local data centre, each address once, and forgets peers that were not heard for long.
-func (b *Beater) localPeers() []Address {
-	k := b.keeper
+func (b *Heartbeater) localPeers() []Address {
+	k := b.keyHolder
 	all := map[string]Address{}
 	r := k.Roster(k.dataCentre)
 	b.mu.Lock()
@@ -289,14 +291,14 @@
 
 // nextTargets returns the entries that the next round beats: some of the local data centre, the leader when a report of loads is due,
 // and every second round one of another data centre.
-func (b *Beater) nextTargets() []Address {
+func (b *Heartbeater) nextTargets() []Address {
 	local, leader := b.localPeers(), b.leader()
 	b.mu.Lock()
 	b.round++
 	n := b.round
 	remote := map[string][]Address{}
 	for _, a := range b.entries {
-		if a.dataCentre != b.keeper.dataCentre {
+		if a.dataCentre != b.keyHolder.dataCentre {
 			remote[a.dataCentre] = append(remote[a.dataCentre], a)
 		}
 	}
--- a/node/relay/keeper.go
+++ b/node/relay/keyholder.go
@@ -17,9 +17,9 @@
 	confirmBatchMax = 10_000 // claims that share one read
 )
 
-// Keeper runs package ledger for one entry: it holds records of its data centre's keys and claims keys for the entry's own
+// KeyHolder runs package ledger for one entry: it holds records of its data centre's keys and claims keys for the entry's own
 // requests.
-type Keeper struct {
+type KeyHolder struct {
 	self        ledger.Member
 	dataCentre  string
 	dataCentres []string
@@ -46,20 +46,20 @@
 	lease           storeLease
 }
 
-// KeeperOption configures a Keeper.
-type KeeperOption func(*Keeper)
+// KeyHolderOption configures a KeyHolder.
+type KeyHolderOption func(*KeyHolder)
 
 // WithLog sets the logger; the default discards everything.
-func WithLog(l zerolog.Logger) KeeperOption { return func(k *Keeper) { k.log = l } }
+func WithLog(l zerolog.Logger) KeyHolderOption { return func(k *KeyHolder) { k.log = l } }
 
 // WithBookOptions sets options of the entry's ledger.Book.
-func WithBookOptions(o ...ledger.BookOption) KeeperOption {
-	return func(k *Keeper) { k.bookOptions = append(k.bookOptions, o...) }
+func WithBookOptions(o ...ledger.BookOption) KeyHolderOption {
+	return func(k *KeyHolder) { k.bookOptions = append(k.bookOptions, o...) }
 }
 
-// NewKeeper returns the keeper of the entry self; dataCentres lists all data centres of the fleet.
-func NewKeeper(self ledger.Member, dataCentre string, dataCentres []string, s keyval.Store, c *Client, o ...KeeperOption) *Keeper {
-	k := &Keeper{
+// NewKeyHolder returns the key holder of the entry self; dataCentres lists all data centres of the fleet.
+func NewKeyHolder(self ledger.Member, dataCentre string, dataCentres []string, s keyval.Store, c *Client, o ...KeyHolderOption) *KeyHolder {
+	k := &KeyHolder{
 		self: self, dataCentre: dataCentre, dataCentres: dataCentres, store: s, client: c, log: zerolog.Nop(), now: time.Now,
 		membership: ledger.NewMembership(self, dataCentre), rosters: map[string]ledger.Roster{},
 		rosterAdopted: make(chan struct{}, 1), refreshRequests: make(chan string, len(dataCentres)), onChange: func() {},
@@ -77,7 +77,7 @@
 }
 
 // Run watches rosters, pulls records and delivers settlements until ctx ends.
-func (k *Keeper) Run(ctx context.Context) error {
+func (k *KeyHolder) Run(ctx context.Context) error {
 	g, c := errgroup.WithContext(ctx)
 	g.Go(func() error { return k.watchLoop(c) })
 	g.Go(func() error { return k.refreshLoop(c) })
@@ -88,21 +88,21 @@
 }
 
 // Roster returns the newest known roster of a data centre; its number is zero if none is known.
-func (k *Keeper) Roster(dataCentre string) ledger.Roster {
+func (k *KeyHolder) Roster(dataCentre string) ledger.Roster {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.rosters[dataCentre]
 }
 
 // Holding returns the number of the newest roster that is in force at this entry, or zero.
-func (k *Keeper) Holding() int64 {
+func (k *KeyHolder) Holding() int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.book.ActiveRoster()
 }
 
 // Size returns the number of records and the bytes of stored answers.
-func (k *Keeper) Size() (records, answerBytes int) {
+func (k *KeyHolder) Size() (records, answerBytes int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.book.Len(), k.book.AnswerBytes()
@@ -110,14 +110,14 @@
 
 // SetGone sets the entries that have left the fleet according to the platform's list. The list is valid for 30 s. One entry that reads the
 // list is enough, for example the leader, because beats carry the result to the others.
-func (k *Keeper) SetGone(entries []string) {
+func (k *KeyHolder) SetGone(entries []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.membership.UpdateVMList(ledger.VMListMsg{Now: k.now(), Gone: entries})
 }
 
 // LearnRoster adopts a roster document if it is newer than the known roster of its data centre; an empty document is ignored.
-func (k *Keeper) LearnRoster(doc []byte) error {
+func (k *KeyHolder) LearnRoster(doc []byte) error {
 	if len(doc) == 0 {
 		return nil
 	}
@@ -130,7 +130,7 @@
 }
 
 // adoptRoster stores r if it is newer than the known roster of its data centre.
-func (k *Keeper) adoptRoster(r ledger.Roster) {
+func (k *KeyHolder) adoptRoster(r ledger.Roster) {
 	k.mu.Lock()
 	if r.Number() <= k.rosters[r.DataCentre()].Number() {
 		k.mu.Unlock()
@@ -157,7 +157,7 @@
 }
 
 // Claim implements Relay.
-func (k *Keeper) Claim(_ context.Context, r *ClaimRequest) (*ClaimReply, error) {
+func (k *KeyHolder) Claim(_ context.Context, r *ClaimRequest) (*ClaimReply, error) {
 	o := toReply(k.claimLocal(ledger.ClaimMsg{
 		ID: ledger.NewID(r.GetKey()), Roster: r.GetRoster(), Attempt: ledger.NewAttempt(r.GetAttempt()), Digest: ledger.NewDigest(r.GetDigest()),
 	}))
@@ -172,7 +172,7 @@
 	return o, nil
 }
 
-func (k *Keeper) claimLocal(m ledger.ClaimMsg) ledger.ClaimReply {
+func (k *KeyHolder) claimLocal(m ledger.ClaimMsg) ledger.ClaimReply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	m.Now = k.now()
@@ -180,7 +180,7 @@
 }
 
 // Settle implements Relay.
-func (k *Keeper) Settle(_ context.Context, r *SettleRequest) (*SettleReply, error) {
+func (k *KeyHolder) Settle(_ context.Context, r *SettleRequest) (*SettleReply, error) {
 	k.settleLocal(ledger.Record{
 		ID: ledger.NewID(r.GetKey()), Attempt: ledger.NewAttempt(r.GetAttempt()), Phase: fromPhase(r.GetPhase()),
 		Status: int(r.GetStatus()), ContentType: r.GetContentType(), Answer: r.GetAnswer(), HasAnswer: r.GetKept(),
@@ -188,14 +188,14 @@
 	return &SettleReply{Roster: k.Roster(k.dataCentre).Number()}, nil
 }
 
-func (k *Keeper) settleLocal(r ledger.Record) {
+func (k *KeyHolder) settleLocal(r ledger.Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.book.Settle(ledger.SettleMsg{Now: k.now(), Record: r})
 }
 
 // Batch implements Relay.
-func (k *Keeper) Batch(ctx context.Context, r *BatchRequest) (*BatchReply, error) {
+func (k *KeyHolder) Batch(ctx context.Context, r *BatchRequest) (*BatchReply, error) {
 	o := &BatchReply{Claims: make([]*ClaimReply, 0, len(r.GetClaims()))}
 	for _, c := range r.GetClaims() {
 		a, err := k.Claim(ctx, c)
@@ -214,7 +214,7 @@
 }
 
 // Records implements Relay.
-func (k *Keeper) Records(_ context.Context, r *RecordsRequest) (*RecordsReply, error) {
+func (k *KeyHolder) Records(_ context.Context, r *RecordsRequest) (*RecordsReply, error) {
 	if err := k.LearnRoster(r.GetRosterDocument()); err != nil {
 		return nil, err
 	}
@@ -231,7 +231,7 @@
 
 // Leave removes this entry from the roster. It returns when the others hold its records and its settlements are delivered, or
 // with ctx's error.
-func (k *Keeper) Leave(ctx context.Context) error {
+func (k *KeyHolder) Leave(ctx context.Context) error {
 	k.mu.Lock()
 	k.membership.Leave()
 	f := k.onChange
@@ -250,7 +250,7 @@
 }
 
 // handedOver reports whether no other entry needs this entry's records any more.
-func (k *Keeper) handedOver() bool {
+func (k *KeyHolder) handedOver() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r := k.rosters[k.dataCentre]
@@ -263,28 +263,28 @@
 }
 
 // recordBeat passes the beat of another entry of the data centre to the membership.
-func (k *Keeper) recordBeat(m ledger.HeartbeatMsg) {
+func (k *KeyHolder) recordBeat(m ledger.HeartbeatMsg) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.membership.Heartbeat(m)
 }
 
 // unheardAndGone returns the members that this entry has not heard, and those that are gone according to the platform's list.
-func (k *Keeper) unheardAndGone() (unheard, gone []string) {
+func (k *KeyHolder) unheardAndGone() (unheard, gone []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
 	return k.membership.Unheard(now), k.membership.Gone(now, k.book.MissingMembers())
 }
 
-func (k *Keeper) stopping() bool {
+func (k *KeyHolder) stopping() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.membership.Leaving()
 }
 
 // WaitForRoster returns when a roster is in force at this entry, or when ctx ends.
-func (k *Keeper) WaitForRoster(ctx context.Context) {
+func (k *KeyHolder) WaitForRoster(ctx context.Context) {
 	for k.Holding() == 0 && ctx.Err() == nil {
 		sleep(ctx, tickInterval/4)
 	}
--- a/node/relay/keeper_test.go
+++ b/node/relay/keyholder_test.go
@@ -81,7 +81,7 @@
 	})
 }
 
-func TestKeeper(t *testing.T) {
+func TestKeyHolder(t *testing.T) {
 	three := []string{"a", "b", "c"}
 	inVirtualTime(t, "a holder dies between claim and settle", three, func(i *is.I, f *fleet, n []*node) {
 		key := keyHeldBy(n[0], "b", "c")
@@ -140,7 +140,7 @@
 	})
 }
 
-func TestKeeperLosses(t *testing.T) {
+func TestKeyHolderLosses(t *testing.T) {
 	three := []string{"a", "b", "c"}
 	inVirtualTime(t, "a holder that cannot be reached is removed when unheard", three, func(i *is.I, f *fleet, n []*node) {
 		key := keyHeldBy(n[0], "b", "c")
@@ -276,20 +276,20 @@
 func TestBeats(t *testing.T) {
 	inVirtualTime(t, "changes pass from entry to entry", []string{"a", "b"}, func(i *is.I, _ *fleet, n []*node) {
 		n[0].state.Offer([][]byte{{1}}, nil)
-		n[0].beater.BeatNow()
+		n[0].heartbeater.BeatNow()
 		synctest.Wait()
 		i.Equal(n[1].state.Applied(), int64(1))
-		h := n[1].beater.Peers()
+		h := n[1].heartbeater.Peers()
 		i.Equal(len(h), 1)
 		i.Equal(h[0].Address().Entry(), "a")
 		i.Equal(h[0].Applied(), int64(1))
 	})
 	inVirtualTime(t, "loads go to the leader alone", []string{"a", "b", "c"}, func(i *is.I, _ *fleet, n []*node) {
 		time.Sleep(5 * time.Second)
-		for k, p := range n[1].beater.Peers() { // b leads
+		for k, p := range n[1].heartbeater.Peers() { // b leads
 			i.Equal(len(p.Loads()), 1)
 			i.True(time.Since(p.HeardAt()) < time.Second)
-			i.Equal(len(n[2*k].beater.Peers()[0].Loads()), 0)
+			i.Equal(len(n[2*k].heartbeater.Peers()[0].Loads()), 0)
 		}
 	})
 	inVirtualTime(t, "a claim ends when its caller cancels it", []string{"a", "b", "c"}, func(i *is.I, f *fleet, n []*node) {
--- a/node/relay/outbox.go
+++ b/node/relay/outbox.go
@@ -40,7 +40,7 @@
 
 // outbox holds the unfinished settlements, that is, those that are neither delivered nor dropped.
 type outbox struct {
-	k    *Keeper
+	k    *KeyHolder
 	wake chan struct{}
 
 	mu          sync.Mutex
@@ -51,7 +51,7 @@
 	dropped     int           // number of settlements dropped so far
 }
 
-func newOutbox(k *Keeper) *outbox { return &outbox{k: k, wake: make(chan struct{}, 1)} }
+func newOutbox(k *KeyHolder) *outbox { return &outbox{k: k, wake: make(chan struct{}, 1)} }
 
 // enqueue queues the settlement for delivery. If the outbox is full, the settlement is dropped: the other holders' records still say
 // that the key is claimed, until these records expire. If only the answer has no room, the settlement is sent without it.
--- a/node/relay/outbox_test.go
+++ b/node/relay/outbox_test.go
@@ -14,7 +14,7 @@
 	is := is.New(t)
 	a := ledger.Member{Entry: "a", Addr: "a:1", Incarnation: 1}
 	b := ledger.Member{Entry: "b", Addr: "b:1", Incarnation: 1}
-	k := NewKeeper(a, "dc", []string{"dc"}, keyval.NewMemory(), nil)
+	k := NewKeyHolder(a, "dc", []string{"dc"}, keyval.NewMemory(), nil)
 	r := ledger.NewRoster("dc", []ledger.Member{a, b}, 1)
 	k.rosters["dc"] = r
 	o := newOutbox(k)
--- a/node/relay/roster.go
+++ b/node/relay/roster.go
@@ -39,7 +39,7 @@
 }
 
 // requestRefresh asks refreshLoop to read a data centre's roster soon; it does not block and drops the request when too many wait.
-func (k *Keeper) requestRefresh(dataCentre string) {
+func (k *KeyHolder) requestRefresh(dataCentre string) {
 	select {
 	case k.refreshRequests <- dataCentre:
 	default:
@@ -47,7 +47,7 @@
 }
 
 // watchLoop watches the local roster in the platform's service until ctx ends, with a growing, random delay while the service is down.
-func (k *Keeper) watchLoop(ctx context.Context) error {
+func (k *KeyHolder) watchLoop(ctx context.Context) error {
 	wait := rosterRetryDelay
 	for ctx.Err() == nil {
 		start := k.now()
@@ -62,7 +62,7 @@
 }
 
 // watchUntilError reads the local roster and watches it until a call fails.
-func (k *Keeper) watchUntilError(ctx context.Context) {
+func (k *KeyHolder) watchUntilError(ctx context.Context) {
 	key := rosterKey(k.dataCentre)
 	_, rev, err := k.store.List(ctx, key, "", 1)
 	if err == nil {
@@ -77,7 +77,7 @@
 }
 
 // refreshRoster reads a data centre's roster from the platform's service and adopts it if it is newer.
-func (k *Keeper) refreshRoster(ctx context.Context, dataCentre string) error {
+func (k *KeyHolder) refreshRoster(ctx context.Context, dataCentre string) error {
 	t, end := context.WithTimeout(ctx, rosterStoreTimeout)
 	defer end()
 	i, err := k.store.Get(t, rosterKey(dataCentre))
@@ -103,7 +103,7 @@
 }
 
 // refreshLoop reads the other data centres' rosters at the start, all rosters periodically, and any roster on request.
-func (k *Keeper) refreshLoop(ctx context.Context) error {
+func (k *KeyHolder) refreshLoop(ctx context.Context) error {
 	for _, d := range k.dataCentres {
 		if d != k.dataCentre {
 			_ = k.refreshRoster(ctx, d)
@@ -127,7 +127,7 @@
 }
 
 // tickLoop calls tick periodically until ctx ends.
-func (k *Keeper) tickLoop(ctx context.Context) error {
+func (k *KeyHolder) tickLoop(ctx context.Context) error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
@@ -142,7 +142,7 @@
 
 // tick advances records and membership to the present, and proposes a roster when the membership wants a change or the
 // service holds an older roster than this entry.
-func (k *Keeper) tick(ctx context.Context) {
+func (k *KeyHolder) tick(ctx context.Context) {
 	k.mu.Lock()
 	now := k.now()
 	k.book.Tick(ledger.TickMsg{Now: now})
@@ -168,14 +168,14 @@
 }
 
 // ownBeat returns what this entry reports of itself to its own membership.
-func (k *Keeper) ownBeat(now time.Time) ledger.HeartbeatMsg {
+func (k *KeyHolder) ownBeat(now time.Time) ledger.HeartbeatMsg {
 	return ledger.HeartbeatMsg{
 		Now: now, Member: k.self, ActiveRoster: k.book.ActiveRoster(), Leaving: k.membership.Leaving(), Unheard: k.membership.Unheard(now),
 	}
 }
 
 // markGone marks former holders in the records as gone once the membership is certain of it.
-func (k *Keeper) markGone(now time.Time) {
+func (k *KeyHolder) markGone(now time.Time) {
 	r := k.rosters[k.dataCentre]
 	for _, l := range [][]ledger.Member{r.Previous(), k.book.MissingMembers()} {
 		for _, m := range l {
@@ -187,7 +187,7 @@
 }
 
 // proposeRoster writes the roster document if the stored one still has the revision rev, and then reads the roster back.
-func (k *Keeper) proposeRoster(ctx context.Context, doc []byte, rev keyval.Revision) {
+func (k *KeyHolder) proposeRoster(ctx context.Context, doc []byte, rev keyval.Revision) {
 	t, end := context.WithTimeout(ctx, rosterStoreTimeout)
 	defer end()
 	_, err := k.store.Put(t, rosterKey(k.dataCentre), doc, rev, 0)
@@ -203,7 +203,7 @@
 }
 
 // pullLoop pulls the records of keys that this entry holds under a new roster from their former holders.
-func (k *Keeper) pullLoop(ctx context.Context) error {
+func (k *KeyHolder) pullLoop(ctx context.Context) error {
 	pulledSince, rosterNumber := time.Time{}, int64(0)
 	for {
 		k.mu.Lock()
@@ -231,7 +231,7 @@
 }
 
 // pullFrom pulls all pages from one source. If that fails and overdue is set, it marks the source as unreachable.
-func (k *Keeper) pullFrom(ctx context.Context, p ledger.PullCmd, overdue bool) {
+func (k *KeyHolder) pullFrom(ctx context.Context, p ledger.PullCmd, overdue bool) {
 	q := &RecordsRequest{Entry: k.self.Entry, Roster: p.Roster, Newcomer: p.Newcomer, RosterDocument: k.Roster(k.dataCentre).Marshal()}
 	for {
 		a, err := k.client.Records(ctx, p.From.Addr, q)
@@ -257,7 +257,7 @@
 
 // applyPage adds a page to the records and reports whether more pages follow. If that brings the roster into force, peers are
 // notified.
-func (k *Keeper) applyPage(m ledger.PageMsg) bool {
+func (k *KeyHolder) applyPage(m ledger.PageMsg) bool {
 	k.mu.Lock()
 	before := k.book.ActiveRoster()
 	k.book.AddPage(m)
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -27,8 +27,8 @@
 
 // Service combines the handlers of the Relay protocol.
 type Service struct {
-	*Keeper
-	*Beater
+	*KeyHolder
+	*Heartbeater
 	Lender
 }
 
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -36,12 +36,12 @@
 }
 
 // keyPath returns the name under which the platform's service stores a key of the data centre.
-func (k *Keeper) keyPath(dataCentre string, id ledger.ID) string {
+func (k *KeyHolder) keyPath(dataCentre string, id ledger.ID) string {
 	return "dc/" + dataCentre + "/keys/" + id.String()
 }
 
 // currentLease returns a lease that lasts at least ledger.RecordTTL from now, and grants a new one if needed.
-func (k *Keeper) currentLease(ctx context.Context) (keyval.LeaseID, error) {
+func (k *KeyHolder) currentLease(ctx context.Context) (keyval.LeaseID, error) {
 	l := &k.lease
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -58,7 +58,7 @@
 }
 
 // createKey creates the key in the platform's service on behalf of this copy; an existing key is not overwritten.
-func (k *Keeper) createKey(ctx context.Context, a *attempt) ledger.Msg {
+func (k *KeyHolder) createKey(ctx context.Context, a *attempt) ledger.Msg {
 	t, end := context.WithTimeout(ctx, storeTimeout)
 	defer end()
 	m := ledger.StoreMsg{Outcome: ledger.StoreFailed}
@@ -78,7 +78,7 @@
 }
 
 // resolveWrite reads the key back after a create that conflicted or whose outcome is unknown.
-func (k *Keeper) resolveWrite(ctx context.Context, key string, a *attempt) (ledger.StoreOutcome, ledger.Record) {
+func (k *KeyHolder) resolveWrite(ctx context.Context, key string, a *attempt) (ledger.StoreOutcome, ledger.Record) {
 	i, err := k.store.Get(ctx, key)
 	var d keyDocument
 	if err != nil || !i.Found() || json.Unmarshal(i.Value(), &d) != nil {
@@ -91,7 +91,7 @@
 }
 
 // deleteKey deletes the key if this copy created it, and reports whether no key of this copy is left.
-func (k *Keeper) deleteKey(ctx context.Context, home string, r ledger.Record) bool {
+func (k *KeyHolder) deleteKey(ctx context.Context, home string, r ledger.Record) bool {
 	t, end := context.WithTimeout(ctx, storeTimeout)
 	defer end()
 	key := k.keyPath(home, r.ID)
@@ -108,7 +108,7 @@
 
 // confirmRoster returns the number of the roster that the platform's service holds now, or zero if it cannot be read.
 // Concurrent calls for one data centre share a read.
-func (k *Keeper) confirmRoster(ctx context.Context, dataCentre string) int64 {
+func (k *KeyHolder) confirmRoster(ctx context.Context, dataCentre string) int64 {
 	j, ok := k.confirmBatchers[dataCentre]
 	if !ok {
 		return 0
--- a/node/relay/ticket.go
+++ b/node/relay/ticket.go
@@ -34,7 +34,7 @@
 
 // attempt is the claim of one copy while it is being made.
 type attempt struct {
-	k       *Keeper
+	k       *KeyHolder
 	home    string // data centre whose entries remember the key
 	request *ClaimRequest
 	id      ledger.ID
@@ -46,7 +46,7 @@
 // ClaimKey claims key for one copy of a request. attemptID must be unique to the copy, and digest identifies the contents of the request.
 //
 // The error is a *RepeatError if another copy has claimed the key, or a *RefusedError. After an error the copy must not be sent.
-func (k *Keeper) ClaimKey(ctx context.Context, key string, digest []byte, attemptID string) (*Ticket, error) {
+func (k *KeyHolder) ClaimKey(ctx context.Context, key string, digest []byte, attemptID string) (*Ticket, error) {
 	a := &attempt{
 		k: k, home: ledger.HomeDataCentre(key, k.dataCentres), id: ledger.NewID(key),
 		digest: ledger.NewDigest(digest), attempt: ledger.NewAttempt(attemptID),
--- a/plat/conf/commit.go
+++ b/plat/conf/commit.go
@@ -178,7 +178,7 @@
 		return 0, false, a.merge(ctx)
 	}
 	if !v.headFound {
-		return a.heal(ctx)
+		return a.restore(ctx)
 	}
 	if n, err := a.searchLog(ctx); n > 0 || err != nil {
 		return n, err == nil, err
@@ -214,9 +214,9 @@
 	return n, err
 }
 
-// heal writes the changes that the service lacks, or merges if the service has others in their place.
-func (a *attempt) heal(ctx context.Context) (Number, bool, error) {
-	wrote, err := a.source.heal(ctx, DefaultTail)
+// restore writes the changes that the service lacks, or merges if the service has others in their place.
+func (a *attempt) restore(ctx context.Context) (Number, bool, error) {
+	wrote, err := a.source.restore(ctx, DefaultTail)
 	if errors.Is(err, ErrDiverged) {
 		wrote, err = a.source.merge(ctx)
 	}
--- a/plat/conf/follow.go
+++ b/plat/conf/follow.go
@@ -145,7 +145,7 @@
 	}
 	n := 0
 	if err = v.offerErr; !errors.Is(err, ErrDiverged) {
-		n, err = f.source.heal(ctx, DefaultTail)
+		n, err = f.source.restore(ctx, DefaultTail)
 	}
 	if errors.Is(err, ErrDiverged) {
 		f.logOfferError(err)
--- a/plat/conf/log.go
+++ b/plat/conf/log.go
@@ -10,7 +10,7 @@
 const RetainedChanges = 1_000
 
 // DefaultTail is the number of recent changes that a log keeps by default. It must be at most RetainedChanges: recent changes that the
-// service lacks are written back to it (heal), and these must not include changes that the Compactor deleted.
+// service lacks are written back to it (restore), and these must not include changes that the Compactor deleted.
 const DefaultTail = RetainedChanges
 
 // Log is a document and the recent changes that led to it. The number of the document never decreases. A Log is not safe for
--- a/plat/conf/heal.go
+++ b/plat/conf/restore.go
@@ -27,10 +27,10 @@
 	return false, nil
 }
 
-// heal writes those of the holder's last depth changes that the service lacks, in ascending order, so that each change in the
+// restore writes those of the holder's last depth changes that the service lacks, in ascending order, so that each change in the
 // service follows its predecessor. It returns the number of changes that it wrote, and ErrDiverged if the service has a
 // different change under one of the numbers.
-func (s source) heal(ctx context.Context, depth int) (int, error) {
+func (s source) restore(ctx context.Context, depth int) (int, error) {
 	recent := s.recent(depth)
 	if len(recent) == 0 {
 		return 0, s.healSnapshot(ctx, s.holder.Document().number+1)
--- a/plat/conf/script_test.go
+++ b/plat/conf/script_test.go
@@ -121,7 +121,7 @@
 		if after != conf.LogKey(0) {
 			return
 		}
-		if fullLists++; fullLists == 3 { // after heal's read and the merge's first read
+		if fullLists++; fullLists == 3 { // after the read of restore and the merge's first read
 			m.Restore(saved)
 		}
 	}}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -226,8 +226,8 @@
 	}
 }
 
-// heal ends all faults of the store, of the orders to workers and of the entries.
-func (s *soak) heal() {
+// endFaults ends all faults of the store, of the orders to workers and of the entries.
+func (s *soak) endFaults() {
 	s.platform.SetStoreFaults(false, 0)
 	s.platform.SetOrderFaults(0, 0)
 	for _, e := range s.entries {
@@ -329,7 +329,7 @@
 		callers.TryGo(func() error { return s.submit(j, first) })
 		time.Sleep(time.Duration(20+s.rnd.IntN(40)) * time.Millisecond)
 	}
-	s.heal()
+	s.endFaults()
 	if err := callers.Wait(); err != nil {
 		s.t.Error(err)
 	}
