--- a/fleet/batch/copies_test.go
+++ b/fleet/batch/copies_test.go
@@ -8,61 +8,6 @@
 	"burdockreach.dev/fleet/batch"
 )
 
-// harness is a model whose commands a test answers.
-type harness struct {
-	*batch.Model
-	now       int64
-	storeDown bool // writes to the store have an unknown outcome.
-	starts    []batch.StartCmd
-	stops     []batch.StopCmd
-}
-
-func newHarness(workers ...string) *harness {
-	b := &harness{Model: batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000, OrderGapMs: 3500}), now: 1000}
-	var set []batch.WorkerEntry
-	for _, w := range workers {
-		set = append(set, batch.WorkerEntry{ID: w, Service: "s", Addr: w, Room: batch.Size{CPU: 4000, MemMB: 8000}, ClockMs: 5, Born: 1})
-	}
-	b.Update(b.now, batch.ClaimMsg{Fresh: true, RenewedAt: b.now})
-	b.Update(b.now, batch.WorkersMsg{All: true, Set: set})
-	b.Update(b.now, batch.LoadedMsg{})
-	b.advance(100)
-	return b
-}
-
-// advance lets ms milliseconds pass. It answers commits, starts and stops at once. Polls are answered with empty lists
-// until the first start; after that only listRuns answers for a worker.
-func (b *harness) advance(ms int64) {
-	for end := b.now + ms; b.now < end; b.now += 10 {
-		b.Update(b.now, batch.ClaimMsg{Fresh: true, RenewedAt: b.now})
-		for _, c := range b.Commands(b.now) {
-			switch k := c.(type) {
-			case batch.CommitCmd:
-				if b.storeDown {
-					b.Update(b.now, batch.CommittedMsg{ID: k.ID, Outcome: batch.Unknown})
-				} else {
-					b.Update(b.now, batch.CommittedMsg{ID: k.ID, Rev: b.now})
-				}
-			case batch.StartCmd:
-				b.starts = append(b.starts, k)
-				b.Update(b.now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
-			case batch.StopCmd:
-				b.stops = append(b.stops, k)
-				b.Update(b.now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
-			case batch.PollCmd:
-				if len(b.starts) == 0 {
-					b.Update(b.now, batch.PolledMsg{Worker: k.Worker, Sent: b.now, ClockMs: b.now, Born: 1})
-				}
-			}
-		}
-	}
-}
-
-// listRuns delivers a worker's list with the given runs.
-func (b *harness) listRuns(worker string, running []batch.ActiveRun, ended ...batch.EndedRun) {
-	b.Update(b.now, batch.PolledMsg{Worker: worker, Sent: b.now, ClockMs: b.now, Born: 1, Running: running, Ended: ended})
-}
-
 // A slow task gets a speculative copy on another worker if its job allows it. Once one run is done, the other is
 // stopped.
 func TestCopies(t *testing.T) {
--- /dev/null
+++ b/fleet/batch/harness_test.go
@@ -0,0 +1,107 @@
+package batch_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/fleet/batch"
+)
+
+// harness is a model whose commands a test answers.
+type harness struct {
+	*batch.Model
+	now       int64
+	storeDown bool // writes to the store have an unknown outcome.
+	refusing  bool // the store certainly does not take writes.
+	holding   bool // writes wait for commitHeld.
+	held      []batch.CommitCmd
+	stored    map[string][]byte // values by key.
+	replies   []batch.ReplyCmd
+	starts    []batch.StartCmd
+	stops     []batch.StopCmd
+}
+
+func newHarness(workers ...string) *harness { return newHarnessWith(batch.LoadedMsg{}, workers...) }
+
+// newHarnessWith returns a harness whose owner has read the records in l.
+func newHarnessWith(l batch.LoadedMsg, workers ...string) *harness {
+	b := &harness{stored: map[string][]byte{}, Model: batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000, OrderGapMs: 3500}), now: 1000}
+	var set []batch.WorkerEntry
+	for _, w := range workers {
+		set = append(set, batch.WorkerEntry{ID: w, Service: "s", Addr: w, Room: batch.Size{CPU: 4000, MemMB: 8000}, ClockMs: 5, Born: 1})
+	}
+	b.Update(b.now, batch.ClaimMsg{Fresh: true, RenewedAt: b.now})
+	b.Update(b.now, batch.WorkersMsg{All: true, Set: set})
+	b.Update(b.now, l)
+	b.advance(100)
+	return b
+}
+
+// advance lets ms milliseconds pass. It answers commits, starts and stops at once. Polls are answered with empty lists
+// until the first start; after that only listRuns answers for a worker.
+func (b *harness) advance(ms int64) {
+	for end := b.now + ms; b.now < end; b.now += 10 {
+		b.Update(b.now, batch.ClaimMsg{Fresh: true, RenewedAt: b.now})
+		for _, c := range b.Commands(b.now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				switch {
+				case b.storeDown:
+					b.Update(b.now, batch.CommittedMsg{ID: k.ID, Outcome: batch.Unknown})
+				case b.refusing:
+					b.Update(b.now, batch.CommittedMsg{ID: k.ID, Outcome: batch.Unwritten})
+				case b.holding:
+					b.held = append(b.held, k)
+				default:
+					b.commit(k)
+				}
+			case batch.ReplyCmd:
+				b.replies = append(b.replies, k)
+			case batch.StartCmd:
+				b.starts = append(b.starts, k)
+				b.Update(b.now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
+			case batch.StopCmd:
+				b.stops = append(b.stops, k)
+				b.Update(b.now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
+			case batch.PollCmd:
+				if len(b.starts) == 0 {
+					b.Update(b.now, batch.PolledMsg{Worker: k.Worker, Sent: b.now, ClockMs: b.now, Born: 1})
+				}
+			}
+		}
+	}
+}
+
+// commit stores the rows of a transaction.
+func (b *harness) commit(k batch.CommitCmd) {
+	for _, r := range k.Rows {
+		b.stored[r.Key] = r.Value
+	}
+	b.Update(b.now, batch.CommittedMsg{ID: k.ID, Rev: b.now})
+}
+
+// commitHeld stores the writes that wait.
+func (b *harness) commitHeld() {
+	l := b.held
+	b.held = nil
+	for _, k := range l {
+		b.commit(k)
+	}
+}
+
+// record returns the stored progress of a job.
+func (b *harness) record(t *testing.T, id string) batch.StoredRun {
+	t.Helper()
+	r := batch.StoredRun{ID: id, Rev: 1}
+	if v := b.stored[batch.RunPrefix+id]; v != nil {
+		is.New(t).NoErr(json.Unmarshal(v, &r))
+	}
+	return r
+}
+
+// listRuns delivers a worker's list with the given runs.
+func (b *harness) listRuns(worker string, running []batch.ActiveRun, ended ...batch.EndedRun) {
+	b.Update(b.now, batch.PolledMsg{Worker: worker, Sent: b.now, ClockMs: b.now, Born: 1, Running: running, Ended: ended})
+}
