--- a/fleet/batch/harness_test.go
+++ b/fleet/batch/harness_test.go
@@ -27,6 +27,14 @@
 
 // newHarnessWith returns a harness whose owner has read the records in l.
 func newHarnessWith(l batch.LoadedMsg, workers ...string) *harness {
+	b := newUnreadHarness(workers...)
+	b.Update(b.now, l)
+	b.advance(100)
+	return b
+}
+
+// newUnreadHarness returns a harness whose owner has not read the records.
+func newUnreadHarness(workers ...string) *harness {
 	b := &harness{stored: map[string][]byte{}, Model: batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000, OrderGapMs: 3500}), now: 1000}
 	var set []batch.WorkerEntry
 	for _, w := range workers {
@@ -34,8 +42,6 @@
 	}
 	b.Update(b.now, batch.ClaimMsg{Fresh: true, RenewedAt: b.now})
 	b.Update(b.now, batch.WorkersMsg{All: true, Set: set})
-	b.Update(b.now, l)
-	b.advance(100)
 	return b
 }
 
--- a/fleet/batch/orders_test.go
+++ b/fleet/batch/orders_test.go
@@ -17,25 +17,37 @@
 
 // firstMovesAfter does the same with the records that the owner loads.
 func firstMovesAfter(loaded batch.LoadedMsg, messages ...batch.Msg) map[string]int64 {
+	return moveLoad{loaded: loaded, messages: messages, born: 999_000}.firstMoves()
+}
+
+// moveLoad is the case of firstMoves with what an owner knows at its takeover.
+type moveLoad struct {
+	loaded   batch.LoadedMsg
+	messages []batch.Msg
+	born     int64 // of the workers, Unix time in ms; the takeover is at 1,000,000.
+	stale    bool  // the claim is not certain.
+}
+
+func (o moveLoad) firstMoves() map[string]int64 {
 	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000, OrderGapMs: 3500})
 	room := batch.Size{CPU: 8000, MemMB: 8000}
 	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "o"}}})
 	var set []batch.WorkerEntry
 	var list []batch.Machine
 	for _, n := range []string{"1", "2"} {
-		set = append(set, batch.WorkerEntry{ID: "w" + n, Service: "o", Addr: n, Room: room, ClockMs: 5, Born: 999_000})
+		set = append(set, batch.WorkerEntry{ID: "w" + n, Service: "o", Addr: n, Room: room, ClockMs: 5, Born: o.born})
 		list = append(list, batch.Machine{Name: "m" + n, Pool: "o", State: batch.MachineUp, Room: room, Worker: "w" + n})
 	}
 	m.Update(1000, batch.WorkersMsg{All: true, Set: set})
-	m.Update(1000, loaded)
+	m.Update(1000, o.loaded)
 	j := plainJob(1)
 	j.ObjectiveExtraMs = 60_000
 	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
 	firstOrderAt := map[string]int64{}
 	for now := int64(1000); now < 9_000; now += 10 {
-		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
+		m.Update(now, batch.ClaimMsg{Fresh: !o.stale, RenewedAt: now})
 		if now == 1100 {
-			for _, g := range messages {
+			for _, g := range o.messages {
 				m.Update(now, g)
 			}
 		}
@@ -44,7 +56,7 @@
 			case batch.CommitCmd:
 				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
 			case batch.PollCmd:
-				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 999_000})
+				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: o.born})
 			case batch.ListMachinesCmd:
 				m.Update(now, batch.MachinesMsg{Sent: now, List: list})
 			case batch.MoveCmd:
@@ -82,6 +94,20 @@
 	})
 }
 
+// An owner orders no machine while the former owner may still hold the claim, nor while its own claim is not certain, also if the
+// machine's worker shows that it was not ordered lately.
+func TestOrdersNeedClaim(t *testing.T) {
+	const claimEnd, longAgo = 1_200, 900_000
+	t.Run("after the former claim", func(t *testing.T) {
+		is := is.New(t)
+		at := moveLoad{born: longAgo}.firstMoves()
+		is.True(at["m1"] >= 1000+claimEnd && at["m2"] >= 1000+claimEnd)
+	})
+	t.Run("uncertain", func(t *testing.T) {
+		is.New(t).Equal(len(moveLoad{born: longAgo, stale: true}.firstMoves()), 0)
+	})
+}
+
 // Orders includes the former owners' orders that the model knows of. Their ages grow with time, and an order whose age has
 // reached the configured gap is left out.
 func TestOrdersAge(t *testing.T) {
--- a/fleet/batch/records_test.go
+++ b/fleet/batch/records_test.go
@@ -77,6 +77,25 @@
 	})
 }
 
+// A submission that arrives before the records have been read waits for them: the job may have been accepted before.
+func TestSubmissionWaitsForRecords(t *testing.T) {
+	is := is.New(t)
+	j := taskJob(1, 2, batch.Step{})
+	b := newHarness("w1", "w2")
+	b.Update(b.now, batch.SubmitMsg{Ref: 1, Job: j})
+	b.advance(100)
+	s := b.starts[0]
+	b.listRuns(s.Worker, nil, batch.EndedRun{Number: 1, Task: s.Task, Run: 1, Reason: batch.EndDone})
+	b.advance(100)
+	l := batch.LoadedMsg{Jobs: []batch.StoredJob{{Job: j, SubmittedMs: 999_000}}, Runs: []batch.StoredRun{b.record(t, j.ID)}}
+	next := newUnreadHarness("w1", "w2")
+	next.Update(next.now, batch.SubmitMsg{Ref: 1, Job: j})
+	next.Update(next.now, l)
+	next.advance(200)
+	is.Equal(len(next.starts), 1)
+	is.True(next.starts[0].Task != s.Task)
+}
+
 // A job's record is written by one transaction at a time, and callers see the job's end only once the record has it.
 func TestEndIsShownOnceStored(t *testing.T) {
 	is := is.New(t)
