Test that an order waits for the record that names its machine

Taken out by hand (an order leaves with the record of an earlier order), all tests stayed green. TestRecordNamesOrderedMachines fails without it and passes with it (one play each). No code changes.

--- a/fleet/batch/orders_test.go
+++ b/fleet/batch/orders_test.go
@@ -1,6 +1,9 @@
 package batch_test
 
 import (
+	"encoding/json"
+	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -171,6 +174,86 @@
 	w.report()
 }
 
+// slowStoreMoves moves machines one after another while each write takes writeMs milliseconds, and the store takes none for
+// downMs from second 4 on. It returns the number of orders, and of those to machines that the stored record did not name.
+func slowStoreMoves(t *testing.T, writeMs, downMs int64) (orders, unnamed int) {
+	t.Helper()
+	const downFrom = 4_000
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000, OrderGapMs: 3500, OrdersPerSec: 10})
+	room := batch.Size{CPU: 8000, MemMB: 8000}
+	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "o"}}})
+	var set []batch.WorkerEntry
+	var list []batch.Machine
+	for i := range 8 {
+		n := strconv.Itoa(i)
+		set = append(set, batch.WorkerEntry{ID: "w" + n, Service: "o", Addr: n, Room: room, ClockMs: 5, Born: 900_000})
+		list = append(list, batch.Machine{Name: "m" + n, Pool: "o", State: batch.MachineUp, Room: room, Worker: "w" + n})
+	}
+	m.Update(1000, batch.WorkersMsg{All: true, Set: set})
+	m.Update(1000, batch.LoadedMsg{})
+	var named []string
+	type write struct {
+		at  int64
+		cmd batch.CommitCmd
+	}
+	var writes []write
+	for now := int64(1000); now < downFrom+downMs+9_000; now += 10 {
+		if n := int((now - 3_800) / 10); n > 0 && n <= 8 {
+			j := plainJob(n)
+			j.ObjectiveExtraMs = 60_000
+			m.Update(now, batch.SubmitMsg{Ref: uint64(n), Job: j})
+		}
+		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
+		for len(writes) > 0 && writes[0].at <= now {
+			k := writes[0].cmd
+			writes = writes[1:]
+			if now >= downFrom && now < downFrom+downMs {
+				m.Update(now, batch.CommittedMsg{ID: k.ID, Outcome: batch.Unwritten})
+				continue
+			}
+			for _, r := range k.Rows {
+				if r.Key == batch.OrdersKey {
+					var s batch.StoredOrders
+					is.New(t).NoErr(json.Unmarshal(r.Value, &s))
+					named = s.Machines
+				}
+			}
+			m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+		}
+		for _, c := range m.Commands(now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				writes = append(writes, write{now + writeMs, k})
+			case batch.PollCmd:
+				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 900_000})
+			case batch.ListMachinesCmd:
+				m.Update(now, batch.MachinesMsg{Sent: now, List: list})
+			case batch.MoveCmd:
+				orders++
+				if !slices.Contains(named, k.Machine) {
+					unnamed++
+				}
+			}
+		}
+	}
+	return orders, unnamed
+}
+
+// An order is sent only once the stored record names its machine: not with the record of an earlier order, and also if the store
+// took nothing for longer than the gap between two owners' orders.
+func TestRecordNamesOrderedMachines(t *testing.T) {
+	check := func(name string, writeMs, downMs int64) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			orders, unnamed := slowStoreMoves(t, writeMs, downMs)
+			is.True(orders > 2)
+			is.Equal(unnamed, 0)
+		})
+	}
+	check("slow writes", 250, 0)
+	check("store down", 20, 5_000)
+}
+
 // Machines move between two pools whose load peaks alternate, while owners are deposed and answers are lost. The
 // simulation checks that two owners never order one machine within the gap.
 func TestMovesUnderFaults(t *testing.T) {
