Keep up to 32 writes to the store in flight

With four writes of at most 31 entries in flight, accepted jobs waited for the writes of others: the median of `ageMs` in `job accepted` rose from 10 to 560 ms, and jobs were refused with "the store did not take it" at the first failed write, as they had waited for longer than 600 ms already. Four was enough for the first sites.

--- a/fleet/batch/load_test.go
+++ b/fleet/batch/load_test.go
@@ -21,6 +21,7 @@
 	queues    map[string]queueLoad // by pool.
 	lasting   int                  // lasting jobs in each pool.
 	noStandby bool                 // there is no pool on standby.
+	storeMs   int64                // time of a write to the store; 0: the default.
 	from, to  int64                // jobs submitted in this time count.
 	until     int64
 }
@@ -131,6 +132,9 @@
 	t.Helper()
 	w := newSimulation(t, o.seed, 0, faults{})
 	w.ordersPerSec = ordersPerSec
+	if o.storeMs > 0 {
+		w.storeMs = o.storeMs
+	}
 	w.fleet.services = nil
 	if !o.noStandby {
 		w.fleet.services = append(w.fleet.services, batch.Service{Name: "parked", Standby: true})
@@ -300,6 +304,19 @@
 	}
 }
 
+// While the store is slow, jobs wait for their own writes, not for those of others: 300 jobs a second, each with a run time
+// of about 0.3 s and room for all, end in time though each write takes 0.2 s.
+func TestSlowStore(t *testing.T) {
+	short := jobKind{steps: 1, runMs: 300, cpu: 2_000, maxCPU: 4_000, memMB: 1_000, taskSpread: 0.15}
+	o := callerLoad{
+		pools: pools(map[string]int{"s": 80}), noStandby: true, storeMs: 200, from: 4_000, to: 8_000, until: 12_000,
+		queues: map[string]queueLoad{"s": {short, peak(0, 300*meanTasks*0.3*2, 3_000, 500, 8_000)}},
+	}
+	x := o.mean(t, 2)
+	t.Log(x)
+	is.New(t).True(x.inTime >= 0.9)
+}
+
 // The pools together have room for peaks that come one after the other, although each peak exceeds its own pool.
 func TestTurns(t *testing.T) {
 	q := map[string]queueLoad{}
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -28,7 +28,7 @@
 // Limits of the store transactions. The store takes 32 entries per transaction, one of which is the claim.
 const (
 	maxTxnEntries   = 31
-	maxInFlightTxns = 4
+	maxInFlightTxns = 32
 )
 
 // Config holds the settings of a model.
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -29,6 +29,7 @@
 	rev                    int64
 	claimRev               int64 // revision of the claim; 0 while nobody holds it.
 	storeDown              bool  // the store does not answer.
+	storeMs                int64 // time of a write.
 	workers                []*worker.Worker
 	owners                 []*fakeOwner
 	claimCount             int
@@ -74,12 +75,15 @@
 	diedAt      int64
 }
 
-const stepMs = 10
+const (
+	stepMs         = 10
+	defaultStoreMs = 4
+)
 
 func newSimulation(t testing.TB, seed uint64, workers int, f faults) *simulation {
 	w := &simulation{
 		t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), rows: map[string]batch.Row{}, rev: 10, now: 1000,
-		faults: f, dutyGap: 3500, refs: map[uint64]*worker.JobRecord{},
+		faults: f, storeMs: defaultStoreMs, dutyGap: 3500, refs: map[uint64]*worker.JobRecord{},
 		unlistedUntil: map[string]int64{},
 	}
 	w.labels = func(string) []string { return []string{"a", "r1"} }
@@ -415,7 +419,7 @@
 		w.schedule([]int64{1, 3000}[w.rnd.IntN(2)], func() { apply() })
 		a.deliver(1500, batch.CommittedMsg{ID: k.ID, Outcome: batch.Unknown})
 	default:
-		w.schedule(4, func() {
+		w.schedule(w.storeMs, func() {
 			g := apply()
 			if g.Outcome == batch.Conflict && w.claimRev != a.fence {
 				a.deliver(1, batch.ClaimLostMsg{Reason: "claim"})
