Test what a wave must leave in service

Taken out by hand, all tests stayed green: a lasting task is stopped only if another worker has room, one task of a step at a time, and a third of a pool's machines at most are out. TestWaveKeepsLastingTasks and TestWaveLeavesPoolInService fail without each (one play each). TestAbandonedRequestTakesNoAnswer also asks that the answer is the worker's, and so fails if a failed request does not begin a new session. No code changes.

--- a/fleet/batch/lists_test.go
+++ b/fleet/batch/lists_test.go
@@ -21,11 +21,15 @@
 	starts  []batch.StartCmd
 	stops   []batch.StopCmd
 	doubled int // starts of tasks that were running elsewhere.
+
+	stopping bool // stops end runs.
+	percent  int  // progress of started runs.
+	upkeeps  map[string]bool
 }
 
 // newListedWorkers returns a model that has read the records in l, with the workers of the given names.
 func newListedWorkers(l batch.LoadedMsg, names ...string) *listedWorkers {
-	w := &listedWorkers{running: map[string][]batch.ActiveRun{}}
+	w := &listedWorkers{running: map[string][]batch.ActiveRun{}, upkeeps: map[string]bool{}}
 	for _, n := range names {
 		w.entries = append(w.entries, batch.WorkerEntry{
 			ID: n, Service: "s", Addr: n, Room: batch.Size{CPU: 2000, MemMB: 1000}, ClockMs: 5, Born: 500,
@@ -71,11 +75,18 @@
 			w.doubled++
 		}
 		w.starts = append(w.starts, k)
-		w.running[k.Worker] = append(w.running[k.Worker], batch.ActiveRun{Task: k.Task, Run: k.Run})
+		w.running[k.Worker] = append(w.running[k.Worker], batch.ActiveRun{Task: k.Task, Run: k.Run, Percent: w.percent})
 		w.m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
 	case batch.StopCmd:
 		w.stops = append(w.stops, k)
+		if w.stopping {
+			w.running[k.Worker] = slices.DeleteFunc(w.running[k.Worker], func(r batch.ActiveRun) bool { return r.Task == k.Task })
+		}
 		w.m.Update(now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
+	case batch.ListMachinesCmd:
+		w.m.Update(now, batch.MachinesMsg{Sent: now, List: w.machines()})
+	case batch.UpkeepCmd:
+		w.upkeeps[k.Machine] = true
 	case batch.PollCmd:
 		g := batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 500, ListFull: w.full}
 		if !w.full {
@@ -85,6 +96,15 @@
 	}
 }
 
+// machines returns the machine of each worker; it has the worker's name.
+func (w *listedWorkers) machines() []batch.Machine {
+	var l []batch.Machine
+	for _, e := range w.entries {
+		l = append(l, batch.Machine{Name: e.ID, Pool: e.Service, State: batch.MachineUp, Room: e.Room, Worker: e.ID})
+	}
+	return l
+}
+
 func (w *listedWorkers) isRunning(t batch.TaskName) bool {
 	for _, l := range w.running {
 		if slices.ContainsFunc(l, func(r batch.ActiveRun) bool { return r.Task == t }) {
--- /dev/null
+++ b/fleet/batch/wave_test.go
@@ -0,0 +1,62 @@
+package batch_test
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/fleet/batch"
+)
+
+// playWave runs n workers, each with a machine, and lasting tasks that each take up a worker. After 10 s a wave over the machines that
+// run them, or over all if there are none, is ordered and must end soon. Tasks that are started again do not get ready.
+func playWave(workers, lasting int) *listedWorkers {
+	var names []string
+	for i := range workers {
+		names = append(names, "w"+strconv.Itoa(i))
+	}
+	w := newListedWorkers(batch.LoadedMsg{}, names...)
+	w.stopping, w.percent = true, 100
+	if lasting > 0 {
+		w.m.Update(1000, batch.SubmitMsg{Ref: 1, Job: batch.Job{ID: jobID(1), Queue: "l", Service: "s", Steps: []batch.Step{
+			{Count: lasting, Size: batch.Size{CPU: 2000, MemMB: 10}, EstimateMs: 500, Lasting: true, PerWorker: 1, MayMiss: 1},
+		}}})
+	}
+	w.run(1010, 10_000)
+	machines := names
+	if lasting > 0 {
+		machines = nil
+		for _, s := range w.starts {
+			machines = append(machines, s.Worker)
+		}
+	}
+	w.percent = 0
+	w.m.Update(10_000, batch.WaveMsg{Number: 1, Machines: machines, DurationMs: 8_000, MaxDown: len(machines)})
+	w.run(10_000, 18_000)
+	return w
+}
+
+// A wave stops a lasting task only if another worker has room for it, and no second one of its step before the first serves again.
+func TestWaveKeepsLastingTasks(t *testing.T) {
+	t.Run("no other room", func(t *testing.T) {
+		is := is.New(t)
+		w := playWave(2, 2)
+		is.Equal(len(w.stops), 0)
+		is.Equal(len(w.upkeeps), 0)
+	})
+	t.Run("one after the other", func(t *testing.T) {
+		is := is.New(t)
+		w := playWave(6, 3)
+		is.Equal(len(w.starts), 4)
+		is.Equal(len(w.upkeeps), 1)
+	})
+}
+
+// A wave leaves two thirds of a pool's machines in service, also if the operator's order allows more.
+func TestWaveLeavesPoolInService(t *testing.T) {
+	is := is.New(t)
+	w := playWave(9, 0)
+	is.True(len(w.upkeeps) > 0)
+	is.True(len(w.upkeeps) <= 3)
+}
--- a/node/owner/helper_test.go
+++ b/node/owner/helper_test.go
@@ -279,7 +279,9 @@
 	close(d.release)
 	time.Sleep(50 * time.Millisecond) // the held request now waits for answers.
 	h.enqueue(batch.StopCmd{Worker: "a", Task: batch.TaskName{Job: "0123456789abcdef"}, Run: 1})
-	waitMsg(t, m)
+	g, ok := waitMsg(t, m).(batch.StoppedMsg)
+	is.True(ok)
+	is.Equal(g.Result, batch.OK)
 	is.Equal(h.unanswered(), 0)
 }
 
