Find the owner through the other entries when the store cannot be read

Ruled out: the owner itself, which serves the other entries without loss. The newest fence counts until the store tells an owner again.

--- a/node/front/front.go
+++ b/node/front/front.go
@@ -51,6 +51,7 @@
 // OwnerResolver returns the peer address of the owner of the jobs.
 type OwnerResolver interface {
 	Owner() string // empty while there is no owner.
+	OwnerFailed()  // tells that the owner could not be called, or that it is not the owner.
 }
 
 // Front serves callers.
@@ -272,16 +273,21 @@
 func (f *Front) callOwnerOnce(until time.Time, call func(context.Context, desk.Desk) (*desk.Reply, error)) (*desk.Reply, error) {
 	a := f.claims.Owner()
 	if a == "" {
+		f.claims.OwnerFailed()
 		return nil, desk.ErrNotSent
 	}
 	x, cancel := context.WithDeadline(context.Background(), earlier(until, time.Now().Add(ownerCallTimeout)))
 	defer cancel()
 	r, err := call(x, f.desk.At(a))
-	if err != nil && !desk.IsNotSent(err) {
+	if err == nil {
+		return r, nil
+	}
+	f.claims.OwnerFailed()
+	if !desk.IsNotSent(err) {
 		f.stats.Add("owner_unanswered", 1)
 		f.desk.Reset(a)
 	}
-	return r, err
+	return nil, err
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -300,6 +306,9 @@
 		if err == nil && r.GetReady() && r.GetState() != string(batch.StateAbsent) {
 			return answer{status: fasthttp.StatusOK, body: f.codec.State(batch.State(r.GetState()))}
 		}
+		if err != nil || !r.GetReady() {
+			f.claims.OwnerFailed()
+		}
 		if err != nil && errors.Is(x.Err(), context.DeadlineExceeded) {
 			f.desk.Reset(a)
 		}
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -47,6 +47,7 @@
 type fakeClaims string
 
 func (c fakeClaims) Owner() string { return string(c) }
+func (fakeClaims) OwnerFailed()    {}
 
 type fakeCodec struct{}
 
--- a/node/site/claims.go
+++ b/node/site/claims.go
@@ -40,25 +40,39 @@
 type claims struct {
 	name      string
 	cores     float64
-	wakeLease func() // makes the lease read the claim at once.
-	ownerAddr atomic.Pointer[string]
+	wakeLease func()                 // makes the lease read the claim at once.
+	ownerAddr atomic.Pointer[string] // as in the store.
+	foundAddr atomic.Pointer[string] // as another entry says, until the store tells an owner again; nil if not known.
+	failed    chan struct{}          // holds a value if a call to the owner has failed.
+	lost      atomic.Bool            // the store does not answer.
 
 	mu      sync.Mutex
 	entries map[string]entryInfo
 }
 
 func newClaims(s Settings) *claims {
-	return &claims{name: s.Name, cores: s.Cores, wakeLease: func() {}, entries: map[string]entryInfo{}}
+	return &claims{name: s.Name, cores: s.Cores, wakeLease: func() {}, entries: map[string]entryInfo{}, failed: make(chan struct{}, 1)}
 }
 
 // Owner returns the peer address of the owner of the jobs, empty while there is no owner.
 func (c *claims) Owner() string {
+	if a := c.foundAddr.Load(); a != nil {
+		return *a
+	}
 	if a := c.ownerAddr.Load(); a != nil {
 		return *a
 	}
 	return ""
 }
 
+// OwnerFailed tells that the owner could not be called, or that it is not the owner.
+func (c *claims) OwnerFailed() {
+	select {
+	case c.failed <- struct{}{}:
+	default:
+	}
+}
+
 // hasLargerEntry reports whether a larger entry has been alive for at least d.
 func (c *claims) hasLargerEntry(d time.Duration) bool {
 	c.mu.Lock()
@@ -75,12 +89,15 @@
 const minHelperCoresRatio = 0.6
 
 // Helpers returns the peer addresses of the entries that can be helpers, those with the most cores first.
-func (c *claims) Helpers() []string {
+func (c *claims) Helpers() []string { return c.others(minHelperCoresRatio * c.cores) }
+
+// others returns the peer addresses of the other entries that have at least minCores, those with the most cores first.
+func (c *claims) others(minCores float64) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var l []entryInfo
 	for n, m := range c.entries {
-		if n != c.name && m.Addr != "" && m.Cores >= minHelperCoresRatio*c.cores {
+		if n != c.name && m.Addr != "" && m.Cores >= minCores {
 			l = append(l, m)
 		}
 	}
@@ -164,16 +181,17 @@
 
 // setOwner stores the owner's address. If it changed, the lease reads the claim at once.
 func (c *claims) setOwner(a string) {
+	c.foundAddr.Store(nil)
 	if o := c.ownerAddr.Swap(&a); o == nil || *o != a {
 		c.wakeLease()
 	}
 }
 
 // Disconnected implements keyval.Sink. The watch of the operator's documents already logs that the store is lost.
-func (*claims) Disconnected(error) {}
+func (c *claims) Disconnected(error) { c.lost.Store(true) }
 
 // Reconnected implements keyval.Sink.
-func (*claims) Reconnected() {}
+func (c *claims) Reconnected() { c.lost.Store(false) }
 
 // register keeps this entry in the list of live entries until ctx ends.
 func (e *Site) register(ctx context.Context) error {
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -165,6 +165,7 @@
 	g.Go(func() error {
 		return keyval.Follow(c, e.platform.Store, e.platform.Format.OperatorPrefix(), configWatchTimeout, &operatorSink{e})
 	})
+	g.Go(func() error { return (&search{claims: e.claims, peers: e.desk, log: e.log}).run(c) })
 	g.Go(func() error {
 		return keyval.Follow(c, e.platform.Store, owner.ClaimPrefix, claimsWatchTimeout, e.claims)
 	})
