--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BIN := bin
 SEED ?= 1
 
-.PHONY: all build demo test check lint unit tools bench soak report proofs
+.PHONY: all build demo test check lint unit tools bench soak upgrade report proofs
 
 all: build
 
@@ -55,3 +55,10 @@
 	@go test -count=1 -timeout 60m ./fleet/batch -run 'TestChaos|TestWave' -batch.seeds=$(SEEDS)
 	@go test -count=1 -timeout 120m ./proof -run TestSoak -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.for=20s
 	@go test -count=1 -timeout 60m ./proof -run TestFailuresTogether -chaos.seed=$(SEED) -chaos.steps=$(STEPS)
+
+# upgrade runs TestSoak for SEEDS seeds with entries of the commit OLD beside those of this tree.
+OLD ?= HEAD~1
+upgrade:
+	@d=$$(mktemp -d) && trap "rm -rf $$d" EXIT && mkdir $$d/src && git archive $(OLD) | tar x -C $$d/src && \
+	  (cd $$d/src && go build -buildvcs=false -o $$d/burdockreach ./cmd/burdockreach) && \
+	  go test -count=1 -timeout 120m ./proof -run TestSoak -soak.old=$$d/burdockreach -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.for=14s
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -37,6 +37,7 @@
 	soakDuration = flag.Duration("soak.for", 9*time.Second, "time under faults for each seed")
 	soakEntries  = flag.Int("soak.entries", 3, "number of entry processes")
 	soakWorkers  = flag.Int("soak.workers", 6, "number of workers of each of two services")
+	soakOld      = flag.String("soak.old", "", "program of an older build, which every other start of an entry runs")
 )
 
 // soakRegressions are seeds that failed in the past, each with the cause.
@@ -76,6 +77,7 @@
 	storeProxy   *proxy.Proxy
 	cmd          *exec.Cmd
 	paused       bool
+	oldNext      bool // the next start runs the older build.
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -124,7 +126,7 @@
 // addEntry starts the entry with the number i, and the proxy between it and the store.
 func (s *soak) addEntry(i int) {
 	s.t.Helper()
-	e := &entryProcess{soak: s, name: "entry-" + strconv.Itoa(i), callerAddr: rig.FreeAddr(s.t)}
+	e := &entryProcess{soak: s, name: "entry-" + strconv.Itoa(i), callerAddr: rig.FreeAddr(s.t), oldNext: i%2 == 0}
 	e.storeProxy = proxy.New("127.0.0.1:0", s.platform.StoreAddr())
 	s.group.Go(func() error { return e.storeProxy.Serve(s.ctx) })
 	store, err := e.storeProxy.Addr(s.ctx)
@@ -154,7 +156,7 @@
 		e.soak.t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
-	e.cmd = exec.Command(rig.Binary(e.soak.t), "site", "-settings", e.settingsFile)
+	e.cmd = exec.Command(e.program(), "site", "-settings", e.settingsFile)
 	e.cmd.Stdout, e.cmd.Stderr = l, l
 	if err := e.cmd.Start(); err != nil {
 		e.soak.t.Fatal(err)
@@ -162,6 +164,16 @@
 	e.paused = false
 }
 
+// program returns the program of the next start.
+func (e *entryProcess) program() string {
+	old := e.oldNext && *soakOld != ""
+	e.oldNext = !e.oldNext
+	if old {
+		return *soakOld
+	}
+	return rig.Binary(e.soak.t)
+}
+
 // kill sends a signal that ends the process and waits for its exit.
 func (e *entryProcess) kill(sig syscall.Signal) {
 	if e.cmd == nil {
