--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -211,7 +211,7 @@
 	case 2:
 		e.pause()
 	case 3, 4, 5:
-		s.healEntry(e)
+		s.endEntryFaults(e)
 	case 6:
 		e.storeProxy.Stall()
 	case 7:
@@ -228,8 +228,8 @@
 	}
 }
 
-// healEntry ends the faults of an entry: it resumes or restarts the process and lets connections to the store through again.
-func (s *soak) healEntry(e *entryProcess) {
+// endEntryFaults ends the faults of an entry: it resumes or restarts the process and lets connections to the store through again.
+func (s *soak) endEntryFaults(e *entryProcess) {
 	e.resume()
 	e.storeProxy.Cut() // also closes stalled connections
 	e.storeProxy.Accept()
@@ -243,7 +243,7 @@
 	s.platform.SetStoreFaults(false, 0)
 	s.platform.SetOrderFaults(0, 0)
 	for _, e := range s.entries {
-		s.healEntry(e)
+		s.endEntryFaults(e)
 	}
 }
 
