Do not complete a wave before the list of machines has been read

A failed request for the list sets the time of the next request, which also stood for "the list is known": the new owner went on with an empty list, found nothing to maintain and reported the wave as completed. Change: a flag that the list has been received. Test: TestWaveIsNotCompletedWithoutList, 1 wave reported as completed before, none after.

--- a/fleet/batch/harness_test.go
+++ b/fleet/batch/harness_test.go
@@ -21,6 +21,10 @@
 	replies   []batch.ReplyCmd
 	starts    []batch.StartCmd
 	stops     []batch.StopCmd
+
+	noList       bool // requests for the list of machines fail.
+	listRequests int
+	completed    int // waves reported as completed.
 }
 
 func newHarness(workers ...string) *harness { return newHarnessWith(batch.LoadedMsg{}, workers...) }
@@ -63,6 +67,15 @@
 				default:
 					b.commit(k)
 				}
+			case batch.ListMachinesCmd:
+				b.listRequests++
+				if b.noList {
+					b.Update(b.now, batch.MachinesMsg{Sent: b.now, Failed: true})
+				}
+			case batch.ReportCmd:
+				if k.Completed {
+					b.completed++
+				}
 			case batch.ReplyCmd:
 				b.replies = append(b.replies, k)
 			case batch.StartCmd:
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -149,7 +149,8 @@
 	meanCPU       float64    // mean CPU of a machine, in thousandths of a core.
 	waves         map[int]*wave
 	listAskedAt   int64 // when the pending list request was sent; 0 if none is pending.
-	listReadAt    int64 // when the list was last received.
+	listed        bool  // the list has been received.
+	listReadAt    int64 // when the list was last received; later if a request failed.
 	listSentAt    int64 // when the request for the last received list was sent.
 	pace          orderPace
 	moved         map[route][]string // machines that the present plan moves.
@@ -184,7 +185,7 @@
 		d.listReadAt = max(d.listReadAt, m.now-listIdleIntervalMs+listBusyIntervalMs)
 		return
 	}
-	d.listReadAt, d.listSentAt = m.now, g.Sent
+	d.listed, d.listReadAt, d.listSentAt = true, m.now, g.Sent
 	seen := map[string]bool{}
 	for _, x := range g.List {
 		seen[x.Name] = true
@@ -245,7 +246,7 @@
 		d.listAskedAt = m.now
 		m.emit(ListMachinesCmd{})
 	}
-	if d.listReadAt == 0 {
+	if !d.listed {
 		return
 	}
 	m.countMachines()
--- a/fleet/batch/wave_test.go
+++ b/fleet/batch/wave_test.go
@@ -60,3 +60,15 @@
 	is.True(len(w.upkeeps) > 0)
 	is.True(len(w.upkeeps) <= 3)
 }
+
+// A new owner whose first requests for the list of machines fail does not know the machines of a wave. It must not say that the wave is
+// completed.
+func TestWaveIsNotCompletedWithoutList(t *testing.T) {
+	is := is.New(t)
+	b := newHarness("w1")
+	b.noList = true
+	b.Update(b.now, batch.WaveMsg{Number: 1, Machines: []string{"m1"}, DurationMs: 30_000, MaxDown: 1})
+	b.advance(20_000)
+	is.True(b.listRequests > 1)
+	is.Equal(b.completed, 0)
+}
