Take a free claim only once the other entries are known

A small entry that started at 42.12 claimed the free key at 42.17, before its list of live entries had been read, and so without leaving it to larger ones. Test: TestClaimWaitsForEntries.

--- a/node/site/claims.go
+++ b/node/site/claims.go
@@ -45,13 +45,15 @@
 	foundAddr atomic.Pointer[string] // as another entry says, until the store tells an owner again; nil if not known.
 	failed    chan struct{}          // holds a value if a call to the owner has failed.
 	lost      atomic.Bool            // the store does not answer.
+	listed    chan struct{}          // closed once the live entries have been read.
+	listOnce  sync.Once
 
 	mu      sync.Mutex
 	entries map[string]entryInfo
 }
 
 func newClaims(s Settings) *claims {
-	return &claims{name: s.Name, cores: s.Cores, wakeLease: func() {}, entries: map[string]entryInfo{}, failed: make(chan struct{}, 1)}
+	return &claims{name: s.Name, cores: s.Cores, wakeLease: func() {}, entries: map[string]entryInfo{}, failed: make(chan struct{}, 1), listed: make(chan struct{})}
 }
 
 // Owner returns the peer address of the owner of the jobs, empty while there is no owner.
@@ -139,6 +141,16 @@
 	if !found {
 		c.setOwner("")
 	}
+	c.listOnce.Do(func() { close(c.listed) })
+}
+
+// waitListed returns once the live entries have been read, or after d. Before that an entry does not know whether there are larger ones.
+func (c *claims) waitListed(ctx context.Context, d time.Duration) {
+	select {
+	case <-c.listed:
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
 }
 
 // Apply implements keyval.Sink.
--- a/node/site/settings_test.go
+++ b/node/site/settings_test.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"burdockreach.dev/plat/keyval"
 )
 
 func valid() map[string]any {
@@ -66,6 +69,23 @@
 	}
 }
 
+// An entry that has just started must not take a free claim before it knows of larger entries.
+func TestClaimWaitsForEntries(t *testing.T) {
+	is := is.New(t)
+	c := newClaims(Settings{Name: "weak", Cores: 0.2})
+	begin := time.Now()
+	c.waitListed(t.Context(), 50*time.Millisecond)
+	is.True(time.Since(begin) >= 50*time.Millisecond)
+	s := keyval.NewMemory()
+	_, err := s.Put(t.Context(), entryPrefix+"strong", []byte(`{"cores":0.8,"addr":"c:1"}`), keyval.Absent, 0)
+	is.NoErr(err)
+	l, _, err := s.All(t.Context(), entryPrefix)
+	is.NoErr(err)
+	c.Reset(l)
+	c.waitListed(t.Context(), time.Minute)
+	is.Equal(c.delay(), claimDelay)
+}
+
 func TestLargerEntry(t *testing.T) {
 	is := is.New(t)
 	c := newClaims(Settings{Name: "weak", Cores: 0.2})
