--- a/node/site/settings_test.go
+++ b/node/site/settings_test.go
@@ -76,12 +76,7 @@
 	begin := time.Now()
 	c.waitListed(t.Context(), 50*time.Millisecond)
 	is.True(time.Since(begin) >= 50*time.Millisecond)
-	s := keyval.NewMemory()
-	_, err := s.Put(t.Context(), entryPrefix+"strong", []byte(`{"cores":0.8,"addr":"c:1"}`), keyval.Absent, 0)
-	is.NoErr(err)
-	l, _, err := s.All(t.Context(), entryPrefix)
-	is.NoErr(err)
-	c.Reset(l)
+	c.Reset([]keyval.Item{keyval.NewItem(entryPrefix+"strong", []byte(`{"cores":0.8,"addr":"c:1"}`), 1)})
 	c.waitListed(t.Context(), time.Minute)
 	is.Equal(c.delay(), claimDelay)
 }
