--- a/fleet/batch/takeover_test.go
+++ b/fleet/batch/takeover_test.go
@@ -81,6 +81,13 @@
 		is.Equal(starts(m, 1100)+starts(m, 13_900), 0)
 		is.Equal(starts(m, 14_100)+starts(m, 14_200), 4)
 	})
+	t.Run("the machines are not known late in the life of the process", func(t *testing.T) {
+		is := is.New(t)
+		m := newSuccessor()
+		m.Update(10_000, batch.MachinesMsg{Sent: 9_990, Failed: true})
+		is.Equal(starts(m, 10_100)+starts(m, 13_900), 0)
+		is.Equal(starts(m, 14_100)+starts(m, 14_200), 4)
+	})
 	t.Run("a worker has not been read", func(t *testing.T) {
 		is := is.New(t)
 		m := newSuccessorWithMachines("w1")
