Try a failing store with four writes at a time

Change: after a failed write at most four are in flight until one succeeds. TestSlowStore (healthy but slow) passes as before.

--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -81,7 +81,7 @@
 }
 
 // flush sends the waiting writes once commitWindowMs has passed or they fill a transaction, with at most
-// maxInFlightTxns in flight.
+// maxInFlightTxns in flight, or maxFailingTxns after a failed one.
 func (m *Model) flush() {
 	c := &m.commits
 	if !c.waiting() {
@@ -95,7 +95,11 @@
 	if m.now < c.retryAt || (m.now-c.waitingSince < commitWindowMs && !full) {
 		return
 	}
-	for len(c.inFlight) < maxInFlightTxns && c.waiting() {
+	limit := maxInFlightTxns
+	if c.failing {
+		limit = maxFailingTxns
+	}
+	for len(c.inFlight) < limit && c.waiting() {
 		if !m.sendTransaction() {
 			break
 		}
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -29,6 +29,7 @@
 const (
 	maxTxnEntries   = 31
 	maxInFlightTxns = 32
+	maxFailingTxns  = 4 // in flight after a write that failed, until one succeeds.
 )
 
 // Config holds the settings of a model.
--- a/fleet/batch/records_test.go
+++ b/fleet/batch/records_test.go
@@ -147,3 +147,25 @@
 		refusal(t, b, taskJob(2, 1, batch.Step{}), "the store does not answer")
 	})
 }
+
+// While the store takes no writes, a long queue of writes is tried a few at a time, and goes on once the store takes them again.
+func TestFailingStoreGetsFewWrites(t *testing.T) {
+	is := is.New(t)
+	b := newHarness("w1", "w2")
+	b.holding = true
+	for n := range 600 {
+		b.Update(b.now, batch.SubmitMsg{Ref: uint64(n + 1), Job: taskJob(n+1, 1, batch.Step{})})
+	}
+	b.advance(10)
+	first := len(b.held)
+	is.True(first > 8) // a healthy store gets all at once.
+	for _, k := range b.held {
+		b.Update(b.now, batch.CommittedMsg{ID: k.ID, Outcome: batch.Unknown})
+	}
+	b.held = nil
+	b.advance(100)
+	is.True(len(b.held) > 0 && len(b.held) <= 4)
+	b.commitHeld()
+	b.advance(100)
+	is.True(len(b.held) > 8)
+}
