Write a wave's record in one transaction at a time

Cause: a wave whose progress changed while its record was being written was written again at once, with the same revision as its guard. Change: a wave's record is not written while another write of it is in flight, as it is for jobs. Test: TestWaveRecordIsWrittenOnceAtATime fails without it and passes with it.

--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -171,6 +171,9 @@
 	for _, j := range f.progress {
 		delete(c.writing, j)
 	}
+	if f.wave != nil {
+		f.wave.writing = false
+	}
 	if g.Outcome == Written {
 		c.failing, c.retryAt = false, 0
 		m.applyWritten(f, g.Rev)
--- a/fleet/batch/lists_test.go
+++ b/fleet/batch/lists_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -25,11 +26,29 @@
 	stopping bool // stops end runs.
 	percent  int  // progress of started runs.
 	upkeeps  map[string]bool
+
+	rejecting bool             // machines refuse their upkeep, one after the other, as if it were done.
+	rejectAt  map[string]int64 // by machine.
+
+	writeMs    int64 // time of a write to the store.
+	writing    []heldWrite
+	waveWrites int
+	overlaps   int // writes of a wave's record while another one was in flight.
+}
+
+// heldWrite is a transaction that the store answers at a later time.
+type heldWrite struct {
+	doneAt int64
+	cmd    batch.CommitCmd
+}
+
+func (h heldWrite) hasWave() bool {
+	return slices.ContainsFunc(h.cmd.Rows, func(r batch.Row) bool { return strings.HasPrefix(r.Key, batch.WavePrefix) })
 }
 
 // newListedWorkers returns a model that has read the records in l, with the workers of the given names.
 func newListedWorkers(l batch.LoadedMsg, names ...string) *listedWorkers {
-	w := &listedWorkers{running: map[string][]batch.ActiveRun{}, upkeeps: map[string]bool{}}
+	w := &listedWorkers{running: map[string][]batch.ActiveRun{}, upkeeps: map[string]bool{}, rejectAt: map[string]int64{}}
 	for _, n := range names {
 		w.entries = append(w.entries, batch.WorkerEntry{
 			ID: n, Service: "s", Addr: n, Room: batch.Size{CPU: 2000, MemMB: 1000}, ClockMs: 5, Born: 500,
@@ -56,6 +75,16 @@
 
 func (w *listedWorkers) run(from, until int64) {
 	for now := from; now < until; now += 10 {
+		for n, at := range w.rejectAt {
+			if now >= at {
+				delete(w.rejectAt, n)
+				w.m.Update(now, batch.OrderDoneMsg{Machine: n, Wave: 1, Result: batch.OrderRejected})
+			}
+		}
+		for len(w.writing) > 0 && now >= w.writing[0].doneAt {
+			w.m.Update(now, batch.CommittedMsg{ID: w.writing[0].cmd.ID, Rev: now})
+			w.writing = w.writing[1:]
+		}
 		for len(w.late) > 0 && now >= w.late[0].Sent+w.delayMs {
 			w.m.Update(now, w.late[0])
 			w.late = w.late[1:]
@@ -69,6 +98,17 @@
 func (w *listedWorkers) perform(now int64, c batch.Cmd) {
 	switch k := c.(type) {
 	case batch.CommitCmd:
+		h := heldWrite{now + w.writeMs, k}
+		if h.hasWave() {
+			w.waveWrites++
+			if slices.ContainsFunc(w.writing, heldWrite.hasWave) {
+				w.overlaps++
+			}
+		}
+		if w.writeMs > 0 {
+			w.writing = append(w.writing, h)
+			return
+		}
 		w.m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
 	case batch.StartCmd:
 		if w.isRunning(k.Task) {
@@ -87,6 +127,9 @@
 		w.m.Update(now, batch.MachinesMsg{Sent: now, List: w.machines()})
 	case batch.UpkeepCmd:
 		w.upkeeps[k.Machine] = true
+		if w.rejecting {
+			w.rejectAt[k.Machine] = now + 50*int64(len(w.upkeeps))
+		}
 	case batch.PollCmd:
 		g := batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 500, ListFull: w.full}
 		if !w.full {
--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -25,6 +25,7 @@
 	done     bool
 
 	version, storedVersion int
+	writing                bool // a transaction with its record is in flight.
 	rev                    int64
 }
 
@@ -257,6 +258,10 @@
 // addWaveRow adds the progress of one wave to a transaction.
 func (m *Model) addWaveRow(f *transaction, rows *[]Row) bool {
 	for n, w := range m.commits.dirtyWaves {
+		if w.writing {
+			continue
+		}
+		w.writing = true
 		b, err := json.Marshal(StoredWave{Number: n, Begun: sortedKeys(w.begun), Done: sortedKeys(w.finished)})
 		if err != nil {
 			panic(fmt.Sprintf("batch: wave %d cannot be encoded: %v", n, err))
--- a/fleet/batch/wave_test.go
+++ b/fleet/batch/wave_test.go
@@ -72,3 +72,19 @@
 	is.True(b.listRequests > 1)
 	is.Equal(b.completed, 0)
 }
+
+// A wave's record is written by one transaction at a time: a second one would conflict with the first, together with the jobs that it
+// accepts.
+func TestWaveRecordIsWrittenOnceAtATime(t *testing.T) {
+	is := is.New(t)
+	w := newListedWorkers(batch.LoadedMsg{}, "w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8")
+	w.run(1010, 10_000)
+	w.writeMs, w.rejecting = 300, true
+	w.m.Update(10_000, batch.WaveMsg{Number: 1, Machines: []string{"w0", "w1", "w2", "w3", "w4", "w5"}, DurationMs: 30_000, MaxDown: 2})
+	for n := range 200 {
+		w.submit(10_000+int64(n)*20, n+1)
+		w.run(10_000+int64(n)*20, 10_020+int64(n)*20)
+	}
+	is.True(w.waveWrites > 0)
+	is.Equal(w.overlaps, 0)
+}
