Play the three loads of advice with one function

TestAdvice, TestAdviceInLargePool and TestRejectedTicketIsAskedAnew each had the loop of their own. The checks are the same.

--- a/fleet/batch/job_kinds_test.go
+++ b/fleet/batch/job_kinds_test.go
@@ -71,64 +71,38 @@
 	is.Equal(len(w.judge.Runs(batch.TaskName{Job: big.ID}.String())), 0) // only six tasks fit, so none starts.
 }
 
-// Tasks of an advised queue start only at workers for which a ticket was granted, and the start carries the ticket.
-func TestAdvice(t *testing.T) {
-	is := is.New(t)
-	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
-	m.Update(1000, batch.ClaimMsg{Fresh: true, RenewedAt: 1000})
-	room := batch.Size{CPU: 8000, MemMB: 8000}
-	m.Update(1000, batch.WorkersMsg{All: true, Set: []batch.WorkerEntry{
-		{ID: "w1", Service: "s", Addr: "w1", Room: room, ClockMs: 5}, {ID: "w2", Service: "s", Addr: "w2", Room: room, ClockMs: 5},
-	}})
-	m.Update(1000, batch.LoadedMsg{})
-	j := plainJob(1)
-	j.Advised = true
-	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
-	asked := 0
-	var got []batch.StartCmd
-	for now := int64(1000); now < 2000; now += 10 {
-		for _, c := range m.Commands(now) {
-			switch k := c.(type) {
-			case batch.CommitCmd:
-				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
-			case batch.PollCmd:
-				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 1})
-			case batch.AdviseCmd:
-				asked++
-				is.Equal(k.Workers, []string{"w1", "w2"})
-				m.Update(now, batch.AdvisedMsg{Task: k.Task, Sent: now, ValidMs: 3000, Tickets: map[string]string{"w2": "t-1"}})
-			case batch.StartCmd:
-				got = append(got, k)
-			}
-		}
-	}
-	is.Equal(asked, 1)
-	is.Equal(len(got), 4)
-	for _, k := range got {
-		is.Equal(k.Worker, "w2")
-		is.Equal(k.Ticket, "t-1")
-	}
+// advisedLoad is a job of an advised queue in a pool with the given workers.
+type advisedLoad struct {
+	workers []string
+	steps   []batch.Step      // those of a plain job if nil.
+	tickets map[string]string // granted, by worker.
+	answer  batch.Result      // of the workers to starts.
 }
 
-// In a pool with more workers than one request may name, the worker that may run the step is found, and no worker is asked for again
-// while its ticket is valid or after it was denied.
-func TestAdviceInLargePool(t *testing.T) {
-	is := is.New(t)
+// advisedResult holds the requests for advice and the starts.
+type advisedResult struct {
+	requests int
+	asked    map[string]int // how often, by worker.
+	starts   []batch.StartCmd
+}
+
+// play runs the load for two seconds.
+func (o advisedLoad) play() advisedResult {
 	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
 	m.Update(1000, batch.ClaimMsg{Fresh: true, RenewedAt: 1000})
-	const workers, granted = 250, "w231"
 	var l []batch.WorkerEntry
-	for i := range workers {
-		n := fmt.Sprintf("w%03d", i)
+	for _, n := range o.workers {
 		l = append(l, batch.WorkerEntry{ID: n, Service: "s", Addr: n, Room: batch.Size{CPU: 8000, MemMB: 8000}, ClockMs: 5})
 	}
 	m.Update(1000, batch.WorkersMsg{All: true, Set: l})
 	m.Update(1000, batch.LoadedMsg{})
 	j := plainJob(1)
 	j.Advised = true
+	if o.steps != nil {
+		j.Steps = o.steps
+	}
 	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
-	asked := map[string]int{}
-	var started []string
+	r := advisedResult{asked: map[string]int{}}
 	for now := int64(1000); now < 3000; now += 10 {
 		for _, c := range m.Commands(now) {
 			switch k := c.(type) {
@@ -137,24 +111,53 @@
 			case batch.PollCmd:
 				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 1})
 			case batch.AdviseCmd:
+				r.requests++
 				g := batch.AdvisedMsg{Task: k.Task, Sent: now, ValidMs: 10_000, Tickets: map[string]string{}}
 				for _, w := range k.Workers {
-					asked[w]++
-					if w == granted {
-						g.Tickets[w] = "t-1"
+					r.asked[w]++
+					if t, ok := o.tickets[w]; ok {
+						g.Tickets[w] = t
 					}
 				}
 				m.Update(now, g)
 			case batch.StartCmd:
-				started = append(started, k.Worker)
+				r.starts = append(r.starts, k)
+				if o.answer != batch.OK {
+					m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Sent: now, Result: o.answer})
+				}
 			}
 		}
 	}
-	is.Equal(len(started), 4)
-	for _, w := range started {
-		is.Equal(w, granted)
+	return r
+}
+
+// Tasks of an advised queue start only at workers for which a ticket was granted, and the start carries the ticket.
+func TestAdvice(t *testing.T) {
+	is := is.New(t)
+	r := advisedLoad{workers: []string{"w1", "w2"}, tickets: map[string]string{"w2": "t-1"}}.play()
+	is.Equal(r.requests, 1)
+	is.Equal(r.asked, map[string]int{"w1": 1, "w2": 1})
+	is.Equal(len(r.starts), 4)
+	for _, k := range r.starts {
+		is.Equal(k.Worker, "w2")
+		is.Equal(k.Ticket, "t-1")
 	}
-	for _, n := range asked {
+}
+
+// In a pool with more workers than one request may name, the worker that may run the step is found, and no worker is asked for again
+// while its ticket is valid or after it was denied.
+func TestAdviceInLargePool(t *testing.T) {
+	is := is.New(t)
+	o := advisedLoad{tickets: map[string]string{"w231": "t-1"}}
+	for i := range 250 {
+		o.workers = append(o.workers, fmt.Sprintf("w%03d", i))
+	}
+	r := o.play()
+	is.Equal(len(r.starts), 4)
+	for _, k := range r.starts {
+		is.Equal(k.Worker, "w231")
+	}
+	for _, n := range r.asked {
 		is.Equal(n, 1)
 	}
 }
@@ -162,34 +165,12 @@
 // A worker that rejects a ticket gets no other start of the step before a new ticket is granted.
 func TestRejectedTicketIsAskedAnew(t *testing.T) {
 	is := is.New(t)
-	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
-	m.Update(1000, batch.ClaimMsg{Fresh: true, RenewedAt: 1000})
-	m.Update(1000, batch.WorkersMsg{All: true, Set: []batch.WorkerEntry{
-		{ID: "w1", Service: "s", Addr: "w1", Room: batch.Size{CPU: 1000, MemMB: 8000}, ClockMs: 5},
-	}})
-	m.Update(1000, batch.LoadedMsg{})
-	j := plainJob(1)
-	j.Advised, j.Steps = true, []batch.Step{{Count: 1, Size: batch.Size{CPU: 1000, MemMB: 10}, EstimateMs: 500}}
-	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
-	asked, rejected := 0, 0
-	for now := int64(1000); now < 3000; now += 10 {
-		for _, c := range m.Commands(now) {
-			switch k := c.(type) {
-			case batch.CommitCmd:
-				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
-			case batch.PollCmd:
-				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 1})
-			case batch.AdviseCmd:
-				asked++
-				m.Update(now, batch.AdvisedMsg{Task: k.Task, Sent: now, ValidMs: 10_000, Tickets: map[string]string{"w1": "t-1"}})
-			case batch.StartCmd:
-				rejected++
-				m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Sent: now, Result: batch.NoTicket})
-			}
-		}
-	}
-	is.True(rejected > 1)
-	is.Equal(asked, rejected)
+	r := advisedLoad{
+		workers: []string{"w1"}, tickets: map[string]string{"w1": "t-1"}, answer: batch.NoTicket,
+		steps: []batch.Step{{Count: 1, Size: batch.Size{CPU: 1000, MemMB: 10}, EstimateMs: 500}},
+	}.play()
+	is.True(len(r.starts) > 1)
+	is.Equal(r.requests, len(r.starts))
 }
 
 // Filling tasks are slowed down while a lasting task beside them misses its latency target, and sped up again
