Keep one function that sleeps until a context ends

Cause: node/site had brought a fifth copy of it (leader, relay, owner, keyval). Change: steady.Sleep. lease.sleep (jitter, wake-up) and conf.sleep (returns the cause) do something else and stay. owner's used time.After, which keeps its timer until it fires. No other behaviour changes; the tests of relay, owner, site and keyval pass.

--- a/node/leader/read.go
+++ b/node/leader/read.go
@@ -10,6 +10,7 @@
 	"burdockreach.dev/plat/conf"
 	"burdockreach.dev/plat/hosts"
 	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/steady"
 )
 
 const (
@@ -29,7 +30,7 @@
 		}
 		if err != nil && !errors.Is(err, keyval.ErrReset) && ctx.Err() == nil {
 			t.log.Warn().Str("step", "watch").Str("key", prefix).Err(err).Msg("watchFailed")
-			sleep(ctx, watchRetryDelay)
+			steady.Sleep(ctx, watchRetryDelay)
 		}
 	}
 	return nil
@@ -227,12 +228,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	k := time.NewTimer(d)
-	defer k.Stop()
-	select {
-	case <-ctx.Done():
-	case <-k.C:
-	}
-}
--- a/node/owner/former.go
+++ b/node/owner/former.go
@@ -12,6 +12,7 @@
 	"burdockreach.dev/fleet/batch"
 	"burdockreach.dev/node/desk"
 	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/steady"
 )
 
 // termKey holds the termRecord of the last owner. Its successor derives from it how long that owner's orders may still take effect.
@@ -119,7 +120,7 @@
 			t.send(ctx, batch.OrdersMsg{Orders: batch.Orders{AgeMs: r.GetOrderedMs(), SpanMs: r.GetSpanMs()}})
 			return nil
 		}
-		t.sleep(ctx, probeInterval)
+		steady.Sleep(ctx, probeInterval)
 	}
 	return nil
 }
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -20,6 +20,7 @@
 	"burdockreach.dev/node/stats"
 	"burdockreach.dev/plat/keyval"
 	"burdockreach.dev/plat/lease"
+	"burdockreach.dev/plat/steady"
 )
 
 // ClaimKey is the key of the claim. Its value names the owner of the jobs, and it is bound to a lease.
@@ -278,18 +279,11 @@
 		if errors.Is(err, errClaimLost) {
 			return err
 		}
-		t.sleep(ctx, retryInterval)
+		steady.Sleep(ctx, retryInterval)
 	}
 	return nil
 }
 
-func (t *term) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // readRecords reads all jobs, runs and waves from the store. It logs and skips a value that cannot be decoded.
 func (o *Owner) readRecords(ctx context.Context) (batch.LoadedMsg, error) {
 	m := batch.LoadedMsg{}
--- a/node/relay/keyholder.go
+++ b/node/relay/keyholder.go
@@ -10,6 +10,7 @@
 
 	"burdockreach.dev/flow/ledger"
 	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/steady"
 )
 
 const (
@@ -286,6 +287,6 @@
 // WaitForRoster returns when a roster is in force at this entry, or when ctx ends.
 func (k *KeyHolder) WaitForRoster(ctx context.Context) {
 	for k.Holding() == 0 && ctx.Err() == nil {
-		sleep(ctx, tickInterval/4)
+		steady.Sleep(ctx, tickInterval/4)
 	}
 }
--- a/node/relay/outbox.go
+++ b/node/relay/outbox.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockreach.dev/flow/ledger"
+	"burdockreach.dev/plat/steady"
 )
 
 const (
@@ -116,7 +117,7 @@
 				return nil
 			case <-o.wake:
 			}
-			sleep(c, settleBatchDelay)
+			steady.Sleep(c, settleBatchDelay)
 			o.mu.Lock()
 			l := o.pending
 			o.pending = nil
@@ -130,7 +131,7 @@
 // retryLoop moves the settlements in retries to the pending ones every settleRetryInterval until ctx ends.
 func (o *outbox) retryLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, settleRetryInterval)
+		steady.Sleep(ctx, settleRetryInterval)
 		o.mu.Lock()
 		if len(o.retries) > 0 {
 			o.pending, o.retries = append(o.pending, o.retries...), nil
--- a/node/relay/roster.go
+++ b/node/relay/roster.go
@@ -7,6 +7,7 @@
 
 	"burdockreach.dev/flow/ledger"
 	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/steady"
 )
 
 const (
@@ -28,16 +29,6 @@
 
 func rosterKey(dataCentre string) string { return "dc/" + dataCentre + "/roster" }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // requestRefresh asks refreshLoop to read a data centre's roster soon; it does not block and drops the request when too many wait.
 func (k *KeyHolder) requestRefresh(dataCentre string) {
 	select {
@@ -56,7 +47,7 @@
 			wait = rosterRetryDelay
 		}
 		wait = min(wait, rosterRetryDelayMax)
-		sleep(ctx, wait/2+rand.N(wait/2))
+		steady.Sleep(ctx, wait/2+rand.N(wait/2))
 	}
 	return nil
 }
@@ -117,7 +108,7 @@
 			return nil
 		case d := <-k.refreshRequests:
 			_ = k.refreshRoster(ctx, d)
-			sleep(ctx, rosterRetryDelay)
+			steady.Sleep(ctx, rosterRetryDelay)
 		case <-t.C:
 			for _, d := range k.dataCentres {
 				_ = k.refreshRoster(ctx, d)
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -10,6 +10,7 @@
 
 	"burdockreach.dev/flow/ledger"
 	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/steady"
 )
 
 const (
@@ -114,7 +115,7 @@
 		return 0
 	}
 	n, err := j.do(ctx, struct{}{}, func(l []struct{}) ([]int64, error) {
-		sleep(ctx, confirmDelay)
+		steady.Sleep(ctx, confirmDelay)
 		t, end := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 		defer end()
 		i, err := k.store.Get(t, rosterKey(dataCentre))
--- a/node/site/search.go
+++ b/node/site/search.go
@@ -10,6 +10,7 @@
 
 	"burdockreach.dev/node/desk"
 	"burdockreach.dev/node/owner"
+	"burdockreach.dev/plat/steady"
 )
 
 // An entry that is cut off from the store does not learn of a new owner, though it may reach it. It then asks the other entries.
@@ -42,7 +43,7 @@
 			return nil
 		}
 		former := s.claims.Owner()
-		sleep(ctx, s.delay())
+		steady.Sleep(ctx, s.delay())
 		if s.claims.Owner() != former {
 			continue
 		}
@@ -62,7 +63,7 @@
 		if fence != 0 || last {
 			s.forgetFailures()
 		}
-		sleep(ctx, interval)
+		steady.Sleep(ctx, interval)
 	}
 }
 
@@ -114,10 +115,3 @@
 	}
 	return addr, fence, last
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/plat/keyval/follow.go
+++ b/plat/keyval/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"burdockreach.dev/plat/steady"
 )
 
 // Timing of Follow.
@@ -49,7 +51,7 @@
 			disconnected = true
 			s.Disconnected(err)
 		}
-		sleep(ctx, followRetryInterval)
+		steady.Sleep(ctx, followRetryInterval)
 	}
 	return nil
 }
@@ -79,12 +81,3 @@
 	}
 	return max(nextRev, rev), true, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
