--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -63,18 +63,6 @@
 	do     func()
 }
 
-// fakeOwner is one simulated owner process.
-type fakeOwner struct {
-	w           *simulation
-	m           *batch.Model
-	fence       int64
-	alive       bool
-	cutOff      bool // cut off from the store.
-	unreachable map[string]bool
-	renewedAt   int64 // when the claim was last renewed.
-	diedAt      int64
-}
-
 const (
 	stepMs         = 10
 	defaultStoreMs = 4
@@ -261,117 +249,6 @@
 	})
 }
 
-// step lets the owner act.
-func (a *fakeOwner) step() {
-	w := a.w
-	if !a.alive {
-		w.owners = slices.DeleteFunc(w.owners, func(o *fakeOwner) bool { return o == a })
-		return
-	}
-	fresh := !a.cutOff && !w.storeDown && w.claimRev == a.fence
-	if fresh {
-		a.renewedAt = w.now
-	}
-	if w.now-a.renewedAt > 8000 || (w.claimRev != a.fence && !a.cutOff) {
-		a.alive = false
-		return
-	}
-	if w.now%400 == 0 {
-		a.m.Update(w.now, batch.ClaimMsg{Fresh: w.now-a.renewedAt < 900, RenewedAt: a.renewedAt})
-		a.m.Update(w.now, w.entries())
-	}
-	begin := time.Now()
-	l := a.m.Commands(w.now)
-	w.modelTime += time.Since(begin)
-	for _, c := range l {
-		a.perform(c)
-	}
-}
-
-func (a *fakeOwner) deliver(delay int64, m batch.Msg) {
-	a.w.schedule(delay, func() {
-		if a.alive {
-			begin := time.Now()
-			a.m.Update(a.w.now, m)
-			a.w.modelTime += time.Since(begin)
-		}
-	})
-}
-
-func (a *fakeOwner) perform(c batch.Cmd) {
-	w := a.w
-	switch k := c.(type) {
-	case batch.DeposedCmd:
-		a.alive = false
-	case batch.ReplyCmd:
-		w.recordReply(k)
-	case batch.CommitCmd:
-		a.commit(k)
-	case batch.PollCmd:
-		sent := w.now
-		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
-			g := f.Hold(k)
-			g.Sent = sent
-			return g
-		}, func(r batch.Result) batch.Msg { return batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: r} })
-	case batch.StartCmd:
-		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
-			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock()}
-		}, func(r batch.Result) batch.Msg {
-			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r}
-		})
-	case batch.StopCmd:
-		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
-			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Stop(k), ClockMs: f.Clock()}
-		}, func(r batch.Result) batch.Msg {
-			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r}
-		})
-	case batch.ListMachinesCmd:
-		a.deliver(5, batch.MachinesMsg{Sent: w.now, List: w.fleet.list()})
-	case batch.MoveCmd:
-		a.orderMachine(k.Machine, 0, func(m *fakeMachine) batch.OrderResult { return w.fleet.move(a, m, k.Pool) })
-	case batch.UpkeepCmd:
-		a.orderMachine(k.Machine, k.Wave, func(m *fakeMachine) batch.OrderResult { return w.fleet.upkeep(a, m, k.Wave) })
-	case batch.ReportCmd:
-		w.fleet.report(k)
-	}
-}
-
-// callWorker carries out a command at a worker. The command may be late, and its answer may be lost.
-func (a *fakeOwner) callWorker(id string, do func(*worker.Worker) batch.Msg, fail func(batch.Result) batch.Msg) {
-	w := a.w
-	f := w.worker(id)
-	switch {
-	case f == nil: // its machine was moved by another owner.
-		a.deliver(700, fail(batch.NoAnswer))
-	case a.unreachable[id] || f.PoweredOff():
-		a.deliver(700, fail(batch.NoAnswer))
-	case w.chance(w.faults.late):
-		born := f.LifetimeStart() // a command that is held up at a worker is lost when the worker restarts.
-		w.schedule(1000+w.rnd.Int64N(6000), func() {
-			if !f.PoweredOff() && f.LifetimeStart() == born {
-				do(f)
-			}
-		})
-		a.deliver(700, fail(batch.NoAnswer))
-	case w.chance(w.faults.lost):
-		w.schedule(1, func() {
-			if !f.PoweredOff() {
-				do(f)
-			}
-		})
-		a.deliver(700, fail(batch.NoAnswer))
-	default:
-		w.schedule(1+w.rnd.Int64N(3), func() {
-			if f.PoweredOff() {
-				a.deliver(700, fail(batch.NoAnswer))
-				return
-			}
-			a.deliver(1, do(f))
-		})
-	}
-}
-
 // worker returns the worker with this ID, or nil if its machine has been moved or maintained since.
 func (w *simulation) worker(id string) *worker.Worker {
 	for _, f := range w.workers {
@@ -382,54 +259,6 @@
 	return nil
 }
 
-// commit applies a transaction to the store.
-func (a *fakeOwner) commit(k batch.CommitCmd) {
-	w := a.w
-	apply := func() batch.CommittedMsg {
-		if w.claimRev != a.fence {
-			return batch.CommittedMsg{ID: k.ID, Outcome: batch.Conflict, Current: nil}
-		}
-		var l []batch.Row
-		ok := true
-		for _, r := range k.Rows {
-			if r.Guarded {
-				n := w.rows[r.Key]
-				n.Key = r.Key
-				l = append(l, n)
-				ok = ok && n.Rev == r.Rev
-			}
-		}
-		if !ok {
-			return batch.CommittedMsg{ID: k.ID, Outcome: batch.Conflict, Current: l}
-		}
-		w.rev++
-		for _, r := range k.Rows {
-			if r.Delete {
-				delete(w.rows, r.Key)
-				continue
-			}
-			w.rows[r.Key] = batch.Row{Key: r.Key, Value: r.Value, Rev: w.rev}
-		}
-		return batch.CommittedMsg{ID: k.ID, Rev: w.rev}
-	}
-	switch {
-	case a.cutOff || w.storeDown:
-		a.deliver(100, batch.CommittedMsg{ID: k.ID, Outcome: []batch.Outcome{batch.Unwritten, batch.Unknown}[w.rnd.IntN(2)]})
-	case w.chance(w.faults.storeLost):
-		w.schedule([]int64{1, 3000}[w.rnd.IntN(2)], func() { apply() })
-		a.deliver(1500, batch.CommittedMsg{ID: k.ID, Outcome: batch.Unknown})
-	default:
-		w.schedule(w.storeMs, func() {
-			g := apply()
-			if g.Outcome == batch.Conflict && w.claimRev != a.fence {
-				a.deliver(1, batch.ClaimLostMsg{Reason: "claim"})
-				return
-			}
-			a.deliver(1, g)
-		})
-	}
-}
-
 // submit submits a job to the newest owner.
 func (w *simulation) submit(j batch.Job) {
 	k := w.judge.Job(j)
