Send only full transactions while four are in flight

At a store that answers in time more writes in flight mean smaller transactions, each of which costs the owner processor time, and a pool in its turn needs all of that. Change: beyond four in flight a transaction is sent only if it is full, and none after a failed write.

--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -80,8 +80,7 @@
 	}
 }
 
-// flush sends the waiting writes once commitWindowMs has passed or they fill a transaction, with at most
-// maxInFlightTxns in flight, or maxFailingTxns after a failed one.
+// flush sends the waiting writes once commitWindowMs has passed or they fill a transaction.
 func (m *Model) flush() {
 	c := &m.commits
 	if !c.waiting() {
@@ -95,11 +94,7 @@
 	if m.now < c.retryAt || (m.now-c.waitingSince < commitWindowMs && !full) {
 		return
 	}
-	limit := maxInFlightTxns
-	if c.failing {
-		limit = maxFailingTxns
-	}
-	for len(c.inFlight) < limit && c.waiting() {
+	for c.waiting() && c.maySend() {
 		if !m.sendTransaction() {
 			break
 		}
@@ -107,6 +102,29 @@
 	c.waitingSince = 0
 }
 
+// maySend reports whether another transaction may be sent. Beyond maxPartialTxns in flight the store is slow, and writes that wait
+// longer share fewer transactions.
+func (c *commits) maySend() bool {
+	if len(c.inFlight) < maxPartialTxns {
+		return true
+	}
+	return !c.failing && len(c.inFlight) < maxInFlightTxns && c.hasFullTransaction()
+}
+
+// hasFullTransaction reports whether the waiting writes that may be sent fill a transaction.
+func (c *commits) hasFullTransaction() bool {
+	n := len(c.accepts)
+	for _, j := range c.dirty {
+		if n >= maxTxnEntries {
+			break
+		}
+		if !c.writing[j] {
+			n += 2
+		}
+	}
+	return n >= maxTxnEntries
+}
+
 // sendTransaction sends one transaction. It returns false if every waiting write is for a record that is already being
 // written.
 func (m *Model) sendTransaction() bool {
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -29,7 +29,7 @@
 const (
 	maxTxnEntries   = 31
 	maxInFlightTxns = 32
-	maxFailingTxns  = 4 // in flight after a write that failed, until one succeeds.
+	maxPartialTxns  = 4 // with more in flight, only full transactions are sent, and none after a write that failed.
 )
 
 // Config holds the settings of a model.
--- a/fleet/batch/records_test.go
+++ b/fleet/batch/records_test.go
@@ -169,3 +169,18 @@
 	b.advance(100)
 	is.True(len(b.held) > 8)
 }
+
+// Jobs that come one by one while writes are in flight share a transaction: each transaction costs the owner processor time.
+func TestSingleJobsShareTransactions(t *testing.T) {
+	is := is.New(t)
+	b := newHarness("w1", "w2")
+	b.holding = true
+	for n := range 20 {
+		b.Update(b.now, batch.SubmitMsg{Ref: uint64(n + 1), Job: taskJob(n+1, 1, batch.Step{})})
+		b.advance(10)
+	}
+	is.True(len(b.held) > 0 && len(b.held) <= 4)
+	b.commitHeld()
+	b.advance(50)
+	is.Equal(len(b.held), 1)
+}
