Log why a lasting task is stopped and what an order to a machine rests on

A stop left no line of its own, the stop of an unknown run none at all, and orders to machines did not say whether the worker was known nor how old the list was. Changed: 'lasting task stopped' (evicted, draining, confirmed, percent, away, mayMiss), 'unknown run stopped', 'upkeep ordered' (workerKnown, listAgeMs), and listAgeMs in 'machines move'. No decision is changed. Tests: go test ./fleet/batch passes.

--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -385,14 +385,18 @@
 // mayStopLasting reports whether a lasting task may be stopped: fewer than max(MayMiss, 1) other tasks of its step are
 // not serving.
 func (m *Model) mayStopLasting(r *run) bool {
-	s := r.task.stage
-	away := 0
-	for _, t := range s.tasks {
-		if t != r.task && !t.isServing() {
-			away++
+	return r.task.othersAway() < max(r.task.stage.MayMiss, 1)
+}
+
+// othersAway returns the number of other tasks of t's step that are not serving.
+func (t *task) othersAway() int {
+	n := 0
+	for _, o := range t.stage.tasks {
+		if o != t && !o.isServing() {
+			n++
 		}
 	}
-	return away < max(s.MayMiss, 1)
+	return n
 }
 
 // isServing reports whether a lasting task has started up and its worker answers.
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -215,7 +215,8 @@
 	for _, r := range slices.SortedFunc(maps.Keys(m.fleet.moved), compareRoutes) {
 		l, p := m.fleet.moved[r], m.pool(r.to)
 		m.log("machines move", "", "from", r.from, "to", r.to, "count", len(l), "machines", strings.Join(l[:min(len(l), maxLoggedNames)], " "),
-			"want", p.demand.wantedMachines, "has", p.counts.serving, "waitingCoreMs", int64(p.demand.waitingWork)/1000, "rateCores", int64(p.demand.rate)/1000)
+			"want", p.demand.wantedMachines, "has", p.counts.serving, "waitingCoreMs", int64(p.demand.waitingWork)/1000, "rateCores", int64(p.demand.rate)/1000,
+			"listAgeMs", m.now-m.fleet.listSentAt)
 	}
 	clear(m.fleet.moved)
 }
--- a/fleet/batch/ordering.go
+++ b/fleet/batch/ordering.go
@@ -43,6 +43,8 @@
 		case k.ackedAt != 0: // an earlier order of the same kind was answered meanwhile.
 		case k.wave != nil:
 			m.recordOrder(k)
+			m.log("upkeep ordered", "", "machine", k.Name, "wave", k.wave.Number, "worker", k.Worker, "workerKnown", m.workerOf(k) != nil,
+				"listAgeMs", m.now-m.fleet.listSentAt)
 			m.emit(UpkeepCmd{Machine: k.Name, Wave: k.wave.Number, Fence: m.cfg.Fence})
 		case k.targetPool != "":
 			m.recordOrder(k)
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -398,6 +398,7 @@
 		return
 	}
 	if r.state != stopping {
+		m.logLastingStop(r)
 		r.setState(stopping)
 		r.stopAckedAt = 0
 	}
@@ -405,6 +406,17 @@
 	m.emit(StopCmd{Worker: r.worker.ID, Addr: r.worker.Addr, Task: r.task.name(), Run: r.number, Fence: m.cfg.Fence})
 }
 
+// logLastingStop logs the first stop of a lasting run, with what the owner knows of the rest of its step.
+func (m *Model) logLastingStop(r *run) {
+	s := r.task.stage
+	if !s.Lasting || s.job.phase == ended {
+		return
+	}
+	m.log("lasting task stopped", s.job.ID, "task", r.task.name().String(), "run", r.number, "worker", r.worker.ID, "evicted", r.evicted,
+		"draining", r.worker.Draining, "confirmed", r.confirmedAt > 0, "percent", r.percent, "listedMs", m.now-r.listedAt,
+		"away", r.task.othersAway(), "mayMiss", s.MayMiss)
+}
+
 // setState changes the run's state.
 func (r *run) setState(s runState) {
 	if r.state == starting {
@@ -415,5 +427,6 @@
 
 // stopUnknown stops a run that belongs to no known task.
 func (m *Model) stopUnknown(w *worker, n TaskName, run int) {
+	m.log("unknown run stopped", n.Job, "task", n.String(), "run", run, "worker", w.ID, "taskKnown", m.task(n) != nil)
 	m.emit(StopCmd{Worker: w.ID, Addr: w.Addr, Task: n, Run: run, Fence: m.cfg.Fence})
 }
