Reproduce the AVAIL incident with a test that fails

What callers saw: tasks of a lasting step ended by an entry while more of the step were away than mayMiss allows. Why no test saw it: the simulated workers answered long polls at once, so that a start whose answer was lost was confirmed within 10 ms. They wait now, as real workers do. Ruled out: the stricter simulation turns no other test of fleet/batch red. No decision is changed.

--- a/fakes/worker/checker.go
+++ b/fakes/worker/checker.go
@@ -18,6 +18,7 @@
 	ackedDoneMs map[string]int64       // time at which the caller acknowledged that a task is done, by task.
 	failures    map[string]int         // number of failed runs, by task.
 	violations  []string
+	late        bool // a worker carries out a command that was held up.
 }
 
 // JobRecord is a job as its caller sees it.
@@ -35,6 +36,7 @@
 	Worker         string
 	StartMs, EndMs int64
 	Reason         batch.EndReason
+	late           bool // the command that started it, or the one that stopped it, was held up.
 }
 
 // NewChecker returns a checker that reads the time from now, in milliseconds.
@@ -95,7 +97,7 @@
 		j.AddViolation("BUDGET: %s run %d at %s after %d failures", task, r.Number, w.id, j.failures[task])
 	}
 	j.checkOrder(r, k.Job)
-	j.runs[task] = append(j.runs[task], RunRecord{Run: r.Number, Worker: w.id, StartMs: j.nowMs()})
+	j.runs[task] = append(j.runs[task], RunRecord{Run: r.Number, Worker: w.id, StartMs: j.nowMs(), late: j.late})
 }
 
 // checkOrder checks that every task of the steps that the run's step comes after is done.
@@ -116,14 +118,25 @@
 
 func (j *Checker) runEnded(w *Worker, r *Run, how batch.EndReason) {
 	n := r.Task.String()
-	if how == batch.EndFailed {
+	switch how {
+	case batch.EndFailed:
 		j.failures[n]++
+	case batch.EndStopped:
+		j.checkAvailability(w, r)
 	}
-	for i := range j.runs[n] {
-		if s := &j.runs[n][i]; s.EndMs == 0 && s.Run == r.Number && s.Worker == w.id {
-			s.EndMs, s.Reason = j.nowMs(), how
-		}
+	if s := j.findRun(w, r); s != nil {
+		s.EndMs, s.Reason, s.late = j.nowMs(), how, s.late || j.late
+	}
+}
+
+// findRun returns the record of an active run, or nil if there is none.
+func (j *Checker) findRun(w *Worker, r *Run) *RunRecord {
+	l := j.runs[r.Task.String()]
+	i := slices.IndexFunc(l, func(s RunRecord) bool { return s.EndMs == 0 && s.Run == r.Number && s.Worker == w.id })
+	if i < 0 {
+		return nil
 	}
+	return &l[i]
 }
 
 func (j *Checker) endAcked(_ *Worker, e batch.EndedRun) {
--- a/fakes/worker/worker.go
+++ b/fakes/worker/worker.go
@@ -22,13 +22,15 @@
 	EndMs   int64
 	Reason  batch.EndReason
 	Size    batch.Size
+	Lasting bool
 }
 
 // Plan sets in advance how a run behaves: how long it takes, how it ends, and which resources of the worker it uses.
 type Plan struct {
-	RunMs  int64 // Never for a run that does not end by itself.
-	Reason batch.EndReason
-	Size   batch.Size
+	RunMs   int64 // Never for a run that does not end by itself.
+	Reason  batch.EndReason
+	Size    batch.Size
+	Lasting bool // the run reports 100 percent once it has started up, however long it takes.
 }
 
 // Hooks are callbacks for the events of a worker; each may be nil.
@@ -194,7 +196,7 @@
 
 func (w *Worker) percentDone(r *Run) int {
 	span := max(r.EndMs-r.StartMs, 1)
-	if r.EndMs == Never {
+	if r.EndMs == Never || r.Lasting {
 		span = startupMs
 	}
 	return int(min(100*(w.nowMs-r.StartMs)/span, 100))
@@ -219,7 +221,7 @@
 	case !p.Size.Fits(subtract(w.capacity, w.used)):
 		return batch.NoRoom
 	}
-	r := &Run{Task: c.Task, Number: c.Run, StartMs: w.nowMs, EndMs: Never, Reason: p.Reason, Size: p.Size}
+	r := &Run{Task: c.Task, Number: c.Run, StartMs: w.nowMs, EndMs: Never, Reason: p.Reason, Size: p.Size, Lasting: p.Lasting}
 	if p.RunMs != Never {
 		r.EndMs = w.nowMs + p.RunMs
 	}
--- a/fleet/batch/fakeowner_test.go
+++ b/fleet/batch/fakeowner_test.go
@@ -67,12 +67,7 @@
 	case batch.CommitCmd:
 		a.commit(k)
 	case batch.PollCmd:
-		sent := w.now
-		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
-			g := f.Hold(k)
-			g.Sent = sent
-			return g
-		}, func(r batch.Result) batch.Msg { return batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: r} })
+		a.poll(k)
 	case batch.StartCmd:
 		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
 			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock()}
@@ -96,37 +91,74 @@
 	}
 }
 
+// poll polls a worker. The worker delays its answer until a run ends, by k.WaitMs at most.
+func (a *fakeOwner) poll(k batch.PollCmd) {
+	w, sent := a.w, a.w.now
+	fail := func(r batch.Result) batch.Msg { return batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: r} }
+	a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
+		g := f.Hold(k)
+		g.Sent = sent
+		if k.WaitMs == 0 || g.Result != batch.OK || len(g.Ended) > 0 {
+			return g
+		}
+		a.waitPoll(f, k, sent, w.now+k.WaitMs)
+		return nil
+	}, fail)
+}
+
+// waitPoll answers a poll once a run has ended or the time is until.
+func (a *fakeOwner) waitPoll(f *worker.Worker, k batch.PollCmd, sent, until int64) {
+	w, born := a.w, f.LifetimeStart()
+	w.schedule(stepMs, func() {
+		switch {
+		case a.unreachable[k.Worker] || f.PoweredOff() || f.LifetimeStart() != born:
+			a.deliver(callTimeoutMs, batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: batch.NoAnswer})
+		case w.now >= until || f.HasUnackedEnds(k.ForgetUpTo):
+			g := f.Hold(batch.PollCmd{Fence: k.Fence, ForgetUpTo: k.ForgetUpTo})
+			g.Sent = sent
+			a.deliver(1, g)
+		default:
+			a.waitPoll(f, k, sent, until)
+		}
+	})
+}
+
+// callTimeoutMs is the time after which a call to a worker counts as unanswered.
+const callTimeoutMs = 700
+
 // callWorker carries out a command at a worker. The command may be late, and its answer may be lost.
 func (a *fakeOwner) callWorker(id string, do func(*worker.Worker) batch.Msg, fail func(batch.Result) batch.Msg) {
 	w := a.w
 	f := w.worker(id)
 	switch {
 	case f == nil: // its machine was moved by another owner.
-		a.deliver(700, fail(batch.NoAnswer))
+		a.deliver(callTimeoutMs, fail(batch.NoAnswer))
 	case a.unreachable[id] || f.PoweredOff():
-		a.deliver(700, fail(batch.NoAnswer))
+		a.deliver(callTimeoutMs, fail(batch.NoAnswer))
 	case w.chance(w.faults.late):
 		born := f.LifetimeStart() // a command that is held up at a worker is lost when the worker restarts.
 		w.schedule(1000+w.rnd.Int64N(6000), func() {
 			if !f.PoweredOff() && f.LifetimeStart() == born {
-				do(f)
+				w.judge.RunLate(func() { do(f) })
 			}
 		})
-		a.deliver(700, fail(batch.NoAnswer))
+		a.deliver(callTimeoutMs, fail(batch.NoAnswer))
 	case w.chance(w.faults.lost):
 		w.schedule(1, func() {
 			if !f.PoweredOff() {
 				do(f)
 			}
 		})
-		a.deliver(700, fail(batch.NoAnswer))
+		a.deliver(callTimeoutMs, fail(batch.NoAnswer))
 	default:
 		w.schedule(1+w.rnd.Int64N(3), func() {
 			if f.PoweredOff() {
-				a.deliver(700, fail(batch.NoAnswer))
+				a.deliver(callTimeoutMs, fail(batch.NoAnswer))
 				return
 			}
-			a.deliver(1, do(f))
+			if m := do(f); m != nil { // else the answer comes later.
+				a.deliver(1, m)
+			}
 		})
 	}
 }
--- a/fleet/batch/lists_test.go
+++ b/fleet/batch/lists_test.go
@@ -23,6 +23,10 @@
 	stops   []batch.StopCmd
 	doubled int // starts of tasks that were running elsewhere.
 
+	loseAnswers bool // starts are carried out, and their answers are lost.
+	loseStarts  bool // starts are not carried out, and not answered.
+	unanswered  []lostStart
+
 	stopping bool // stops end runs.
 	percent  int  // progress of started runs.
 	upkeeps  map[string]bool
@@ -36,6 +40,12 @@
 	overlaps   int // writes of a wave's record while another one was in flight.
 }
 
+// lostStart is a start that counts as unanswered at a later time.
+type lostStart struct {
+	dueAt int64
+	cmd   batch.StartCmd
+}
+
 // heldWrite is a transaction that the store answers at a later time.
 type heldWrite struct {
 	doneAt int64
@@ -85,6 +95,11 @@
 			w.m.Update(now, batch.CommittedMsg{ID: w.writing[0].cmd.ID, Rev: now})
 			w.writing = w.writing[1:]
 		}
+		for len(w.unanswered) > 0 && now >= w.unanswered[0].dueAt {
+			k := w.unanswered[0].cmd
+			w.unanswered = w.unanswered[1:]
+			w.m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: batch.NoAnswer})
+		}
 		for len(w.late) > 0 && now >= w.late[0].Sent+w.delayMs {
 			w.m.Update(now, w.late[0])
 			w.late = w.late[1:]
@@ -115,7 +130,16 @@
 			w.doubled++
 		}
 		w.starts = append(w.starts, k)
+		if w.loseAnswers || w.loseStarts {
+			w.unanswered = append(w.unanswered, lostStart{now + callTimeoutMs, k})
+		}
+		if w.loseStarts {
+			return
+		}
 		w.running[k.Worker] = append(w.running[k.Worker], batch.ActiveRun{Task: k.Task, Run: k.Run, Percent: w.percent})
+		if w.loseAnswers {
+			return
+		}
 		w.m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
 	case batch.StopCmd:
 		w.stops = append(w.stops, k)
--- a/fleet/batch/machines_test.go
+++ b/fleet/batch/machines_test.go
@@ -158,7 +158,7 @@
 // checkAway checks that no lasting task runs at the machine: the owner must move it away before the upkeep.
 func (p *fakeFleet) checkAway(m *fakeMachine) {
 	for _, r := range m.worker.Runs() {
-		if r.EndMs == worker.Never {
+		if r.EndMs == worker.Never || r.Lasting {
 			p.w.judge.AddViolation("AVAIL: the upkeep of %s cuts off the lasting task %s", m.name, r.Task)
 		}
 	}
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -44,6 +44,7 @@
 	ordersPerSec  float64                    // the owners' setting.
 	modelTime     time.Duration              // processor time of the owners.
 	runMs         func(batch.TaskName) int64 // run time of a task in ms, if not nil.
+	lastingFails  bool                       // lasting tasks fail after some seconds.
 	labels        func(worker string) []string
 	deadOwner     *fakeOwner       // the last owner that is known to be dead.
 	unlistedUntil map[string]int64 // until when a worker's entry is missing, by worker ID.
@@ -290,6 +291,9 @@
 	if w.runMs != nil {
 		return worker.Plan{RunMs: w.runMs(n), Reason: batch.EndDone, Size: s.Size}
 	}
+	if s.Lasting && w.lastingFails {
+		return w.lastingPlan(s)
+	}
 	p := worker.Plan{RunMs: s.EstimateMs/2 + w.rnd.Int64N(s.EstimateMs), Reason: batch.EndDone, Size: s.Size}
 	if w.chance(w.faults.slow) {
 		p.RunMs *= 5
@@ -344,5 +348,5 @@
 
 // longJob returns a job with lasting tasks.
 func longJob(n int) batch.Job {
-	return batch.Job{ID: jobID(n), Queue: "l", Service: "s", Steps: []batch.Step{{Count: 4, Size: batch.Size{CPU: 1000, MemMB: 1000}, EstimateMs: 500, Lasting: true, PerWorker: 1, MayMiss: 1}}}
+	return lastingStepJob(n, 4, 1)
 }
