Do not stop a lasting task because its start was not answered

What callers saw: AVAIL, tasks of a lasting step ended by an entry while more of the step were away than mayMiss allows. Cause: a call that is not answered was followed by a stop, so that the start is never carried out late. The stop of a serving task did not ask for the step's budget. Changed: such a run stays unconfirmed and is polled every 250 ms. The worker's list shows it, or shows that the start has expired on the worker's own clock (2.5 s), after which it cannot be carried out; then the task is placed again. A start to a lifetime that has ended is stopped as before. Ruled out: to stop at once if the budget allows it (a stop that is repeated may meet a task that serves by then).

--- a/fleet/batch/answers.go
+++ b/fleet/batch/answers.go
@@ -40,7 +40,8 @@
 	}
 }
 
-// startUnanswered stops a run whose start may still be carried out, so that it never is.
+// startUnanswered handles a start whose outcome is unknown. A short task is stopped, so that the start is never carried out late. A lasting
+// task may serve by now: it is kept until its worker's list shows that it runs, or that its start has expired.
 func (m *Model) startUnanswered(r *run) {
 	m.log("start unanswered", r.task.stage.job.ID, "task", r.task.name().String(), "run", r.number, "worker", r.worker.ID)
 	if r.confirmedAt > 0 {
@@ -50,7 +51,9 @@
 	if r.state == starting {
 		r.setState(unconfirmed)
 	}
-	m.stopRun(r)
+	if !r.task.stage.Lasting {
+		m.stopRun(r)
+	}
 	if !slices.Contains(r.task.avoidWorkers, r.worker.ID) {
 		r.task.avoidWorkers = append(r.task.avoidWorkers, r.worker.ID)
 	}
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -73,7 +73,7 @@
 		w.leaseUntil = max(w.leaseUntil, h.UntilMs)
 	}
 	switch {
-	case !w.synced || w.silentSince != 0 || len(w.unsavedEnds) > 0 || w.shortPoll || len(w.runs) == 0:
+	case !w.synced || w.silentSince != 0 || len(w.unsavedEnds) > 0 || w.shortPoll || len(w.runs) == 0 || w.hasUnconfirmed():
 		h.WaitMs = 0
 	case w.needsPacing():
 		h.WaitMs = tailPollWaitMs
@@ -173,7 +173,7 @@
 		w.synced = true
 		m.pool(w.Service).dirty = true
 	}
-	if len(w.unsavedEnds) > 0 {
+	if len(w.unsavedEnds) > 0 || w.hasUnconfirmed() {
 		w.nextPollAt = m.now + unsavedPollMs
 	}
 	if len(g.Ended) > 0 {
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -271,11 +271,16 @@
 		r.state != starting && r.confirmedAt == 0 && g.ClockMs > r.startExpiresAt && r.worker.Born == r.workerBorn:
 		m.log("run missing", r.task.stage.job.ID, "task", r.task.name().String(), "run", r.number, "worker", r.worker.ID)
 		m.dropRun(r)
-	case r.state == unconfirmed:
+	case r.state == unconfirmed && (!r.task.stage.Lasting || r.worker.Born != r.workerBorn):
 		m.stopRun(r)
 	}
 }
 
+// hasUnconfirmed reports whether the worker has a run whose start has an unknown outcome.
+func (w *worker) hasUnconfirmed() bool {
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.state == unconfirmed })
+}
+
 // checkRuns repeats unanswered stops, gives up overdue starts, restarts stuck tasks and starts copies.
 func (m *Model) checkRuns() {
 	for _, w := range m.workerList {
