Do not infer from a worker's age that a repeated upkeep order is missing

Callers would see a machine that is moved or maintained against the newer owner's plan. Cause: a successor takes a machine as not ordered lately if its worker is older than the gap between two owners' orders, as an order ends the worker. An upkeep order that was carried out before answers that it is done and ends nothing; a former owner sends it to learn whether a wave's machine is done. Changed: the worker's age does not count for machines that the former owner names, in its answer or in its stored orders (also if these are incomplete), nor for machines whose upkeep has begun and is not known to be done. TestRepeatedOrderLeavesOldWorker fails in three of four cases on the code before.

--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -261,19 +261,34 @@
 func (m *Model) mayOrder() bool { return m.claimFresh && m.now >= m.fleet.noOrdersBefore }
 
 // mayOrderTo reports whether certainly no former owner has ordered the machine recently: enough time has passed since
-// its last possible order, or its worker is older than that. An order would have ended the worker.
+// its last possible order, or its worker is older than that. An order would have ended the worker, unless it repeated
+// one that had been carried out before.
 func (m *Model) mayOrderTo(k *machine) bool {
 	last := m.fleet.ordersKnownSince
-	if orderedAt, ok := m.fleet.formerOrderOf(k.Name); ok {
+	orderedAt, ordered := m.fleet.formerOrderOf(k.Name)
+	if ordered {
 		last = max(last, orderedAt)
 	}
 	if m.now >= last+m.cfg.OrderGapMs {
 		return true
 	}
+	if ordered || m.fleet.mayRepeatUpkeep(k.Name) {
+		return false
+	}
 	w := m.workerOf(k)
 	return w != nil && w.Born > 0 && w.Born < m.cfg.UnixMs-m.cfg.OrderGapMs-maxClockSkewMs
 }
 
+// mayRepeatUpkeep reports whether a former owner may have repeated the machine's upkeep, to learn whether it is done.
+func (d *fleet) mayRepeatUpkeep(name string) bool {
+	for _, w := range d.waves {
+		if w.begun[name] && !w.finished[name] {
+			return true
+		}
+	}
+	return false
+}
+
 // takeFormerOrders records the orders of a former owner, which gives no more.
 func (m *Model) takeFormerOrders(g OrdersMsg) {
 	d := &m.fleet
--- a/fleet/batch/ordering.go
+++ b/fleet/batch/ordering.go
@@ -91,16 +91,18 @@
 
 // loadOrders takes over the stored orders of the former term. They are not sent later than the former owner's claim ends.
 func (m *Model) loadOrders(s StoredOrders, formerFence int64) {
-	if s.Fence == 0 || s.Fence != formerFence || !s.Complete {
+	if s.Fence == 0 || s.Fence != formerFence {
 		return
 	}
 	d := &m.fleet
-	d.noOrdersBefore, d.ordersKnownSince = m.now, min(d.ordersKnownSince, m.now-m.cfg.OrderGapMs)
 	d.loadedOrders, d.loadedOrdersUntil = map[string]bool{}, m.now+formerClaimMs
 	for _, n := range s.Machines {
 		d.loadedOrders[n] = true
 	}
-	m.log("former orders loaded", "", "machines", len(s.Machines))
+	if s.Complete {
+		d.noOrdersBefore, d.ordersKnownSince = m.now, min(d.ordersKnownSince, m.now-m.cfg.OrderGapMs)
+	}
+	m.log("former orders loaded", "", "machines", len(s.Machines), "complete", s.Complete)
 }
 
 // formerOrderOf returns until when a former owner may have ordered the machine, and false if it has not ordered it lately.
--- a/fleet/batch/orders_test.go
+++ b/fleet/batch/orders_test.go
@@ -111,6 +111,31 @@
 	})
 }
 
+// An order that repeats a finished upkeep does not end the worker, so that the worker's age does not show it.
+func TestRepeatedOrderLeavesOldWorker(t *testing.T) {
+	const claimEnd, gap, longAgo, former = 1_200, 3_500, 900_000, 7
+	first := func(l batch.LoadedMsg, g ...batch.Msg) int64 {
+		return moveLoad{loaded: l, messages: g, born: longAgo}.firstMoves()["m1"]
+	}
+	t.Run("the former owner names the machine", func(t *testing.T) {
+		o := batch.Orders{AgeMs: map[string]int64{"m1": 500}, SpanMs: 60_000}
+		is.New(t).True(first(batch.LoadedMsg{}, batch.OrdersMsg{Orders: o}) >= 1100-500+gap)
+	})
+	t.Run("its incomplete record names the machine", func(t *testing.T) {
+		o := batch.StoredOrders{Fence: former, Machines: []string{"m1"}}
+		is.New(t).True(first(batch.LoadedMsg{FormerFence: former, Orders: o}) >= 1000+claimEnd+gap)
+	})
+	t.Run("the upkeep of the machine has begun", func(t *testing.T) {
+		l := []batch.StoredWave{{Number: 1, Begun: []string{"m1"}}}
+		is.New(t).True(first(batch.LoadedMsg{Waves: l}) >= 1000+claimEnd+gap)
+	})
+	t.Run("nothing is known", func(t *testing.T) {
+		is := is.New(t)
+		at := first(batch.LoadedMsg{})
+		is.True(at > 0 && at < 1000+gap)
+	})
+}
+
 // Orders includes the former owners' orders that the model knows of. Their ages grow with time, and an order whose age has
 // reached the configured gap is left out.
 func TestOrdersAge(t *testing.T) {
