Order a machine again only once it has been listed after an unsure order

Cause: a move without an answer is repeated once; if the repetition is refused, the machine is released and taken for what the last list says. A parked machine is moved without a look at its worker. If the first move was carried out and the list could not be read since, the machine is ordered to whichever pool lacks one and ends the tasks that run there by then, lasting ones too. Ruled out: to wait after each refusal (refusals for the rate are frequent in a turn and certainly did nothing).

--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -166,8 +166,9 @@
 	orderedAt      int64  // when the last order was sent; 0 if there is none.
 	ackedAt        int64  // when the order was acknowledged; 0 before.
 	oldWorkerID    string
-	unsentVersion  int  // version of the stored orders with which the planned order is sent; 0 if none is planned.
-	maybeRepeated  bool // an earlier order may have been carried out already, so the acknowledgement does not tell when.
+	unsentVersion  int   // version of the stored orders with which the planned order is sent; 0 if none is planned.
+	maybeRepeated  bool  // an earlier order may have been carried out already, so the acknowledgement does not tell when.
+	unsureSince    int64 // when an order to it had an unknown outcome; 0 once the machine has been listed after that.
 }
 
 func (d *fleet) start(from int64) {
@@ -195,6 +196,9 @@
 			d.machines[x.Name] = k
 		}
 		k.Machine = x
+		if g.Sent > k.unsureSince {
+			k.unsureSince = 0
+		}
 		m.completeOrder(k, g.Sent)
 	}
 	d.list = d.list[:0]
@@ -335,7 +339,7 @@
 
 func (m *Model) ordersPending() bool {
 	for _, k := range m.fleet.list {
-		if k.orderedAt != 0 || k.ackedAt != 0 {
+		if k.orderedAt != 0 || k.ackedAt != 0 || k.unsureSince != 0 {
 			return true
 		}
 	}
@@ -364,6 +368,9 @@
 		}
 		m.releaseMachine(k)
 	case OrderBusy, OrderNotSent, OrderThrottled:
+		if g.Result == OrderBusy {
+			k.unsureSince = m.now // it is not up, and the list said that it is.
+		}
 		if g.Result == OrderThrottled {
 			m.fleet.pace.pause(m.now)
 		}
@@ -373,7 +380,7 @@
 			k.orderedAt = m.now
 		}
 	case OrderUnsure:
-		k.maybeRepeated = true
+		k.maybeRepeated, k.unsureSince = true, m.now
 	}
 }
 
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -158,7 +158,7 @@
 
 // mayGive returns the cost of giving the machine away, and false if it must stay or may not be ordered now.
 func (m *Model) mayGive(k *machine) (float64, bool) {
-	if k.State != MachineUp || k.wave != nil || k.targetPool != "" || !m.mayOrderTo(k) {
+	if k.State != MachineUp || k.wave != nil || k.targetPool != "" || k.unsureSince != 0 || !m.mayOrderTo(k) {
 		return 0, false
 	}
 	return m.giveCost(k)
@@ -263,7 +263,7 @@
 		return
 	}
 	for _, k := range m.fleet.list {
-		if k.State != MachineUp || k.wave != nil || k.targetPool != "" || m.services[k.Pool].Standby || !m.pool(k.Pool).demand.everLackedMachines ||
+		if k.State != MachineUp || k.wave != nil || k.targetPool != "" || k.unsureSince != 0 || m.services[k.Pool].Standby || !m.pool(k.Pool).demand.everLackedMachines ||
 			!m.mayOrderTo(k) || !m.canSpare(k) {
 			continue // a pool keeps its machines until its first load peak.
 		}
--- a/fleet/batch/orders_test.go
+++ b/fleet/batch/orders_test.go
@@ -136,6 +136,40 @@
 	})
 }
 
+// A parked machine whose move was given up may have moved: it is not ordered again before it has been listed.
+func TestMoveWaitsForListAfterUnsureOrder(t *testing.T) {
+	is := is.New(t)
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
+	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "parked", Standby: true}}})
+	m.Update(1000, batch.LoadedMsg{})
+	j := plainJob(1)
+	j.ObjectiveExtraMs = 60_000
+	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+	lists, moves := 0, 0
+	for now := int64(1000); now < 9_000; now += 10 {
+		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
+		for _, c := range m.Commands(now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+			case batch.ListMachinesCmd: // only the first request is answered.
+				lists++
+				l := batch.Machine{Name: "m1", Pool: "parked", State: batch.MachineUp, Room: batch.Size{CPU: 8000, MemMB: 8000}}
+				m.Update(now, batch.MachinesMsg{Sent: now, Failed: lists > 1, List: []batch.Machine{l}})
+			case batch.MoveCmd:
+				moves++
+				r := batch.OrderUnsure
+				if moves > 1 {
+					r = batch.OrderNotSent
+				}
+				m.Update(now, batch.OrderDoneMsg{Machine: k.Machine, Result: r})
+			}
+		}
+	}
+	is.True(lists > 1)
+	is.Equal(moves, 2) // the order and its repetition.
+}
+
 // Orders includes the former owners' orders that the model knows of. Their ages grow with time, and an order whose age has
 // reached the configured gap is left out.
 func TestOrdersAge(t *testing.T) {
