Do not take a machine for empty whose worker the list does not name yet

Cause: the list of machines is up to 6 s old. If a machine's worker is replaced meanwhile, the listed worker is unknown, the machine counts as empty, and its upkeep ends what the new worker runs, without asking how many of a step are away. The worker that an order ends is noted with the order, not when the machine is taken out. Ruled out: to wait for any worker that the list lacks (in a turn machines arrive all the time); parked machines, which run nothing, do not wait.

--- a/fleet/batch/lists_test.go
+++ b/fleet/batch/lists_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"testing"
@@ -27,9 +28,13 @@
 	loseStarts  bool // starts are not carried out, and not answered.
 	unanswered  []lostStart
 
-	stopping bool // stops end runs.
-	percent  int  // progress of started runs.
-	upkeeps  map[string]bool
+	machineOf map[string]string // names of machines by worker; a machine that is not named here has the name of its worker.
+	stopping  bool              // stops end runs.
+	percent   int               // progress of started runs.
+	upkeeps   map[string]bool
+
+	busy         bool // upkeep orders are answered as busy.
+	upkeepOrders int
 
 	rejecting bool             // machines refuse their upkeep, one after the other, as if it were done.
 	rejectAt  map[string]int64 // by machine.
@@ -151,6 +156,10 @@
 		w.m.Update(now, batch.MachinesMsg{Sent: now, List: w.machines()})
 	case batch.UpkeepCmd:
 		w.upkeeps[k.Machine] = true
+		w.upkeepOrders++
+		if w.busy {
+			w.m.Update(now, batch.OrderDoneMsg{Machine: k.Machine, Wave: k.Wave, Result: batch.OrderBusy})
+		}
 		if w.rejecting {
 			w.rejectAt[k.Machine] = now + 50*int64(len(w.upkeeps))
 		}
@@ -163,11 +172,11 @@
 	}
 }
 
-// machines returns the machine of each worker; it has the worker's name.
+// machines returns the machine of each worker.
 func (w *listedWorkers) machines() []batch.Machine {
 	var l []batch.Machine
 	for _, e := range w.entries {
-		l = append(l, batch.Machine{Name: e.ID, Pool: e.Service, State: batch.MachineUp, Room: e.Room, Worker: e.ID})
+		l = append(l, batch.Machine{Name: cmp.Or(w.machineOf[e.ID], e.ID), Pool: e.Service, State: batch.MachineUp, Room: e.Room, Worker: e.ID})
 	}
 	return l
 }
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -146,6 +146,7 @@
 
 	machines      map[string]*machine
 	list          []*machine // by name
+	unplaced      []*worker  // listed workers that the list of machines does not name, because it is older than they are.
 	meanCPU       float64    // mean CPU of a machine, in thousandths of a core.
 	waves         map[int]*wave
 	listAskedAt   int64 // when the pending list request was sent; 0 if none is pending.
@@ -339,7 +340,7 @@
 
 func (m *Model) ordersPending() bool {
 	for _, k := range m.fleet.list {
-		if k.orderedAt != 0 || k.ackedAt != 0 || k.unsureSince != 0 {
+		if k.orderedAt != 0 || k.ackedAt != 0 || k.unsureSince != 0 || k.wave != nil && m.mayHaveNewWorker(k) {
 			return true
 		}
 	}
@@ -393,6 +394,14 @@
 	k.wave, k.targetPool, k.orderedAt, k.ackedAt, k.oldWorkerID, k.maybeRepeated, k.unsentVersion = nil, "", 0, 0, "", false, 0
 }
 
+// mayHaveNewWorker reports whether a worker that is not known may run on the machine since the list of machines was read.
+func (m *Model) mayHaveNewWorker(k *machine) bool {
+	if w := m.workerOf(k); w != nil && !w.dead || m.services[k.Pool].Standby {
+		return false
+	}
+	return slices.ContainsFunc(m.fleet.unplaced, func(w *worker) bool { return w.Zone == k.Zone })
+}
+
 // workerOf returns the machine's worker, or nil if it is not known.
 func (m *Model) workerOf(k *machine) *worker {
 	if k.Worker == "" {
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -115,11 +115,14 @@
 			m.pool(k.targetPool).counts.arriving++
 		}
 	}
-	for _, p := range m.pools {
-		for _, w := range p.workers {
-			if w.listed && !w.dead && !known[w.ID] && p.counts.arriving > 0 {
-				p.counts.arriving-- // it has arrived since the list of machines was read.
-			}
+	m.fleet.unplaced = m.fleet.unplaced[:0]
+	for _, w := range m.workerList {
+		if !w.listed || w.dead || known[w.ID] {
+			continue
+		}
+		m.fleet.unplaced = append(m.fleet.unplaced, w)
+		if p := m.pool(w.Service); p.counts.arriving > 0 {
+			p.counts.arriving-- // it has arrived since the list of machines was read.
 		}
 	}
 	m.fleet.meanCPU = float64(cpu) / float64(max(len(m.fleet.list), 1))
--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -215,6 +215,9 @@
 	if !m.takeOrder() {
 		return
 	}
+	if k.orderedAt == 0 {
+		k.oldWorkerID = k.Worker // it may have been replaced since the machine was taken out.
+	}
 	m.sendOrder(k)
 }
 
@@ -222,7 +225,7 @@
 func (m *Model) evacuate(k *machine) bool {
 	o := m.workerOf(k)
 	if o == nil || o.dead {
-		return m.now >= m.blindUntil
+		return m.now >= m.blindUntil && k.unsureSince == 0 && !m.mayHaveNewWorker(k)
 	}
 	o.cordoned = true
 	if !m.knowsRuns(o) {
--- a/fleet/batch/wave_test.go
+++ b/fleet/batch/wave_test.go
@@ -88,3 +88,36 @@
 	is.True(w.waveWrites > 0)
 	is.Equal(w.overlaps, 0)
 }
+
+// replaceWorker replaces the only worker, w0, by w9 on the same machine, and runs a lasting task there from now to until.
+func (w *listedWorkers) replaceWorker(is *is.I, now, until int64) {
+	is.Helper()
+	w.machineOf = map[string]string{"w9": "w0"}
+	w.entries[0].ID, w.entries[0].Addr = "w9", "w9"
+	w.m.Update(now, batch.WorkersMsg{Set: w.entries, Gone: []string{"w0"}})
+	j := lastingStepJob(1, 1, 1)
+	j.Steps[0].Size.MemMB = 10
+	w.m.Update(now, batch.SubmitMsg{Ref: 1, Job: j})
+	w.run(now, until)
+	is.Equal(len(w.running["w9"]), 1)
+}
+
+// A machine whose worker was replaced must not be maintained while the new worker runs a task that has no other room.
+func TestUpkeepSparesReplacedWorker(t *testing.T) {
+	wave := batch.WaveMsg{Number: 1, Machines: []string{"w0"}, DurationMs: 8_000, MaxDown: 1}
+	start := func() *listedWorkers {
+		w := newListedWorkers(batch.LoadedMsg{}, "w0")
+		w.percent, w.stopping = 100, true
+		w.run(1_010, 8_000)
+		return w
+	}
+	t.Run("before the list is read", func(t *testing.T) {
+		is := is.New(t)
+		w := start()
+		w.replaceWorker(is, 8_000, 8_200)
+		w.m.Update(8_200, wave)
+		w.run(8_200, 16_000)
+		is.Equal(w.upkeepOrders, 0)
+		is.Equal(len(w.stops), 0)
+	})
+}
