Empty a machine before each order of its upkeep, not only before the first

Cause: after an order that is refused (busy, rate, claim not certain) the upkeep was repeated every 0.5 s without a look at the machine. If the worker was replaced meanwhile, the new one was neither closed to new tasks nor emptied, and the order ended what ran there. Changed: each order asks evacuate again, which waits for a list that is newer than a busy or missing answer, and takes a machine that is not up for empty unless a new worker may be on it.

--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -202,7 +202,7 @@
 	if k.unsentVersion != 0 || k.orderedAt != 0 && m.now-k.orderedAt < upkeepRetryMs {
 		return
 	}
-	if k.orderedAt == 0 && !m.evacuate(k) || !m.mayOrderTo(k) {
+	if !m.evacuate(k) || !m.mayOrderTo(k) { // also before an order is repeated: the worker may have been replaced.
 		return
 	}
 	if !w.begun[k.Name] {
@@ -215,7 +215,7 @@
 	if !m.takeOrder() {
 		return
 	}
-	if k.orderedAt == 0 {
+	if !k.maybeRepeated {
 		k.oldWorkerID = k.Worker // it may have been replaced since the machine was taken out.
 	}
 	m.sendOrder(k)
@@ -224,8 +224,13 @@
 // evacuate moves lasting tasks off the machine, and reports whether nothing runs there any more.
 func (m *Model) evacuate(k *machine) bool {
 	o := m.workerOf(k)
-	if o == nil || o.dead {
-		return m.now >= m.blindUntil && k.unsureSince == 0 && !m.mayHaveNewWorker(k)
+	switch {
+	case k.unsureSince != 0:
+		return false // the worker that is listed may have ended.
+	case k.State != MachineUp:
+		return !m.mayHaveNewWorker(k)
+	case o == nil || o.dead:
+		return m.now >= m.blindUntil && !m.mayHaveNewWorker(k)
 	}
 	o.cordoned = true
 	if !m.knowsRuns(o) {
--- a/fleet/batch/wave_test.go
+++ b/fleet/batch/wave_test.go
@@ -120,4 +120,18 @@
 		is.Equal(w.upkeepOrders, 0)
 		is.Equal(len(w.stops), 0)
 	})
+	t.Run("between two orders", func(t *testing.T) {
+		is := is.New(t)
+		w := start()
+		w.busy = true
+		w.m.Update(8_000, wave)
+		w.run(8_000, 9_000)
+		n := w.upkeepOrders
+		is.True(n > 0)
+		w.replaceWorker(is, 9_000, 9_400)
+		n = max(n, w.upkeepOrders)
+		w.run(9_400, 16_000)
+		is.Equal(w.upkeepOrders, n)
+		is.Equal(len(w.stops), 0)
+	})
 }
