Send an order to a machine only while nothing is known to run there

Cause: a move waits for its record in the store (2.5 s at most), and one without an answer is repeated after 2.5 s; neither looked at the machine again. If its worker was replaced meanwhile, the new one takes tasks, and the order ends them. Changed: an order is sent, and a move repeated, only if the machine's known worker runs nothing and no unknown worker may be there. Else a move is given up, and an upkeep is planned again. A move without an answer is repeated only after a newer list. TestMoveWaitsForListAfterUnsureOrder now demands that a move without an answer is not even repeated before a list (1 order for 2): stricter.

--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -413,6 +413,14 @@
 // empty reports whether w has no runs and no ended runs that wait to be stored.
 func empty(w *worker) bool { return len(w.runs) == 0 && len(w.unsavedEnds) == 0 }
 
+// isVacant reports whether an order to the machine would end no run, as far as the owner and its list of machines know.
+func (m *Model) isVacant(k *machine) bool {
+	if w := m.workerOf(k); w != nil && !w.dead {
+		return len(w.runs) == 0
+	}
+	return !m.mayHaveNewWorker(k)
+}
+
 // mayStopLasting reports whether a lasting task may be stopped: fewer than max(MayMiss, 1) other tasks of its step are
 // not serving.
 func (m *Model) mayStopLasting(r *run) bool {
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -289,11 +289,22 @@
 			if m.now-k.orderedAt > orderTimeoutMs && !k.maybeRepeated {
 				m.releaseMachine(k) // the store does not take it, and it was never sent.
 			}
-		case k.ackedAt == 0 && m.now-k.orderedAt > orderTimeoutMs && m.mayOrderTo(k) && m.takeOrder():
-			k.maybeRepeated = true
-			m.sendOrder(k)
+		case k.ackedAt == 0 && m.now-k.orderedAt > orderTimeoutMs && k.unsureSince == 0 && m.mayOrderTo(k):
+			m.repeatMove(k)
 		case k.ackedAt != 0 && m.now-k.ackedAt > arrivalTimeoutMs && k.State == MachineUp && m.fleet.listSentAt > k.ackedAt:
 			m.releaseMachine(k)
 		}
 	}
 }
+
+// repeatMove sends a move that was not answered again, unless the machine has a new worker that runs tasks.
+func (m *Model) repeatMove(k *machine) {
+	if !m.isVacant(k) {
+		m.releaseMachine(k)
+		return
+	}
+	if m.takeOrder() {
+		k.maybeRepeated = true
+		m.sendOrder(k)
+	}
+}
--- a/fleet/batch/ordering.go
+++ b/fleet/batch/ordering.go
@@ -41,6 +41,10 @@
 		k.unsentVersion = 0
 		switch {
 		case k.ackedAt != 0: // an earlier order of the same kind was answered meanwhile.
+		case !m.isVacant(k): // its worker was replaced meanwhile. An upkeep is planned again.
+			if k.targetPool != "" {
+				m.releaseMachine(k)
+			}
 		case k.wave != nil:
 			m.recordOrder(k)
 			m.log("upkeep ordered", "", "machine", k.Name, "wave", k.wave.Number, "worker", k.Worker, "workerKnown", m.workerOf(k) != nil,
--- a/fleet/batch/orders_test.go
+++ b/fleet/batch/orders_test.go
@@ -167,7 +167,51 @@
 		}
 	}
 	is.True(lists > 1)
-	is.Equal(moves, 2) // the order and its repetition.
+	is.Equal(moves, 1) // neither repeated nor planned again.
+}
+
+// A move without an answer is not repeated while the machine's new worker runs a task.
+func TestMoveSparesReplacedWorker(t *testing.T) {
+	is := is.New(t)
+	room := batch.Size{CPU: 8000, MemMB: 8000}
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
+	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "o"}}})
+	entry := batch.WorkerEntry{ID: "w1", Service: "o", Addr: "1", Room: room, ClockMs: 5, Born: 500}
+	m.Update(1000, batch.WorkersMsg{All: true, Set: []batch.WorkerEntry{entry}})
+	m.Update(1000, batch.LoadedMsg{})
+	j := plainJob(1)
+	j.ObjectiveExtraMs = 60_000
+	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+	moves, running := 0, []batch.ActiveRun(nil)
+	for now := int64(1000); now < 9_000; now += 10 {
+		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
+		for _, c := range m.Commands(now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+			case batch.StartCmd:
+				running = append(running, batch.ActiveRun{Task: k.Task, Run: k.Run, Percent: 100})
+				m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
+			case batch.PollCmd:
+				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 500, Running: running})
+			case batch.ListMachinesCmd:
+				l := batch.Machine{Name: "m1", Pool: "o", State: batch.MachineUp, Room: room, Worker: entry.ID}
+				m.Update(now, batch.MachinesMsg{Sent: now, List: []batch.Machine{l}})
+			case batch.MoveCmd:
+				moves++
+				m.Update(now, batch.OrderDoneMsg{Machine: k.Machine, Result: batch.OrderUnsure})
+				if entry.ID == "w1" {
+					entry.ID = "w9"
+					m.Update(now, batch.WorkersMsg{Set: []batch.WorkerEntry{entry}, Gone: []string{"w1"}})
+					x := lastingStepJob(2, 1, 1)
+					x.Service = "o"
+					m.Update(now, batch.SubmitMsg{Ref: 2, Job: x})
+				}
+			}
+		}
+	}
+	is.Equal(len(running), 1)
+	is.Equal(moves, 1)
 }
 
 // Orders includes the former owners' orders that the model knows of. Their ages grow with time, and an order whose age has
