Guard the stored orders by their revision

Cause: the record of the orders was written without a condition of its own. A write whose answer is lost may be carried out seconds later, while the claim still holds, and replaced the record of a later plan. Class: a late write replaces a newer one. Records of jobs and waves have been written under their revision from the start; the operators' view of a wave's state (reportWave) is written without one, but only 'running' before 'completed', each until it is acknowledged. Changed: the record is written under the revision that was read or written last; after a conflict the current one is taken.

--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -206,9 +206,12 @@
 	m.requeue(f, g.Outcome)
 }
 
-// adoptRevs takes over the revisions of progress records after a conflict.
+// adoptRevs takes over the revisions of records after a conflict.
 func (m *Model) adoptRevs(l []Row) {
 	for _, r := range l {
+		if r.Key == OrdersKey {
+			m.commits.orders.rev = r.Rev
+		}
 		if id, ok := strings.CutPrefix(r.Key, RunPrefix); ok && m.jobs[id] != nil {
 			m.jobs[id].rev = r.Rev
 		}
@@ -266,7 +269,8 @@
 		f.wave.rev, f.wave.storedVersion = rev, max(f.wave.storedVersion, f.waveVersion)
 	}
 	if f.ordersVersion != 0 {
-		m.commits.orders.sending, m.commits.orders.stored = 0, f.ordersVersion
+		o := &m.commits.orders
+		o.sending, o.stored, o.rev = 0, f.ordersVersion, rev
 		m.sendStoredOrders()
 	}
 	for _, w := range m.workers {
--- a/fleet/batch/ordering.go
+++ b/fleet/batch/ordering.go
@@ -17,12 +17,14 @@
 	Fence    int64    `json:"fence"`              // of the term.
 	Machines []string `json:"machines,omitempty"` // ordered within the gap between the orders of two owners.
 	Complete bool     `json:"complete"`           // no machine can be missing.
+	Rev      int64    `json:"-"`
 }
 
 // orderRecord holds the versions of the stored orders. A version includes all orders planned so far.
 type orderRecord struct {
 	planned, sending, stored int
 	complete                 bool // as in the version that was sent last.
+	rev                      int64
 }
 
 // sendOrder plans the order to the machine. The order is sent once it is stored.
@@ -88,13 +90,14 @@
 	if err != nil {
 		panic(fmt.Sprintf("batch: orders cannot be encoded: %v", err)) // cannot happen: strings and numbers always encode.
 	}
-	*rows = append(*rows, Row{Key: OrdersKey, Value: b})
+	*rows = append(*rows, Row{Key: OrdersKey, Value: b, Rev: o.rev, Guarded: true}) // a late write must not replace a newer one.
 	f.ordersVersion, o.sending = o.planned, o.planned
 	return true
 }
 
 // loadOrders takes over the stored orders of the former term. They are not sent later than the former owner's claim ends.
 func (m *Model) loadOrders(s StoredOrders, formerFence int64) {
+	m.commits.orders.rev = s.Rev
 	if s.Fence == 0 || s.Fence != formerFence {
 		return
 	}
--- a/fleet/batch/orders_test.go
+++ b/fleet/batch/orders_test.go
@@ -214,6 +214,46 @@
 	is.Equal(moves, 1)
 }
 
+// A write of the stored orders that is carried out late must not replace a newer one, which names more machines.
+func TestLateWriteKeepsNewerOrders(t *testing.T) {
+	is := is.New(t)
+	room := batch.Size{CPU: 8000, MemMB: 8000}
+	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
+	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "parked", Standby: true}}})
+	m.Update(1000, batch.LoadedMsg{Orders: batch.StoredOrders{Rev: 7}})
+	j := plainJob(1)
+	j.ObjectiveExtraMs = 60_000
+	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+	var revs []int64 // at which the writes expect the stored orders.
+	moves := 0
+	for now := int64(1000); now < 4_000; now += 10 {
+		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
+		for _, c := range m.Commands(now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				g := batch.CommittedMsg{ID: k.ID, Rev: 60}
+				if i := slices.IndexFunc(k.Rows, func(r batch.Row) bool { return r.Key == batch.OrdersKey }); i >= 0 {
+					is.True(k.Rows[i].Guarded)
+					revs = append(revs, k.Rows[i].Rev)
+					switch len(revs) {
+					case 1:
+						g.Outcome = batch.Unknown
+					case 2: // the first write was carried out meanwhile.
+						g.Outcome, g.Current = batch.Conflict, []batch.Row{{Key: batch.OrdersKey, Rev: 50}}
+					}
+				}
+				m.Update(now, g)
+			case batch.ListMachinesCmd:
+				m.Update(now, batch.MachinesMsg{Sent: now, List: []batch.Machine{{Name: "m1", Pool: "parked", State: batch.MachineUp, Room: room}}})
+			case batch.MoveCmd:
+				moves++
+			}
+		}
+	}
+	is.Equal(revs, []int64{7, 7, 50})
+	is.Equal(moves, 1)
+}
+
 // Orders includes the former owners' orders that the model knows of. Their ages grow with time, and an order whose age has
 // reached the configured gap is left out.
 func TestOrdersAge(t *testing.T) {
@@ -362,7 +402,10 @@
 func TestMovesUnderFaults(t *testing.T) {
 	is := is.New(t)
 	moves := 0
-	seeds := []uint64{100} // an order that waited for the store for longer than the gap was missing from the stored ones.
+	seeds := []uint64{
+		100, // an order that waited for the store for longer than the gap was missing from the stored ones.
+		129, // a write of the stored orders that was carried out late replaced a newer one.
+	}
 	for s := uint64(1); s <= 2**chaosSeeds; s++ {
 		seeds = append(seeds, s)
 	}
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -137,6 +137,7 @@
 	}
 	if r, ok := w.rows[batch.OrdersKey]; ok {
 		w.must(json.Unmarshal(r.Value, &m.Orders))
+		m.Orders.Rev = r.Rev
 	}
 	for _, k := range worker.Sorted(w.rows) {
 		r := w.rows[k]
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -327,6 +327,7 @@
 	if err != nil {
 		return m, err
 	}
+	m.Orders.Rev = int64(orders.Rev())
 	if orders.Found() {
 		if err := json.Unmarshal(orders.Value(), &m.Orders); err != nil {
 			o.log.Error().Str("key", batch.OrdersKey).Err(err).Msg("record cannot be read")
