Do not answer 'refused' while another process may have accepted the job

Cause: an entry asks the owner it knows; without an answer within 0.9 s it asks again, and the owner may have changed. Class: an answer of one process is taken for the outcome of a call to another. Cancels look at the store in that case and are not concerned. Changed: a refusal counts only if no call to another process may have had an effect. Else the owner is looked up again until the deadline, and the answer is 504 if nobody has accepted the job by then. Test: TestRefusalAfterCallToAnotherOwner answered 503 before, and 504 or 200 after. A refusal by the process that lost an answer before is still 503 (TestSubmit): it would know the job.

--- a/node/front/front.go
+++ b/node/front/front.go
@@ -246,17 +246,23 @@
 
 // callOwner calls the owner, with retries. A call that certainly had no effect is retried for ownerRetryWindow, because the owner may
 // be changing. A call that may have had an effect is retried until the deadline, because only the owner knows the outcome. Retries are
-// safe: calls are idempotent by the job's id.
+// safe: calls are idempotent by the job's id. A refusal does not count if another process may have accepted the job.
 func (f *Front) callOwner(until time.Time, call func(context.Context, desk.Desk) (*desk.Reply, error)) (*desk.Reply, error) {
 	retryUntil := time.Now().Add(ownerRetryWindow)
 	var unknownErr error
+	unanswered := map[string]bool{} // addresses of calls that may have had an effect.
 	for {
-		r, err := f.callOwnerOnce(until, call)
-		if err == nil {
-			return r, nil
-		}
-		if !desk.IsNotSent(err) {
-			unknownErr = err
+		a := f.claims.Owner()
+		r, err := f.callOwnerOnce(a, until, call)
+		switch {
+		case err == nil:
+			delete(unanswered, a) // a process knows of the calls that it has taken.
+			if batch.Verdict(r.GetVerdict()) != batch.Refused || len(unanswered) == 0 {
+				return r, nil
+			}
+			f.claims.OwnerFailed() // it may be a former owner.
+		case !desk.IsNotSent(err):
+			unknownErr, unanswered[a] = err, true
 		}
 		now := time.Now()
 		switch {
@@ -269,9 +275,8 @@
 	}
 }
 
-// callOwnerOnce makes one call to the owner, and drops idle connections to it after a call whose outcome is unknown.
-func (f *Front) callOwnerOnce(until time.Time, call func(context.Context, desk.Desk) (*desk.Reply, error)) (*desk.Reply, error) {
-	a := f.claims.Owner()
+// callOwnerOnce makes one call to the owner at address a, and drops idle connections to it after a call whose outcome is unknown.
+func (f *Front) callOwnerOnce(a string, until time.Time, call func(context.Context, desk.Desk) (*desk.Reply, error)) (*desk.Reply, error) {
 	if a == "" {
 		f.claims.OwnerFailed()
 		return nil, desk.ErrNotSent
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -182,6 +182,27 @@
 	is.Equal(string(r.send("GET", "/a/", "", 600).Body()), "3")
 }
 
+// changingClaims names two owners by turns.
+type changingClaims struct {
+	owners [2]string
+	calls  atomic.Int64
+}
+
+func (c *changingClaims) Owner() string { return c.owners[(c.calls.Add(1)-1)%2] }
+func (*changingClaims) OwnerFailed()    {}
+
+// A refusal by one owner must not hide that another one may have accepted the job.
+func TestRefusalAfterCallToAnotherOwner(t *testing.T) {
+	is := is.New(t)
+	lost := newFixture(t, &fakeDesk{answers: []func() (*desk.Reply, error){fails(errors.New("connection lost"))}}, true)
+	r := newFixture(t, &fakeDesk{answers: []func() (*desk.Reply, error){reply(batch.Refused, 300)}}, true)
+	r.front.claims = &changingClaims{owners: [2]string{lost.front.claims.Owner(), r.front.claims.Owner()}}
+	is.Equal(r.send("POST", "/a/"+id, body, 600).StatusCode(), fasthttp.StatusGatewayTimeout)
+	lost = newFixture(t, &fakeDesk{answers: []func() (*desk.Reply, error){fails(errors.New("connection lost")), reply(batch.Accepted, 0)}}, true)
+	r.front.claims = &changingClaims{owners: [2]string{lost.front.claims.Owner(), r.front.claims.Owner()}}
+	is.Equal(r.send("POST", "/a/"+id, body, 1000).StatusCode(), fasthttp.StatusOK)
+}
+
 func TestCancel(t *testing.T) {
 	is := is.New(t)
 	is.Equal(newFixture(t, &fakeDesk{answers: []func() (*desk.Reply, error){reply(batch.Accepted, 0)}}, true).send("DELETE", "/a/"+id, "", 600).StatusCode(), 200)
