Mark late orders of the simulated platform for the checker of lasting tasks

Cause: the checker's rule on stops of lasting tasks excuses orders that a worker held up, and the simulated platform did not mark them. Changed: fakes/infra runs them with RunLate, as the simulation of fleet/batch does. The rule now holds in TestSoak, with entries as processes.

--- a/fakes/infra/platform.go
+++ b/fakes/infra/platform.go
@@ -322,7 +322,7 @@
 		u.platform.mu.Lock()
 		defer u.platform.mu.Unlock()
 		if u.worker.LifetimeStart() == born && !u.worker.PoweredOff() {
-			do()
+			u.platform.checker.RunLate(do)
 		}
 		return nil
 	})
