--- a/fleet/batch/avail_test.go
+++ b/fleet/batch/avail_test.go
@@ -9,8 +9,8 @@
 	"burdockreach.dev/fleet/batch"
 )
 
-// playLostStarts starts three lasting tasks, one of which may be away, while polls take 2 s to be answered and starts are lost as lose says.
-// From 2 s on all calls are answered.
+// playLostStarts starts three lasting tasks, one of which may be away. For 1.5 s polls take 2 s to be answered and starts are lost as lose
+// says; then all calls are answered.
 func playLostStarts(lose func(*listedWorkers)) *listedWorkers {
 	w := newListedWorkers(batch.LoadedMsg{}, "w0", "w1", "w2", "w3", "w4", "w5")
 	w.stopping, w.percent = true, 100
@@ -37,7 +37,7 @@
 	return n
 }
 
-// A start whose answer is lost must not end the task that it has started, which serves by the time at which the start is given up.
+// A start whose answer is lost must not end the task that it has started, which serves by the time at which it is given up.
 func TestUnansweredStartEndsNoServingTask(t *testing.T) {
 	is := is.New(t)
 	w := playLostStarts(func(w *listedWorkers) { w.loseAnswers = true })
@@ -55,8 +55,7 @@
 	is.Equal(w.tasksRunning(), 3)
 }
 
-// Lasting tasks fail, their workers crash, machines are maintained, and answers are lost. The owner's stops must leave as many tasks of each
-// step at work as the step requires.
+// The owner's stops leave as many tasks of a lasting step at work as it requires, while tasks fail, workers crash and answers are lost.
 func TestStopsLeaveLastingTasksAtWork(t *testing.T) {
 	for _, c := range []struct {
 		name string
