Cover busy answers and the emptied machine, and share the loop of the orders' tests

Tests of orders to machines share their loop (drive); checks are the same, and a move refused for the rate must be planned again at once.

No product code is changed.

--- a/fleet/batch/orders_test.go
+++ b/fleet/batch/orders_test.go
@@ -136,38 +136,68 @@
 	})
 }
 
-// A parked machine whose move was given up may have moved: it is not ordered again before it has been listed.
-func TestMoveWaitsForListAfterUnsureOrder(t *testing.T) {
-	is := is.New(t)
+// drive lets time pass from 1000 ms to until. The owner holds its claim, and perform carries out its commands.
+func drive(m *batch.Model, until int64, perform func(now int64, c batch.Cmd)) {
+	for now := int64(1000); now < until; now += 10 {
+		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
+		for _, c := range m.Commands(now) {
+			perform(now, c)
+		}
+	}
+}
+
+// parkedMachine returns a model with a job for the pool s, which has no machine, and one machine in a parked pool.
+func parkedMachine(l batch.LoadedMsg) (*batch.Model, batch.Machine) {
 	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
 	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "parked", Standby: true}}})
-	m.Update(1000, batch.LoadedMsg{})
+	m.Update(1000, l)
+	submitPatient(m)
+	return m, batch.Machine{Name: "m1", Pool: "parked", State: batch.MachineUp, Room: batch.Size{CPU: 8000, MemMB: 8000}}
+}
+
+// submitPatient submits a job that is not refused for want of room.
+func submitPatient(m *batch.Model) {
 	j := plainJob(1)
 	j.ObjectiveExtraMs = 60_000
 	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+}
+
+// movesBeforeList orders a parked machine, with the given answer to each order, while only the first request for the list of machines is
+// answered. It returns the number of orders.
+func movesBeforeList(is *is.I, r batch.OrderResult) int {
+	is.Helper()
+	m, parked := parkedMachine(batch.LoadedMsg{})
 	lists, moves := 0, 0
-	for now := int64(1000); now < 9_000; now += 10 {
-		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
-		for _, c := range m.Commands(now) {
-			switch k := c.(type) {
-			case batch.CommitCmd:
-				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
-			case batch.ListMachinesCmd: // only the first request is answered.
-				lists++
-				l := batch.Machine{Name: "m1", Pool: "parked", State: batch.MachineUp, Room: batch.Size{CPU: 8000, MemMB: 8000}}
-				m.Update(now, batch.MachinesMsg{Sent: now, Failed: lists > 1, List: []batch.Machine{l}})
-			case batch.MoveCmd:
-				moves++
-				r := batch.OrderUnsure
-				if moves > 1 {
-					r = batch.OrderNotSent
-				}
-				m.Update(now, batch.OrderDoneMsg{Machine: k.Machine, Result: r})
-			}
+	drive(m, 9_000, func(now int64, c batch.Cmd) {
+		switch k := c.(type) {
+		case batch.CommitCmd:
+			m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+		case batch.ListMachinesCmd:
+			lists++
+			m.Update(now, batch.MachinesMsg{Sent: now, Failed: lists > 1, List: []batch.Machine{parked}})
+		case batch.MoveCmd:
+			moves++
+			m.Update(now, batch.OrderDoneMsg{Machine: k.Machine, Result: r})
 		}
-	}
+	})
 	is.True(lists > 1)
-	is.Equal(moves, 1) // neither repeated nor planned again.
+	return moves
+}
+
+// A parked machine that may have moved, or that was not up, is not ordered again before it has been listed.
+func TestMoveWaitsForListAfterUnsureOrder(t *testing.T) {
+	t.Run("no answer", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(movesBeforeList(is, batch.OrderUnsure), 1)
+	})
+	t.Run("busy", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(movesBeforeList(is, batch.OrderBusy), 1)
+	})
+	t.Run("refused for the rate", func(t *testing.T) {
+		is := is.New(t)
+		is.True(movesBeforeList(is, batch.OrderThrottled) > 1)
+	})
 }
 
 // A move without an answer is not repeated while the machine's new worker runs a task.
@@ -179,37 +209,32 @@
 	entry := batch.WorkerEntry{ID: "w1", Service: "o", Addr: "1", Room: room, ClockMs: 5, Born: 500}
 	m.Update(1000, batch.WorkersMsg{All: true, Set: []batch.WorkerEntry{entry}})
 	m.Update(1000, batch.LoadedMsg{})
-	j := plainJob(1)
-	j.ObjectiveExtraMs = 60_000
-	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+	submitPatient(m)
 	moves, running := 0, []batch.ActiveRun(nil)
-	for now := int64(1000); now < 9_000; now += 10 {
-		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
-		for _, c := range m.Commands(now) {
-			switch k := c.(type) {
-			case batch.CommitCmd:
-				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
-			case batch.StartCmd:
-				running = append(running, batch.ActiveRun{Task: k.Task, Run: k.Run, Percent: 100})
-				m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
-			case batch.PollCmd:
-				m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 500, Running: running})
-			case batch.ListMachinesCmd:
-				l := batch.Machine{Name: "m1", Pool: "o", State: batch.MachineUp, Room: room, Worker: entry.ID}
-				m.Update(now, batch.MachinesMsg{Sent: now, List: []batch.Machine{l}})
-			case batch.MoveCmd:
-				moves++
-				m.Update(now, batch.OrderDoneMsg{Machine: k.Machine, Result: batch.OrderUnsure})
-				if entry.ID == "w1" {
-					entry.ID = "w9"
-					m.Update(now, batch.WorkersMsg{Set: []batch.WorkerEntry{entry}, Gone: []string{"w1"}})
-					x := lastingStepJob(2, 1, 1)
-					x.Service = "o"
-					m.Update(now, batch.SubmitMsg{Ref: 2, Job: x})
-				}
+	drive(m, 9_000, func(now int64, c batch.Cmd) {
+		switch k := c.(type) {
+		case batch.CommitCmd:
+			m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
+		case batch.StartCmd:
+			running = append(running, batch.ActiveRun{Task: k.Task, Run: k.Run, Percent: 100})
+			m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
+		case batch.PollCmd:
+			m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 500, Running: running})
+		case batch.ListMachinesCmd:
+			l := batch.Machine{Name: "m1", Pool: "o", State: batch.MachineUp, Room: room, Worker: entry.ID}
+			m.Update(now, batch.MachinesMsg{Sent: now, List: []batch.Machine{l}})
+		case batch.MoveCmd:
+			moves++
+			m.Update(now, batch.OrderDoneMsg{Machine: k.Machine, Result: batch.OrderUnsure})
+			if entry.ID == "w1" {
+				entry.ID = "w9"
+				m.Update(now, batch.WorkersMsg{Set: []batch.WorkerEntry{entry}, Gone: []string{"w1"}})
+				x := lastingStepJob(2, 1, 1)
+				x.Service = "o"
+				m.Update(now, batch.SubmitMsg{Ref: 2, Job: x})
 			}
 		}
-	}
+	})
 	is.Equal(len(running), 1)
 	is.Equal(moves, 1)
 }
@@ -217,39 +242,30 @@
 // A write of the stored orders that is carried out late must not replace a newer one, which names more machines.
 func TestLateWriteKeepsNewerOrders(t *testing.T) {
 	is := is.New(t)
-	room := batch.Size{CPU: 8000, MemMB: 8000}
-	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000})
-	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "parked", Standby: true}}})
-	m.Update(1000, batch.LoadedMsg{Orders: batch.StoredOrders{Rev: 7}})
-	j := plainJob(1)
-	j.ObjectiveExtraMs = 60_000
-	m.Update(1000, batch.SubmitMsg{Ref: 1, Job: j})
+	m, parked := parkedMachine(batch.LoadedMsg{Orders: batch.StoredOrders{Rev: 7}})
 	var revs []int64 // at which the writes expect the stored orders.
 	moves := 0
-	for now := int64(1000); now < 4_000; now += 10 {
-		m.Update(now, batch.ClaimMsg{Fresh: true, RenewedAt: now})
-		for _, c := range m.Commands(now) {
-			switch k := c.(type) {
-			case batch.CommitCmd:
-				g := batch.CommittedMsg{ID: k.ID, Rev: 60}
-				if i := slices.IndexFunc(k.Rows, func(r batch.Row) bool { return r.Key == batch.OrdersKey }); i >= 0 {
-					is.True(k.Rows[i].Guarded)
-					revs = append(revs, k.Rows[i].Rev)
-					switch len(revs) {
-					case 1:
-						g.Outcome = batch.Unknown
-					case 2: // the first write was carried out meanwhile.
-						g.Outcome, g.Current = batch.Conflict, []batch.Row{{Key: batch.OrdersKey, Rev: 50}}
-					}
+	drive(m, 4_000, func(now int64, c batch.Cmd) {
+		switch k := c.(type) {
+		case batch.CommitCmd:
+			g := batch.CommittedMsg{ID: k.ID, Rev: 60}
+			if i := slices.IndexFunc(k.Rows, func(r batch.Row) bool { return r.Key == batch.OrdersKey }); i >= 0 {
+				is.True(k.Rows[i].Guarded)
+				revs = append(revs, k.Rows[i].Rev)
+				switch len(revs) {
+				case 1:
+					g.Outcome = batch.Unknown
+				case 2: // the first write was carried out meanwhile.
+					g.Outcome, g.Current = batch.Conflict, []batch.Row{{Key: batch.OrdersKey, Rev: 50}}
 				}
-				m.Update(now, g)
-			case batch.ListMachinesCmd:
-				m.Update(now, batch.MachinesMsg{Sent: now, List: []batch.Machine{{Name: "m1", Pool: "parked", State: batch.MachineUp, Room: room}}})
-			case batch.MoveCmd:
-				moves++
 			}
+			m.Update(now, g)
+		case batch.ListMachinesCmd:
+			m.Update(now, batch.MachinesMsg{Sent: now, List: []batch.Machine{parked}})
+		case batch.MoveCmd:
+			moves++
 		}
-	}
+	})
 	is.Equal(revs, []int64{7, 7, 50})
 	is.Equal(moves, 1)
 }
--- a/fleet/batch/wave_test.go
+++ b/fleet/batch/wave_test.go
@@ -134,4 +134,21 @@
 		is.Equal(w.upkeepOrders, n)
 		is.Equal(len(w.stops), 0)
 	})
+	t.Run("which is emptied", func(t *testing.T) {
+		is := is.New(t)
+		w := start()
+		w.busy = true
+		w.m.Update(8_000, wave)
+		w.run(8_000, 9_000)
+		w.replaceWorker(is, 9_000, 9_400)
+		n := w.upkeepOrders
+		other := w.entries[0]
+		other.ID, other.Addr = "w1", "w1"
+		w.entries = append(w.entries, other)
+		w.m.Update(9_400, batch.WorkersMsg{Set: w.entries})
+		w.run(9_400, 16_000)
+		is.Equal(len(w.stops), 1)
+		is.Equal(len(w.running["w1"]), 1)
+		is.True(w.upkeepOrders > n)
+	})
 }
