Build transactions in one place within the store's limits, and set rejected records aside

Cause: addOrdersRow added a guarded row, two entries, and sendTransaction counted one. With the claim's guard and ten ended jobs, gathered while the store was away, a transaction had 33 entries. The store answered 400, the owner took that for a store that is away, queued the same writes again, and refused every job with 'the store does not answer' until the end.

Change: a row knows its entries and bytes; add, the only place that extends a transaction, takes a record whole or not at all, up to 31 entries beside the claim's guard and 256 KiB. A rejected transaction is sent again in halves, down to single records; a record that is rejected alone is set aside, logged as an error with status and body, counted, listed under own/aside, and tried every 5 s. Its job goes on, ends stay listed at the workers, and the end is shown once it is stored. A new job is refused with the reason. keyval.StatusError tells ErrRejected (400, 403, 404, 405, 413, 414, 431) from ErrBusy (429, 503, also ErrDown); outcomes that are not known stay ErrUnknown. Orders to workers and machines with such a status certainly did nothing. A large transaction that goes unanswered halves the limit of bytes, down to 64 KiB. Callers read 'the store takes no writes now' when it has answered so. The stand-in's store and the simulation's store refuse more than 32 entries.

--- a/fakes/infra/platform.go
+++ b/fakes/infra/platform.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -65,8 +66,22 @@
 	rnd          func(int) int
 }
 
-// Txn applies the transaction; its answer may be lost.
+// Limits of one transaction, as the users' platform has them.
+const (
+	maxTxnEntries = 32
+	maxValueBytes = 1 << 20
+)
+
+// Txn applies the transaction; its answer may be lost. It rejects one that exceeds the limits.
 func (s *store) Txn(ctx context.Context, t keyval.Txn) (keyval.Revision, error) {
+	if n := len(t.Guards) + len(t.Writes); n > maxTxnEntries {
+		return 0, keyval.NewStatusError(http.StatusBadRequest, fmt.Sprintf("%d entries", n), true)
+	}
+	for _, w := range t.Writes {
+		if len(w.Value) > maxValueBytes {
+			return 0, keyval.NewStatusError(http.StatusBadRequest, fmt.Sprintf("%s: %d bytes", w.Key, len(w.Value)), true)
+		}
+	}
 	r, err := s.Memory.Txn(ctx, t)
 	if err == nil && s.rnd(1000) < int(s.lostPerMille.Load()) {
 		return 0, errAnswerLost
--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -11,32 +11,29 @@
 	accepts      []*job
 	dirty        []*job
 	queued       map[*job]bool // the jobs in dirty.
-	writing      map[*job]bool // jobs whose progress is being written.
+	writing      map[*job]bool // jobs whose progress is being written or is set aside.
 	inFlight     map[uint64]*transaction
 	waitingSince int64 // when the first of the waiting writes came; 0 if none waits.
 	retryAt      int64
-	failing      bool // the last write failed.
+	failing      bool   // the last write failed.
+	failReason   string // why, for callers.
 	dirtyWaves   map[int]*wave
 	orders       orderRecord
-}
-
-// transaction is one transaction in flight.
-type transaction struct {
-	accepts     []*job
-	progress    []*job // jobs whose progress it writes.
-	versions    []int  // version of each of them, as written.
-	wave        *wave
-	waveVersion int
+	byteLimit    int // most bytes of the next transaction.
 
-	ordersVersion int // of the orders that it writes; 0 if it writes none.
+	parts      [][]write // of transactions that the store rejected, which are sent apart.
+	setAside   []asideWrite
+	aside      asideRecord
+	unanswered map[string]int // by key: how often a large record that was sent alone was not answered.
 }
 
 func (c *commits) start() {
 	c.queued, c.writing, c.inFlight, c.dirtyWaves = map[*job]bool{}, map[*job]bool{}, map[uint64]*transaction{}, map[int]*wave{}
+	c.unanswered, c.byteLimit = map[string]int{}, maxTxnBytes
 }
 
 func (c *commits) waiting() bool {
-	return len(c.accepts)+len(c.dirty)+len(c.dirtyWaves) > 0 || c.orders.waiting()
+	return len(c.accepts)+len(c.dirty)+len(c.dirtyWaves)+len(c.parts) > 0 || c.orders.waiting() || c.aside.waiting()
 }
 
 func (c *commits) addAccept(j *job) { c.accepts = append(c.accepts, j) }
@@ -51,6 +48,7 @@
 // flush sends the waiting writes once commitWindowMs has passed or they fill a transaction.
 func (m *Model) flush() {
 	c := &m.commits
+	m.retrySetAside()
 	if !c.waiting() {
 		c.waitingSince, c.failing = 0, c.failing && len(c.inFlight) > 0
 		return
@@ -97,53 +95,72 @@
 // written.
 func (m *Model) sendTransaction() bool {
 	c := &m.commits
-	f := &transaction{}
-	var rows []Row
-	room := maxTxnEntries
-	if m.addOrdersRow(f, &rows) {
-		room--
+	f := &transaction{byteLimit: c.byteLimit}
+	if len(c.parts) > 0 {
+		m.addPart(f)
+	} else {
+		m.addOrders(f)
+		m.addWave(f)
+		m.addAside(f)
+		m.addAccepts(f)
+		m.addDirty(f)
+	}
+	if len(f.writes) == 0 {
+		return false
+	}
+	c.next++
+	c.inFlight[c.next] = f
+	m.emit(CommitCmd{ID: c.next, Rows: f.rows()})
+	return true
+}
+
+func (m *Model) addOrders(f *transaction) {
+	if m.commits.orders.waiting() {
+		m.add(f, write{kind: writeOrders})
+	}
+}
+
+// addWave adds the progress of one wave.
+func (m *Model) addWave(f *transaction) {
+	for n, w := range m.commits.dirtyWaves {
+		if !w.writing && m.add(f, write{kind: writeWave, wave: w}) {
+			delete(m.commits.dirtyWaves, n)
+			return
+		}
 	}
-	if m.addWaveRow(f, &rows) {
-		room -= 2
+}
+
+func (m *Model) addAside(f *transaction) {
+	if m.commits.aside.waiting() {
+		m.add(f, write{kind: writeAside})
 	}
-	n := min(len(c.accepts), room)
-	for _, j := range c.accepts[:n] {
-		f.accepts = append(f.accepts, j)
-		rows = append(rows, Row{Key: JobPrefix + j.ID, Value: m.encodeJob(j)})
+}
+
+func (m *Model) addAccepts(f *transaction) {
+	c := &m.commits
+	n := 0
+	for n < len(c.accepts) && m.add(f, write{kind: writeAccept, job: c.accepts[n]}) {
+		n++
 	}
 	c.accepts = c.accepts[n:]
-	room -= n
+}
+
+// addDirty adds the progress of jobs, up to the first that does not fit.
+func (m *Model) addDirty(f *transaction) {
+	c := &m.commits
 	var later []*job
-	for _, j := range c.dirty {
-		cost := 2
-		if j.phase == ended && !j.purging {
-			cost = 3
-		}
-		if c.writing[j] || cost > room {
+	for i, j := range c.dirty {
+		if c.writing[j] {
 			later = append(later, j)
 			continue
 		}
-		room -= cost
-		delete(c.queued, j)
-		c.writing[j] = true
-		f.progress, f.versions = append(f.progress, j), append(f.versions, j.version)
-		if j.purging {
-			rows = append(rows, Row{Key: RunPrefix + j.ID, Rev: j.rev, Guarded: true, Delete: true})
-			continue
-		}
-		rows = append(rows, Row{Key: RunPrefix + j.ID, Value: encodeRun(j), Rev: j.rev, Guarded: true})
-		if j.phase == ended {
-			rows = append(rows, Row{Key: JobPrefix + j.ID, Delete: true})
+		if !m.add(f, write{kind: writeProgress, job: j}) {
+			later = append(later, c.dirty[i:]...)
+			break
 		}
+		delete(c.queued, j)
 	}
 	c.dirty = later
-	if len(rows) == 0 {
-		return false
-	}
-	c.next++
-	c.inFlight[c.next] = f
-	m.emit(CommitCmd{ID: c.next, Rows: rows})
-	return true
 }
 
 // committed handles the answer to a transaction.
@@ -154,24 +171,34 @@
 		return
 	}
 	delete(c.inFlight, g.ID)
-	for _, j := range f.progress {
-		delete(c.writing, j)
+	if g.Outcome == WriteRejected {
+		m.separate(f, g.Detail)
+		return
 	}
-	if f.wave != nil {
-		f.wave.writing = false
+	for _, w := range f.writes {
+		m.setWriting(w, false)
 	}
 	if g.Outcome == Written {
 		c.failing, c.retryAt = false, 0
+		c.byteLimit = min(2*c.byteLimit, maxTxnBytes)
 		m.applyWritten(f, g.Rev)
 		return
 	}
-	m.log("write failed", "", "outcome", int(g.Outcome), "accepts", len(f.accepts), "progress", len(f.progress))
+	m.log("write failed", "", "outcome", int(g.Outcome), "writes", len(f.writes), "bytes", f.bytes, "detail", g.Detail)
 	if g.Outcome == Conflict {
 		m.adoptRevs(g.Current)
 	} else {
-		c.failing, c.retryAt = true, m.now+commitRetryMs
+		c.failing, c.retryAt, c.failReason = true, m.now+commitRetryMs, "the store does not answer"
+		if g.Busy {
+			c.failReason = "the store takes no writes now"
+		}
+	}
+	if g.Outcome == Unknown && m.limitBytes(f, g.Detail) {
+		return
+	}
+	for _, w := range f.writes {
+		m.requeue(w, g.Outcome)
 	}
-	m.requeue(f, g.Outcome)
 }
 
 // adoptRevs takes over the revisions of records after a conflict.
@@ -191,56 +218,54 @@
 	}
 }
 
-// requeue queues the writes of a failed transaction again. It refuses jobs that have waited too long and certainly are
-// not in the store.
-func (m *Model) requeue(f *transaction, o Outcome) {
-	for _, j := range f.accepts {
+// requeue queues a write that was not confirmed again. It refuses a job that has waited too long and certainly is not in the
+// store.
+func (m *Model) requeue(w write, o Outcome) {
+	c := &m.commits
+	switch w.kind {
+	case writeAccept:
+		j := w.job
 		j.maybeStored = j.maybeStored || o == Unknown
 		if !j.maybeStored && m.now-j.firstTriedAt >= acceptTimeoutMs {
-			delete(m.jobs, j.ID)
-			m.refuse(j, "the store did not take it", acceptTimeoutMs)
-			for _, r := range j.cancelRefs {
-				m.emit(ReplyCmd{Ref: r, Verdict: UnknownJob})
-			}
-			continue
+			m.refuseUnstored(j, "the store did not take it", acceptTimeoutMs)
+			return
 		}
-		m.commits.addAccept(j)
-	}
-	for _, j := range f.progress {
-		m.commits.addProgress(j)
+		c.addAccept(j)
+	case writeProgress:
+		c.addProgress(w.job)
+	case writeWave:
+		c.dirtyWaves[w.wave.Number] = w.wave
+	case writeOrders, writeAside: // they wait while a newer version is planned than stored.
 	}
-	if f.wave != nil {
-		m.commits.dirtyWaves[f.wave.Number] = f.wave
-	}
-	if f.ordersVersion != 0 {
-		m.commits.orders.sending = 0
+}
+
+// refuseUnstored refuses a job whose record certainly is not in the store.
+func (m *Model) refuseUnstored(j *job, why string, retryMs int64) {
+	delete(m.jobs, j.ID)
+	m.refuse(j, why, retryMs)
+	for _, r := range j.cancelRefs {
+		m.emit(ReplyCmd{Ref: r, Verdict: UnknownJob})
 	}
 }
 
 func (m *Model) applyWritten(f *transaction, rev int64) {
-	for _, j := range f.accepts {
-		m.openJob(j)
-	}
-	for i, j := range f.progress {
-		j.rev, j.storedVersion = rev, max(j.storedVersion, f.versions[i])
-		if j.purging {
-			delete(m.jobs, j.ID)
-			continue
-		}
-		if j.version > j.storedVersion {
-			m.commits.addProgress(j)
-		} else if j.phase == ended {
-			m.publishEnd(j)
+	for _, w := range f.writes {
+		delete(m.commits.unanswered, w.key())
+		switch w.kind {
+		case writeAccept:
+			m.openJob(w.job)
+		case writeProgress:
+			m.progressWritten(w.job, w.version, rev)
+		case writeWave:
+			w.wave.rev, w.wave.storedVersion = rev, max(w.wave.storedVersion, w.version)
+		case writeOrders:
+			o := &m.commits.orders
+			o.stored, o.rev = w.version, rev
+			m.sendStoredOrders()
+		case writeAside:
+			m.commits.aside.stored = w.version
 		}
 	}
-	if f.wave != nil {
-		f.wave.rev, f.wave.storedVersion = rev, max(f.wave.storedVersion, f.waveVersion)
-	}
-	if f.ordersVersion != 0 {
-		o := &m.commits.orders
-		o.sending, o.stored, o.rev = 0, f.ordersVersion, rev
-		m.sendStoredOrders()
-	}
 	for _, w := range m.workers {
 		if len(w.unsavedEnds) > 0 {
 			w.nextPollAt = 0
@@ -248,6 +273,18 @@
 	}
 }
 
+func (m *Model) progressWritten(j *job, version int, rev int64) {
+	j.rev, j.storedVersion = rev, max(j.storedVersion, version)
+	switch {
+	case j.purging:
+		delete(m.jobs, j.ID)
+	case j.version > j.storedVersion:
+		m.commits.addProgress(j)
+	case j.phase == ended:
+		m.publishEnd(j)
+	}
+}
+
 // Limits of how long ended jobs are kept.
 const (
 	purgeIntervalMs = 5_000
--- a/fleet/batch/fakeowner_test.go
+++ b/fleet/batch/fakeowner_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -171,6 +172,10 @@
 func (a *fakeOwner) commit(k batch.CommitCmd) {
 	w := a.w
 	apply := func() batch.CommittedMsg {
+		if n := entriesOf(k); n > maxStoreEntries {
+			w.rejectedWrites++
+			return batch.CommittedMsg{ID: k.ID, Outcome: batch.WriteRejected, Detail: fmt.Sprintf("status 400: %d entries", n)}
+		}
 		if w.claimRev != a.fence {
 			return batch.CommittedMsg{ID: k.ID, Outcome: batch.Conflict, Current: nil}
 		}
@@ -214,3 +219,18 @@
 		})
 	}
 }
+
+// maxStoreEntries is the number of entries that the store takes in a transaction, the guard of the claim included.
+const maxStoreEntries = 32
+
+// entriesOf returns the number of entries that the transaction has at the store.
+func entriesOf(k batch.CommitCmd) int {
+	n := 1 // the guard of the claim.
+	for _, r := range k.Rows {
+		n++
+		if r.Guarded {
+			n++
+		}
+	}
+	return n
+}
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -25,9 +25,11 @@
 // minClockRate is the rate of the slowest worker clock that is allowed, relative to true time.
 const minClockRate = 0.98
 
-// Limits of the store transactions. The store takes 32 entries per transaction, one of which is the claim.
+// Limits of the store transactions. The store takes 32 entries per transaction, one of which is the guard of the claim.
 const (
 	maxTxnEntries   = 31
+	maxTxnBytes     = 256 << 10 // of the encoded request: 1.1 s over a link of 2 Mbit/s, and a call has 1.5 s.
+	minTxnBytes     = 64 << 10  // the limit is not lowered below this when large transactions are not answered.
 	maxInFlightTxns = 32
 	maxPartialTxns  = 4 // with more in flight, only full transactions are sent, and none after a write that failed.
 )
@@ -193,6 +195,11 @@
 	m.emit(LogCmd{Event: event, Job: job, Fields: fields})
 }
 
+// logError logs an event that an operator has to look at.
+func (m *Model) logError(event, job string, fields ...any) {
+	m.emit(LogCmd{Event: event, Error: true, Job: job, Fields: fields})
+}
+
 func (m *Model) pool(service string) *pool {
 	p := m.pools[service]
 	if p == nil {
--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -146,6 +146,8 @@
 	Outcome Outcome
 	Rev     int64
 	Current []Row // after a conflict, the current rows of the guarded keys.
+	Busy    bool  // the store has answered that it does not take the write now.
+	Detail  string
 }
 
 // Outcome is the outcome of a write.
@@ -155,8 +157,9 @@
 const (
 	Written Outcome = iota
 	Conflict
-	Unwritten // certainly not applied.
-	Unknown   // it may be applied already, or later, or never.
+	Unwritten     // certainly not applied.
+	Unknown       // it may be applied already, or later, or never.
+	WriteRejected // certainly not applied, and it would be rejected again.
 )
 
 // PacedMsg is the answer to a PaceCmd.
@@ -278,6 +281,7 @@
 // LogCmd logs a decision.
 type LogCmd struct {
 	Event  string
+	Error  bool // something that an operator has to look at.
 	Job    string
 	Fields []any // alternating names and values
 }
--- a/fleet/batch/ordering.go
+++ b/fleet/batch/ordering.go
@@ -1,10 +1,5 @@
 package batch
 
-import (
-	"encoding/json"
-	"fmt"
-)
-
 // Orders to machines are stored before they are sent, so that a successor knows which machines a former owner may have
 // ordered. Without that it has to leave alone all machines whose workers are young, for the whole time that must pass
 // between the orders of two owners, and in a load peak these are the machines that it needs.
@@ -22,9 +17,10 @@
 
 // orderRecord holds the versions of the stored orders. A version includes all orders planned so far.
 type orderRecord struct {
-	planned, sending, stored int
-	complete                 bool // as in the version that was sent last.
-	rev                      int64
+	planned, stored int
+	writing         bool
+	complete        bool // as in the version that was sent last.
+	rev             int64
 }
 
 // sendOrder plans the order to the machine. The order is sent once it is stored.
@@ -71,28 +67,19 @@
 }
 
 // waiting reports whether orders are planned that no transaction in flight includes.
-func (o *orderRecord) waiting() bool { return o.sending == 0 && o.planned > o.stored }
+func (o *orderRecord) waiting() bool { return !o.writing && o.planned > o.stored }
 
-// addOrdersRow adds the planned orders to a transaction.
-func (m *Model) addOrdersRow(f *transaction, rows *[]Row) bool {
+// ordersRow returns the row that stores the planned orders, and their version.
+func (m *Model) ordersRow() (Row, int) {
 	o := &m.commits.orders
-	if !o.waiting() {
-		return false
-	}
 	names := m.Orders(m.now).AgeMs
 	for _, k := range m.fleet.list {
 		if k.unsentVersion != 0 {
 			names[k.Name] = 0 // planned long ago, if the store was down meanwhile.
 		}
 	}
-	s := StoredOrders{Fence: m.cfg.Fence, Machines: sortedKeys(names), Complete: m.ordersComplete()}
-	b, err := json.Marshal(s)
-	if err != nil {
-		panic(fmt.Sprintf("batch: orders cannot be encoded: %v", err)) // cannot happen: strings and numbers always encode.
-	}
-	*rows = append(*rows, Row{Key: OrdersKey, Value: b, Rev: o.rev, Guarded: true}) // a late write must not replace a newer one.
-	f.ordersVersion, o.sending = o.planned, o.planned
-	return true
+	b := encode(StoredOrders{Fence: m.cfg.Fence, Machines: sortedKeys(names), Complete: m.ordersComplete()})
+	return Row{Key: OrdersKey, Value: b, Rev: o.rev, Guarded: true}, o.planned // a late write must not replace a newer one.
 }
 
 // loadOrders takes over the stored orders of the former term. They are not sent later than the former owner's claim ends.
--- a/fleet/batch/records.go
+++ b/fleet/batch/records.go
@@ -38,27 +38,24 @@
 	Crashes map[string]StoredCrashes `json:"crashes,omitempty"` // by ROUND.STEP.INDEX: what crashed workers say of the task.
 }
 
-func (m *Model) encodeJob(j *job) []byte {
-	b, err := json.Marshal(StoredJob{Job: j.Job, SubmittedMs: j.submittedAt + m.wallOffset})
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
 	if err != nil {
-		panic(fmt.Sprintf("batch: job %s cannot be encoded: %v", j.ID, err)) // cannot happen: the job holds only numbers and strings.
+		panic(fmt.Sprintf("batch: record cannot be encoded: %v", err)) // cannot happen: records hold only numbers and strings.
 	}
 	return b
 }
 
+func (m *Model) encodeJob(j *job) []byte {
+	return encode(StoredJob{Job: j.Job, SubmittedMs: j.submittedAt + m.wallOffset})
+}
+
 // encodeRun returns the progress record of j.
 func encodeRun(j *job) []byte {
-	s := StoredRun{}
 	if j.phase == ended {
-		s.State, s.Reason = j.finalState, j.reason
-	} else {
-		s = progressRecord(j)
+		return encode(StoredRun{State: j.finalState, Reason: j.reason})
 	}
-	b, err := json.Marshal(s)
-	if err != nil {
-		panic(fmt.Sprintf("batch: progress of job %s cannot be encoded: %v", j.ID, err))
-	}
-	return b
+	return encode(progressRecord(j))
 }
 
 func progressRecord(j *job) StoredRun {
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -30,6 +30,7 @@
 	claimRev               int64 // revision of the claim; 0 while nobody holds it.
 	storeDown              bool  // the store does not answer.
 	storeMs                int64 // time of a write.
+	rejectedWrites         int   // transactions over the store's limit.
 	workers                []*worker.Worker
 	owners                 []*fakeOwner
 	claimCount             int
@@ -335,6 +336,9 @@
 		w.judge.AddViolation("LOST: no owner")
 		return
 	}
+	if w.rejectedWrites > 0 {
+		w.judge.AddViolation("STORE: %d transactions over its limit", w.rejectedWrites)
+	}
 	m := w.owners[len(w.owners)-1].m
 	w.judge.CheckEndState(m.State, func(id string) string { return batch.Describe(m, id) })
 }
--- a/fleet/batch/submit.go
+++ b/fleet/batch/submit.go
@@ -30,7 +30,7 @@
 	j.dueAt = j.submittedAt + m.objectiveMs(j)
 	m.addDemand(j)
 	if m.commits.failing {
-		m.refuse(j, "the store does not answer", minRetryMs)
+		m.refuse(j, m.commits.failReason, minRetryMs)
 		return
 	}
 	if wait, ok := m.inTime(j); !ok {
--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"fmt"
 	"math"
 	"slices"
 	"strconv"
@@ -263,23 +261,10 @@
 	m.stopRun(r)
 }
 
-// addWaveRow adds the progress of one wave to a transaction.
-func (m *Model) addWaveRow(f *transaction, rows *[]Row) bool {
-	for n, w := range m.commits.dirtyWaves {
-		if w.writing {
-			continue
-		}
-		w.writing = true
-		b, err := json.Marshal(StoredWave{Number: n, Begun: sortedKeys(w.begun), Done: sortedKeys(w.finished)})
-		if err != nil {
-			panic(fmt.Sprintf("batch: wave %d cannot be encoded: %v", n, err))
-		}
-		*rows = append(*rows, Row{Key: WavePrefix + strconv.Itoa(n), Value: b, Rev: w.rev, Guarded: true})
-		f.wave, f.waveVersion = w, w.version
-		delete(m.commits.dirtyWaves, n)
-		return true
-	}
-	return false
+// row returns the row that stores the progress of the wave.
+func (w *wave) row() Row {
+	b := encode(StoredWave{Number: w.Number, Begun: sortedKeys(w.begun), Done: sortedKeys(w.finished)})
+	return Row{Key: WavePrefix + strconv.Itoa(w.Number), Value: b, Rev: w.rev, Guarded: true}
 }
 
 // evictFromDraining stops the tasks at draining workers that would not end in time, lasting ones and those with
--- a/node/front/front.go
+++ b/node/front/front.go
@@ -21,6 +21,7 @@
 	"burdockreach.dev/node/desk"
 	"burdockreach.dev/node/owner"
 	"burdockreach.dev/node/stats"
+	"burdockreach.dev/plat/keyval"
 )
 
 // Timeouts of requests and connections.
@@ -335,7 +336,7 @@
 	s, reason, err := owner.ReadState(x, f.store, id)
 	switch {
 	case err != nil:
-		return f.refuse(fasthttp.StatusServiceUnavailable, "the store does not answer", defaultRetryAfterMs)
+		return f.refuse(fasthttp.StatusServiceUnavailable, storeReason(err), defaultRetryAfterMs)
 	case s == batch.StateAbsent:
 		return f.refuse(fasthttp.StatusGone, "no such job", 0)
 	}
@@ -345,6 +346,17 @@
 	return answer{status: fasthttp.StatusOK, body: f.codec.State(s)}
 }
 
+// storeReason tells a caller why the store could not be read.
+func storeReason(err error) string {
+	switch {
+	case errors.Is(err, keyval.ErrRejected):
+		return "the store rejects the call"
+	case errors.Is(err, keyval.ErrBusy):
+		return "the store takes no calls now"
+	}
+	return "the store does not answer"
+}
+
 func (f *Front) cancel(c *fasthttp.RequestCtx, id string, begin time.Time) answer {
 	r, err := f.callOwner(f.deadline(c, begin), func(x context.Context, d desk.Desk) (*desk.Reply, error) {
 		return d.Cancel(x, &desk.JobRequest{Id: id})
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -35,10 +35,13 @@
 	// no less than 1 s.
 	ClaimTTL = 1200 * time.Millisecond
 	// ClaimGracePeriod is how long an owner that cannot reach the store keeps giving orders to workers. Most store outages are shorter.
-	ClaimGracePeriod   = 7 * time.Second
-	maxWorkerLease     = 5500 * time.Millisecond                      // longest lease that an owner requests from a worker, as it lasts on a slow clock.
-	maxOrderLifetime   = ClaimGracePeriod + ClaimTTL + maxWorkerLease // of a former owner that may still run: until its last order, plus the lease in that order.
-	retryInterval      = 100 * time.Millisecond
+	ClaimGracePeriod = 7 * time.Second
+	maxWorkerLease   = 5500 * time.Millisecond                      // longest lease that an owner requests from a worker, as it lasts on a slow clock.
+	maxOrderLifetime = ClaimGracePeriod + ClaimTTL + maxWorkerLease // of a former owner that may still run: until its last order, plus the lease in that order.
+	retryInterval    = 100 * time.Millisecond
+	// rejectedRetryInterval is the time between attempts to make a call that the platform rejects.
+	rejectedRetryInterval = 5 * time.Second
+
 	workerWatchTimeout = time.Second // timeout of one watch on the list of workers.
 	maxQueuedMsgs      = 4096
 	maxMsgsPerRound    = 256 // messages that the model gets before it is asked for commands.
--- a/node/owner/perform.go
+++ b/node/owner/perform.go
@@ -10,6 +10,7 @@
 	"burdockreach.dev/fleet/batch"
 	"burdockreach.dev/node/stats"
 	"burdockreach.dev/plat/keyval"
+	"burdockreach.dev/plat/steady"
 )
 
 // perform carries out one command of the model. It does not wait for calls; their results come back as messages.
@@ -184,11 +185,16 @@
 			}
 			g.Current = append(g.Current, batch.Row{Key: i.Key(), Value: i.Value(), Rev: int64(i.Rev())})
 		}
+	case errors.Is(err, keyval.ErrRejected):
+		g.Outcome = batch.WriteRejected
 	case errors.Is(err, keyval.ErrDown):
-		g.Outcome = batch.Unwritten
+		g.Outcome, g.Busy = batch.Unwritten, errors.Is(err, keyval.ErrBusy)
 	default:
 		g.Outcome = batch.Unknown
 	}
+	if err != nil {
+		g.Detail = err.Error()
+	}
 	t.send(ctx, g)
 }
 
@@ -201,6 +207,7 @@
 // reportWave writes the state of a wave for the operator, and retries until the store accepts it.
 func (t *term) reportWave(ctx context.Context, k batch.ReportCmd) {
 	key, v := t.o.format.WaveState(k.Wave, k.Completed)
+	wait := retryInterval
 	for ctx.Err() == nil {
 		_, err := t.o.store.Txn(ctx, keyval.Txn{Guards: []keyval.Guard{t.claimGuard()}, Writes: []keyval.Write{{Key: key, Value: v}}})
 		if err == nil {
@@ -211,10 +218,12 @@
 			t.reportClaimLost(ctx)
 			return
 		}
-		select {
-		case <-time.After(retryInterval):
-		case <-ctx.Done():
+		if errors.Is(err, keyval.ErrRejected) {
+			wait = rejectedRetryInterval
+			t.o.log.Error().Int("wave", k.Wave).Err(err).Msg("wave state rejected")
+			t.o.stats.Add("wave_state_rejected", 1)
 		}
+		steady.Sleep(ctx, wait)
 	}
 }
 
@@ -241,6 +250,9 @@
 // logEvent logs and counts a decision of the model.
 func (t *term) logEvent(k batch.LogCmd) {
 	e := t.o.log.Info()
+	if k.Error {
+		e = t.o.log.Error()
+	}
 	if k.Job != "" {
 		e = e.Str("request", k.Job)
 	}
--- a/node/site/status.go
+++ b/node/site/status.go
@@ -22,6 +22,7 @@
 	Queues   map[string]QueueStatus   `json:"queues"`
 	Services map[string]ServiceStatus `json:"services"`
 	Waves    []WaveStatus             `json:"waves"`
+	Aside    *batch.StoredAside       `json:"aside,omitempty"`  // records that the store does not take; nil if there was never one.
 	Unread   []string                 `json:"unread,omitempty"` // keys whose values cannot be decoded.
 }
 
@@ -96,6 +97,10 @@
 		s.Owner, s.Fence = v.Holder, int64(i.Rev())
 		return err
 	}
+	if i.Key() == batch.AsideKey {
+		s.Aside = &batch.StoredAside{}
+		return json.Unmarshal(i.Value(), s.Aside)
+	}
 	n, ok := strings.CutPrefix(i.Key(), entryPrefix)
 	if !ok {
 		return nil
--- a/plat/keyval/store.go
+++ b/plat/keyval/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,6 +27,11 @@
 	ErrUnknown = eris.New("keyval: outcome unknown")
 	// ErrTooLarge reports a value of more than MaxValue bytes. Nothing was written.
 	ErrTooLarge = eris.New("keyval: value too large")
+	// ErrRejected reports that the service certainly did not apply the call, and would reject it again: it is malformed, too large
+	// or not allowed.
+	ErrRejected = eris.New("keyval: call rejected")
+	// ErrBusy reports that the service answered that it does not take the call now. Such an error matches ErrDown, too.
+	ErrBusy = eris.New("keyval: service is busy")
 	// ErrReset reports that a watch cannot continue from its revision, because the service was restored to an older revision or
 	// no longer has the events after it. The caller must list again.
 	ErrReset = eris.New("keyval: watch cannot continue from its revision; list again")
@@ -131,3 +137,31 @@
 
 // Is reports whether target is ErrConflict.
 func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// StatusError reports an answer with which the service refused a call. It matches ErrRejected if the same call would be refused again,
+// and ErrBusy and ErrDown otherwise.
+type StatusError struct {
+	status int
+	body   string
+	final  bool
+}
+
+// NewStatusError returns a StatusError for an HTTP status and the start of the response's body. final tells that the same call would
+// be refused again.
+func NewStatusError(status int, body string, final bool) *StatusError {
+	return &StatusError{status: status, body: body, final: final}
+}
+
+// Status returns the HTTP status of the answer.
+func (e *StatusError) Status() int { return e.status }
+
+// Error returns the status and the body of the answer.
+func (e *StatusError) Error() string { return fmt.Sprintf("keyval: status %d: %s", e.status, e.body) }
+
+// Is reports whether target is the class of the error.
+func (e *StatusError) Is(target error) bool {
+	if e.final {
+		return target == ErrRejected
+	}
+	return target == ErrBusy || target == ErrDown
+}
