Add the types of teams, which the parts on keys, limits and shares use

Callers will belong to teams with keys, a limit and a weight. The types and the message that carries teams to the owner come first, so that the parts can be built side by side.

--- a/fleet/batch/job.go
+++ b/fleet/batch/job.go
@@ -62,6 +62,7 @@
 	ID               string  `json:"id"`
 	Queue            string  `json:"queue"`
 	Service          string  `json:"service"`
+	Team             string  `json:"team,omitempty"`     // of its caller; empty without teams.
 	Priority         int     `json:"priority,omitempty"` // 0 is the most urgent.
 	Attempts         int     `json:"attempts,omitempty"` // the job fails once a task has failed this often.
 	ObjectiveFactor  float64 `json:"stretch,omitempty"`  // objective as a multiple of the longest chain of steps.
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -58,6 +58,7 @@
 	deferred       []Msg // messages to handle once the former owner's records are loaded.
 
 	services         map[string]Service
+	teams            map[string]Team
 	pools            map[string]*pool
 	workers          map[string]*worker
 	workerList       []*worker // by ID
@@ -95,7 +96,7 @@
 func New(c Config) *Model {
 	m := &Model{
 		cfg: c, now: c.Now, wallOffset: c.UnixMs - c.Now,
-		services: map[string]Service{}, pools: map[string]*pool{}, workers: map[string]*worker{},
+		services: map[string]Service{}, teams: map[string]Team{}, pools: map[string]*pool{}, workers: map[string]*worker{},
 		jobs: map[string]*job{}, estimators: map[string]*estimator{}, demandCounted: map[string]bool{},
 	}
 	m.commits.start()
@@ -110,6 +111,8 @@
 	switch g := msg.(type) {
 	case ServicesMsg:
 		m.setServices(g.Services)
+	case TeamsMsg:
+		m.setTeams(g.Teams)
 	case WorkersMsg:
 		m.setWorkers(g)
 	case LoadedMsg:
--- a/node/board/board.go
+++ b/node/board/board.go
@@ -16,9 +16,25 @@
 	Version  int64
 	Queues   []Queue
 	Services []batch.Service
+	Teams    []Team
 	Limits   Limits
 }
 
+// Team is a team of callers and the keys that admit them.
+type Team struct {
+	batch.Team
+	Keys []string
+}
+
+// BatchTeams returns the teams without their keys.
+func (c Config) BatchTeams() []batch.Team {
+	l := make([]batch.Team, 0, len(c.Teams))
+	for _, t := range c.Teams {
+		l = append(l, t.Team)
+	}
+	return l
+}
+
 // Queue is one route for jobs, given by host and path prefix.
 type Queue struct {
 	Name, Host, Prefix, Service string
@@ -26,6 +42,7 @@
 	ObjectiveFactor             float64 // objective in multiples of the longest chain of work.
 	ObjectiveExtraMs            int64   // added to the objective, ms.
 	Advice                      *Advice
+	Public                      bool // calls need no key.
 }
 
 // Advice holds the times, in ms, of the service that decides which workers may run a step.
