Check keys against an index of digests

Cause: calls will carry the key of a team. Comparing it with each configured key takes time by their number and shows how much of a key matches.

The index holds no keys. A key of two teams and the empty key admit nobody. A public queue admits every call, whose team is that of its key, if it has one. Config.Closed tells a configuration whose teams are all unusable from one without teams, which would admit everybody.

--- a/node/board/board.go
+++ b/node/board/board.go
@@ -1,4 +1,3 @@
-// Package board holds the newest configuration and the maintenance waves that this process has read from the store.
 package board
 
 import (
@@ -17,6 +16,7 @@
 	Queues   []Queue
 	Services []batch.Service
 	Teams    []Team
+	Closed   bool // teams are configured and none of them can be used: calls need keys, and no key is valid.
 	Limits   Limits
 }
 
@@ -60,10 +60,11 @@
 	watchers []chan struct{}
 }
 
-// table is a configuration with its queues indexed by host, longest prefix first.
+// table is a configuration with its queues indexed by host, longest prefix first, and its keys.
 type table struct {
 	config Config
 	hosts  map[string][]Queue
+	keys   keyIndex
 }
 
 // New returns a Board without a configuration.
@@ -76,7 +77,7 @@
 	if t := b.current.Load(); t != nil && c.Version <= t.config.Version {
 		return false
 	}
-	t := &table{config: c, hosts: map[string][]Queue{}}
+	t := &table{config: c, hosts: map[string][]Queue{}, keys: indexKeys(c)}
 	for _, q := range c.Queues {
 		t.hosts[q.Host] = append(t.hosts[q.Host], q)
 	}
