Put configurations with faults into force, and apply the newest of several

Cause: an error of Format.Config meant that the configuration was passed over, so that the keys that it removes would have been served on. Of several configurations that arrive together only the last was decoded: a newer one that an older one had overwritten was missed, and one that cannot be decoded hid the one before it.

Change: a configuration with board.Faults comes into force; its faults are logged once (configuration fault, 20 lines at most) and counted (config_faults), and burdockreach fleet prints them. Configurations that arrive together are all decoded, from the last one to the first.

--- a/node/site/site.go
+++ b/node/site/site.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -267,16 +268,16 @@
 	}
 }
 
-// Apply implements keyval.Sink.
+// Apply implements keyval.Sink. Configurations are applied from the last one to the first: the newest comes into force at once, and one
+// that an older version has overwritten is not missed.
 func (o *operatorSink) Apply(events []keyval.Event) {
-	newest := -1 // if many configurations arrive together, only the last one is decoded.
-	for n, x := range events {
+	for _, x := range slices.Backward(events) {
 		if o.e.platform.Format.IsConfig(x.Item().Key()) {
-			newest = n
+			o.apply(x.Item(), x.Deleted())
 		}
 	}
-	for n, x := range events {
-		if n == newest || !o.e.platform.Format.IsConfig(x.Item().Key()) {
+	for _, x := range events {
+		if !o.e.platform.Format.IsConfig(x.Item().Key()) {
 			o.apply(x.Item(), x.Deleted())
 		}
 	}
@@ -286,16 +287,9 @@
 func (o *operatorSink) apply(i keyval.Item, gone bool) {
 	f := o.e.platform.Format
 	if f.IsConfig(i.Key()) {
-		if gone {
-			return
-		}
-		c, err := f.Config(i.Value())
-		if err != nil {
-			o.e.log.Error().Str("key", i.Key()).Int64("revision", int64(i.Rev())).Err(err).Msg("configuration passed over")
-			return
+		if !gone {
+			o.applyConfig(i)
 		}
-		newer := o.e.board.PutConfig(c)
-		o.e.log.Info().Int64("version", c.Version).Int64("revision", int64(i.Rev())).Int("queues", len(c.Queues)).Bool("newer", newer).Msg("configuration")
 		return
 	}
 	w, ok, err := f.Wave(i, gone)
@@ -306,6 +300,35 @@
 	}
 }
 
+// applyConfig puts a configuration into force if it is newer than the current one. One with faults is used as far as it is valid.
+func (o *operatorSink) applyConfig(i keyval.Item) {
+	c, err := o.e.platform.Format.Config(i.Value())
+	var faults board.Faults
+	if err != nil && !errors.As(err, &faults) {
+		o.e.log.Error().Str("key", i.Key()).Int64("revision", int64(i.Rev())).Err(err).Msg("configuration passed over")
+		return
+	}
+	newer := o.e.board.PutConfig(c)
+	o.e.log.Info().Int64("version", c.Version).Int64("revision", int64(i.Rev())).Int("queues", len(c.Queues)).Int("teams", len(c.Teams)).
+		Int("faults", len(faults)).Bool("newer", newer).Msg("configuration")
+	if newer {
+		o.reportFaults(c.Version, faults)
+	}
+}
+
+// maxFaultLines is the number of faults of one configuration that are logged; the others are only counted.
+const maxFaultLines = 20
+
+func (o *operatorSink) reportFaults(version int64, l board.Faults) {
+	if len(l) == 0 {
+		return
+	}
+	o.e.stats.Add("config_faults", int64(len(l)))
+	for _, x := range l[:min(len(l), maxFaultLines)] {
+		o.e.log.Error().Int64("version", version).Str("team", x.Team()).Str("field", x.Field()).Err(x).Msg("configuration fault")
+	}
+}
+
 // Disconnected implements keyval.Sink.
 func (o *operatorSink) Disconnected(err error) {
 	o.e.stats.Add("store_lost", 1)
--- a/node/site/status.go
+++ b/node/site/status.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 
 	"github.com/rotisserie/eris"
 
 	"burdockreach.dev/fleet/batch"
+	"burdockreach.dev/node/board"
 	"burdockreach.dev/node/owner"
 	"burdockreach.dev/plat/keyval"
 	"burdockreach.dev/plat/lease"
@@ -17,8 +19,9 @@
 type Status struct {
 	Owner    string                   `json:"owner"` // peer address, slash and process of the holder of the claim; empty without a holder.
 	Fence    int64                    `json:"fence"`
-	Entries  map[string]entryInfo     `json:"entries"` // live entries by name.
-	Config   int64                    `json:"config"`  // version of the configuration; 0 when there is none.
+	Entries  map[string]entryInfo     `json:"entries"`          // live entries by name.
+	Config   int64                    `json:"config"`           // version of the configuration; 0 when there is none.
+	Faults   []string                 `json:"faults,omitempty"` // of teams in the configuration.
 	Queues   map[string]QueueStatus   `json:"queues"`
 	Services map[string]ServiceStatus `json:"services"`
 	Waves    []WaveStatus             `json:"waves"`
@@ -118,7 +121,14 @@
 		for _, q := range c.Queues {
 			s.Queues[q.Name] = QueueStatus{Service: q.Service, Priority: q.Priority}
 		}
-		return err
+		var faults board.Faults
+		if !errors.As(err, &faults) {
+			return err
+		}
+		for _, x := range faults {
+			s.Faults = append(s.Faults, x.Error())
+		}
+		return nil
 	}
 	w, ok, err := f.Wave(i, false)
 	if ok {
