Answer calls without the key of a team with 401

Cause: with teams, a call must carry a key, and a job belongs to the team of its key.

Change: after the queue is found and before anything else, a call without a key or with an unknown one is answered 401 with the reason, for every method. The job gets the key's team. The log line answered has the team, and for a refused key the first 8 digits of its digest; team_calls counts calls by team and status for the first 100 teams of a process, team_calls_other those of the rest. Without teams the header is not read, and lines and counters are as before.

The server's errors about requests that cannot be read quote the header, so that a malformed request put its key into the answer and the log. The reason is now only 'the request cannot be read'.

--- a/node/front/front.go
+++ b/node/front/front.go
@@ -48,6 +48,7 @@
 	Pending(n int) []byte
 	Error(reason string, retryMs int64) []byte
 	DeadlineHeader() string
+	KeyHeader() string
 }
 
 // OwnerResolver returns the peer address of the owner of the jobs.
@@ -67,6 +68,7 @@
 	stats   *stats.Registry
 	server  *fasthttp.Server
 	leaving atomic.Bool
+	teams   teamNames
 }
 
 // Dependencies holds what New needs to build a Front.
@@ -83,6 +85,7 @@
 // New returns a front that does not listen yet.
 func New(p Dependencies) *Front {
 	f := &Front{board: p.Board, claims: p.Claims, desk: p.Desk, store: p.Store, codec: p.Codec, log: p.Log, stats: p.Stats}
+	f.teams.names = map[string]bool{}
 	f.server = &fasthttp.Server{
 		Handler: f.handle, ErrorHandler: f.handleUnreadable, HeaderReceived: f.requestConfig,
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxRequestBodySize: maxBodyBytes,
@@ -139,6 +142,7 @@
 	host, path := string(c.Host()), string(c.Path())
 	q, rest, version, ok := f.board.Find(host, path)
 	var a answer
+	var from caller
 	switch {
 	case f.headerTooLarge(&c.Request.Header):
 		a = f.refuse(fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large", 0)
@@ -147,15 +151,20 @@
 	case !ok:
 		a = f.refuse(fasthttp.StatusNotFound, "no such queue", 0)
 	default:
-		a = f.route(c, q, rest, begin)
+		if from = f.identify(&c.Request.Header, q); from.refusal != "" {
+			a = f.refuse(fasthttp.StatusUnauthorized, from.refusal, 0)
+		} else {
+			a = f.route(c, q, rest, from.team, begin)
+		}
 	}
-	f.writeAnswer(c, a, begin, requestInfo{queue: q.Name, id: rest, version: version})
+	f.writeAnswer(c, a, begin, requestInfo{queue: q.Name, id: rest, version: version, caller: from})
 }
 
 // requestInfo holds the fields of a request's log line that are not in its answer.
 type requestInfo struct {
 	queue, id string
 	version   int64
+	caller    caller
 }
 
 // writeAnswer writes the response, counts it and logs it.
@@ -169,10 +178,18 @@
 	took := time.Since(begin)
 	f.stats.Observe("request_"+strings.ToLower(string(c.Method())), took)
 	f.stats.Add("status_"+strconv.Itoa(a.status), 1)
+	f.countCall(l.caller.team, a.status)
 	if a.status == fasthttp.StatusOK && string(c.Method()) == fasthttp.MethodGet {
 		return // most requests are of this kind; the counters cover them.
 	}
-	f.log.Info().Str("request", l.id).Str("method", string(c.Method())).Str("queue", l.queue).Int64("config", l.version).
+	e := f.log.Info()
+	if l.caller.team != "" {
+		e.Str("team", l.caller.team)
+	}
+	if l.caller.keyDigest != "" {
+		e.Str("keyDigest", l.caller.keyDigest)
+	}
+	e.Str("request", l.id).Str("method", string(c.Method())).Str("queue", l.queue).Int64("config", l.version).
 		Str("owner", f.claims.Owner()).Int("status", a.status).Str("reason", a.reason).Int64("retryMs", a.retryAfterMs).
 		Int64("tookMs", took.Milliseconds()).Msg("answered")
 }
@@ -181,7 +198,7 @@
 	return answer{status: status, body: f.codec.Error(reason, retry), retryAfterMs: retry, reason: reason}
 }
 
-func (f *Front) route(c *fasthttp.RequestCtx, q board.Queue, id string, begin time.Time) answer {
+func (f *Front) route(c *fasthttp.RequestCtx, q board.Queue, id, team string, begin time.Time) answer {
 	m := string(c.Method())
 	switch {
 	case m == fasthttp.MethodGet && id == "":
@@ -189,7 +206,7 @@
 	case !batch.ValidID(id):
 		return f.refuse(fasthttp.StatusBadRequest, "id "+strconv.Quote(id)+" is not 16 hexadecimal digits", 0)
 	case m == fasthttp.MethodPost:
-		return f.submit(c, q, id, begin)
+		return f.submit(c, q, id, team, begin)
 	case m == fasthttp.MethodGet:
 		return f.state(id)
 	case m == fasthttp.MethodDelete:
@@ -207,11 +224,12 @@
 	return begin.Add(max(d-responseMargin, d/2))
 }
 
-func (f *Front) submit(c *fasthttp.RequestCtx, q board.Queue, id string, begin time.Time) answer {
+func (f *Front) submit(c *fasthttp.RequestCtx, q board.Queue, id, team string, begin time.Time) answer {
 	j, err := f.codec.Job(c.PostBody())
 	if err != nil {
 		return f.refuse(fasthttp.StatusBadRequest, err.Error(), 0)
 	}
+	j.Team = team
 	j.ID, j.Queue, j.Service, j.Priority, j.Attempts = id, q.Name, q.Service, q.Priority, q.Attempts
 	j.ObjectiveFactor, j.ObjectiveExtraMs, j.Advised = q.ObjectiveFactor, q.ObjectiveExtraMs, q.Advice != nil
 	if err := j.Validate(); err != nil {
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -65,6 +65,7 @@
 func (fakeCodec) Pending(n int) []byte                { return []byte(strconv.Itoa(n)) }
 func (fakeCodec) Error(reason string, _ int64) []byte { return []byte(reason) }
 func (fakeCodec) DeadlineHeader() string              { return "Wait-Ms" }
+func (fakeCodec) KeyHeader() string                   { return "Team-Key" }
 
 // fixture is a Front with one queue and a fake owner.
 type fixture struct {
@@ -72,9 +73,10 @@
 	front *Front
 	store *keyval.Memory
 	board *board.Board
+	key   string // sent with each request unless it is empty.
 }
 
-func newFixture(t *testing.T, d *fakeDesk, configured bool) *fixture {
+func newFixture(t *testing.T, d desk.Desk, configured bool) *fixture {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -113,6 +115,9 @@
 	q.Header.SetMethod(method)
 	q.SetRequestURI("http://h.example" + path)
 	q.Header.Set("Wait-Ms", strconv.Itoa(waitMs))
+	if r.key != "" {
+		q.Header.Set("Team-Key", r.key)
+	}
 	q.SetBodyString(body)
 	if err := c.Do(q, a); err != nil {
 		r.t.Fatal(err)
--- a/node/front/limits.go
+++ b/node/front/limits.go
@@ -28,9 +28,10 @@
 	return limit > 0 && len(h.RequestURI())+len(h.RawHeaders()) > limit
 }
 
-// handleUnreadable answers a request that could not be read. The connection is closed afterwards.
+// handleUnreadable answers a request that could not be read. The connection is closed afterwards. The reason leaves out the server's
+// error, which quotes parts of the header and thus a caller's key.
 func (f *Front) handleUnreadable(c *fasthttp.RequestCtx, err error) {
-	status, reason := fasthttp.StatusBadRequest, "the request cannot be read: "+err.Error()
+	status, reason := fasthttp.StatusBadRequest, "the request cannot be read"
 	var small *fasthttp.ErrSmallBuffer
 	var n net.Error
 	switch {
