Let the soak's callers send keys, and withdraw a key during the run

Cause: no test with processes showed what entries do with keys while they restart, are cut off or read a new configuration.

Change: two teams; one job in four has the second team's key, one call in ten a key of no configuration (POST, GET and DELETE in turn). That key is withdrawn half-way. After the time under faults, another phase of 10 s in which nothing keeps entries from the store, while they are killed and restarted and workers fail: from 3 s after its begin no call with the withdrawn key may be served; the key is then added again and, from 3 s after that, never refused. A call with the foreign key may only be answered 401, or 503 without a configuration, and its job is not known to the judge, which reports any run of it. A status of 401 counts as a refusal, after which a job may not run. A key in an entry's log is an error. Each of the three must have been judged at least once. -soak.keys=false leaves teams out, for older builds without keys. The faults and jobs of the first 9 s are drawn as before.

--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -66,8 +66,12 @@
 	entries  []*entryProcess
 	client   *http.Client
 	jobCount int
+	version  int64 // of the configuration.
+	keys     *keyChecker
 	ctx      context.Context //nolint:containedctx // ends with the soak
 	group    *errgroup.Group
+
+	connected bool // no fault keeps an entry from the store.
 }
 
 // entryProcess is one entry process. Its connections to the store go through storeProxy, which can cut and stall them.
@@ -90,7 +94,8 @@
 	}
 	c, stop := context.WithCancel(context.Background())
 	s := &soak{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 3)), platform: p, ctx: c, group: &errgroup.Group{},
+		keys: &keyChecker{t: t},
+		t:    t, rnd: rand.New(rand.NewPCG(seed, 3)), platform: p, ctx: c, group: &errgroup.Group{},
 		client: &http.Client{Timeout: callerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 	}
 	t.Cleanup(func() {
@@ -106,9 +111,7 @@
 		}
 	})
 	p.Unguard(unguardedService)
-	if err := p.Configure(soakConfig()); err != nil {
-		t.Fatal(err)
-	}
+	s.configure(false)
 	for i := range *soakEntries {
 		s.addEntry(i)
 	}
@@ -116,7 +119,7 @@
 }
 
 func soakConfig() board.Config {
-	c := board.Config{Version: 1}
+	c := board.Config{}
 	for i, n := range []string{"alpha", "beta"} {
 		c.Services = append(c.Services, batch.Service{Name: n, Guards: n != unguardedService})
 		c.Queues = append(c.Queues, board.Queue{
@@ -205,8 +208,11 @@
 
 // injectFault injects a random fault, or ends those of one entry.
 func (s *soak) injectFault() {
-	e := s.entries[s.rnd.IntN(len(s.entries))]
-	switch s.rnd.IntN(13) {
+	e, n := s.entries[s.rnd.IntN(len(s.entries))], s.rnd.IntN(13)
+	if s.connected && (n == 2 || n >= 6 && n <= 8) {
+		n = 3 // these keep entries from the store.
+	}
+	switch n {
 	case 0:
 		e.kill(syscall.SIGKILL)
 	case 1:
@@ -273,7 +279,7 @@
 }
 
 // submit sends a job to up to four entries in turn until one accepts it, and records the outcome for the judge.
-func (s *soak) submit(j batch.Job, first int) error {
+func (s *soak) submit(j batch.Job, key string, first int) error {
 	b, err := wire.EncodeJob(j)
 	if err != nil {
 		return err
@@ -282,10 +288,10 @@
 	s.platform.InspectRuns(func(g *worker.Checker) { k = g.Job(j) })
 	for i := range 4 {
 		s.platform.InspectRuns(func(*worker.Checker) { k.Attempts++ })
-		status, _ := s.call(http.MethodPost, (first+i)%len(s.entries), "/"+j.Service+"/"+j.ID, b)
+		status, _ := s.callAs(key, http.MethodPost, (first+i)%len(s.entries), "/"+j.Service+"/"+j.ID, b)
 		s.platform.InspectRuns(func(*worker.Checker) {
 			k.Accepted = k.Accepted || status == http.StatusOK
-			if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusUnauthorized {
 				k.Refused++
 			}
 		})
@@ -297,13 +303,21 @@
 	return nil
 }
 
-// call sends one request to an entry. Status 0 means that no complete response came.
+// call sends one request with the key of a team to an entry.
 func (s *soak) call(method string, entry int, path string, body []byte) (int, []byte) {
+	return s.callAs(soakKey, method, entry, path, body)
+}
+
+// callAs sends one request with a key to an entry. Status 0 means that no complete response came.
+func (s *soak) callAs(key, method string, entry int, path string, body []byte) (status int, answer []byte) {
+	sent := time.Now()
+	defer func() { s.keys.check(key, sent, status) }()
 	q, err := http.NewRequestWithContext(s.ctx, method, "http://"+s.entries[entry].callerAddr+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
 	q.Host = soakHost
+	q.Header.Set(wire.Codec{}.KeyHeader(), key)
 	a, err := s.client.Do(q)
 	if err != nil {
 		return 0, nil
@@ -334,10 +348,23 @@
 	return "unanswered"
 }
 
-// run submits jobs under faults for d, ends all faults, and checks the jobs.
+// run submits jobs under faults for d, and withdraws a key meanwhile. It then ends all faults, and checks the keys and the jobs.
 func (s *soak) run(d time.Duration) {
-	callers := errgroup.Group{}
+	callers := &errgroup.Group{}
 	callers.SetLimit(40)
+	s.submitFor(d/2, callers)
+	s.withdrawKey()
+	s.submitFor(d-d/2, callers)
+	s.checkWithdrawal(func(d time.Duration) { s.submitFor(d, callers) })
+	s.endFaults()
+	if err := callers.Wait(); err != nil {
+		s.t.Error(err)
+	}
+	s.checkJobs()
+}
+
+// submitFor submits jobs under faults for d. Some calls have a foreign key.
+func (s *soak) submitFor(d time.Duration, callers *errgroup.Group) {
 	end := time.Now().Add(d)
 	var nextFault time.Time
 	for time.Now().Before(end) {
@@ -346,14 +373,13 @@
 			nextFault = time.Now().Add(time.Duration(150+s.rnd.IntN(600)) * time.Millisecond)
 		}
 		j, first := s.nextJob(), s.rnd.IntN(len(s.entries))
-		callers.TryGo(func() error { return s.submit(j, first) })
+		number := s.jobCount
+		callers.TryGo(func() error { return s.submit(j, s.keyOf(number), first) })
+		if *soakHasKeys && number%foreignInterval == 0 {
+			callers.TryGo(func() error { return s.callForeign(number, first) })
+		}
 		time.Sleep(time.Duration(20+s.rnd.IntN(40)) * time.Millisecond)
 	}
-	s.endFaults()
-	if err := callers.Wait(); err != nil {
-		s.t.Error(err)
-	}
-	s.checkJobs()
 }
 
 // checkJobs waits until the accepted jobs have ended, for settleTimeout at most, and has the judge check every job.
@@ -425,6 +451,7 @@
 			s := newSoak(t, seed)
 			time.Sleep(1500 * time.Millisecond)
 			s.run(*soakDuration)
+			s.checkLogs()
 			s.keepLogs(seed)
 		})
 	}
