Reset the fake owner's job between submissions

Cause: TestCallsNeedKeys/public_queue failed in a run of all packages, by the order of a map: the fake owner decoded each job over the one before, so that a job without a team kept the last one's. The fault was in the test's fake alone.

Change: the fake begins with an empty job. ok node/front, 30 times without and 5 times with -race for the tests of keys; the whole package once with -race.

--- a/node/front/keys_test.go
+++ b/node/front/keys_test.go
@@ -28,6 +28,7 @@
 
 func (d *submittedDesk) Submit(_ context.Context, r *desk.SubmitRequest) (*desk.Reply, error) {
 	d.calls.Add(1)
+	d.job = batch.Job{} // fields that are not in the request would keep the values of the job before.
 	return &desk.Reply{Verdict: int32(batch.Accepted)}, json.Unmarshal(r.GetJob(), &d.job)
 }
 
