Promise large tasks the worker that has room first, and let others use it until then

Cause: small tasks leave gaps that large ones cannot use. In a pool of 40 workers at its room, large tasks waited 2.9 s in the mean.

Change, with Config.LookAhead only: a large task or a gang is promised the workers that fleet/ahead finds; others backfill. A promise that was not kept at the time that was promised first is strict: it goes before due times and admits only what fits beside it. Late jobs keep it in service order only. Workers that drain, are cordoned or watched for a trial, or have shrunk are not promised. At most a third of a pool, 64 workers, is reserved. Small tasks are promised nothing, and still preempt. Short tasks go to the worker with the highest mean used share.

The tests fail without strict promises, with backfill under them, with promises to shrunk or unlisted workers, and without preemption for small tasks. TestChaos and TestShrunkWorkersAreNotOverfilled play the setting too. queueLoad has more fields now, so the tests that build one name them.

--- a/fleet/batch/bench_test.go
+++ b/fleet/batch/bench_test.go
@@ -50,7 +50,7 @@
 			for range b.N {
 				x := callerLoad{
 					seed: 1, pools: pools(map[string]int{"s": workers}), until: 9_000, from: 2_000, to: 8_000,
-					queues: map[string]queueLoad{"s": {checks, peak(0.3*cores, c.factor*cores, 3_000, 500, 8_000)}},
+					queues: map[string]queueLoad{"s": {kind: checks, cores: peak(0.3*cores, c.factor*cores, 3_000, 500, 8_000)}},
 				}.play(&testing.T{})
 				b.ReportMetric(x.modelSeconds/6, "cores")
 			}
--- a/fleet/batch/candidates.go
+++ b/fleet/batch/candidates.go
@@ -19,6 +19,8 @@
 	full       []Size   // sizes for which no worker has room now.
 	never      []Size   // sizes for which no worker has room even without its short tasks.
 	byRoom     roomHeap // the workers by free CPU; nil until it is needed.
+
+	*lookAhead // nil without the setting.
 }
 
 func (m *Model) newCandidates(p *pool) *candidates {
@@ -29,6 +31,9 @@
 		}
 	}
 	c.usable = len(c.workers)
+	if m.cfg.LookAhead {
+		c.lookAhead = newLookAhead(c)
+	}
 	return c
 }
 
--- a/fleet/batch/capacity_test.go
+++ b/fleet/batch/capacity_test.go
@@ -16,6 +16,7 @@
 	}{
 		{"shrinking", faults{shrink: 10}},
 		{"crashes", faults{shrink: 10, crash: 4, restart: 2}},
+		{"look-ahead", faults{shrink: 10, crash: 2, lookAhead: true}},
 		{"owners", faults{shrink: 10, depose: 2, cut: 4, lost: 10}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/fleet/batch/export_test.go
+++ b/fleet/batch/export_test.go
@@ -39,3 +39,22 @@
 	}
 	return n
 }
+
+// Promised returns the IDs of the workers that are promised to the waiting tasks of a job's steps, and the time that was promised first.
+func Promised(m *Model, id string) (workers []string, first int64) {
+	if m.jobs[id] == nil {
+		return nil, 0
+	}
+	for _, r := range m.jobs[id].rounds {
+		for _, s := range r.stages {
+			if s.promise == nil {
+				continue
+			}
+			first = s.promise.first
+			for _, w := range s.promise.workers {
+				workers = append(workers, w.ID)
+			}
+		}
+	}
+	return workers, first
+}
--- a/fleet/batch/load_test.go
+++ b/fleet/batch/load_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -21,6 +22,7 @@
 	queues    map[string]queueLoad // by pool.
 	lasting   int                  // lasting jobs in each pool.
 	noStandby bool                 // there is no pool on standby.
+	lookAhead bool                 // the owner's setting.
 	storeMs   int64                // time of a write to the store; 0: the default.
 	from, to  int64                // jobs submitted in this time count.
 	until     int64
@@ -30,6 +32,9 @@
 type queueLoad struct {
 	kind  jobKind
 	cores func(now int64) float64 // submitted work per time.
+
+	large      jobKind
+	largeShare float64 // share of the work that jobs of the large kind have.
 }
 
 // jobKind gives the means of a kind of job.
@@ -39,6 +44,7 @@
 	cpu, maxCPU float64 // of one task, in thousandths of a core.
 	memMB       float64 // of one task.
 	taskSpread  float64 // of the run times within a job.
+	tasks       float64 // mean number of tasks of a step; 0 for meanTasks.
 }
 
 // Kinds of jobs: short checks, and larger builds.
@@ -53,6 +59,7 @@
 	moves              int
 	lastingJobs        int
 	modelSeconds       float64 // processor time of the owner.
+	large, small       kindResult
 	poolSeconds        float64 // of machines outside the parked pool.
 }
 
@@ -85,6 +92,7 @@
 	objective int64     // ms
 	sentAt    int64
 	endedAt   int64 // 0 before.
+	large     bool
 }
 
 func newCallerJob(r *rand.Rand, k jobKind, n int, pool string) *callerJob {
@@ -99,7 +107,7 @@
 	}
 	for i := range steps {
 		s := batch.Step{
-			Count:      min(max(int(lognormal(r, meanTasks, sizeSpread)), 1), maxTasks),
+			Count:      min(max(int(lognormal(r, cmp.Or(k.tasks, meanTasks), sizeSpread)), 1), maxTasks),
 			Size:       batch.Size{CPU: int64(min(lognormal(r, k.cpu, cpuSpread), k.maxCPU)), MemMB: int64(min(lognormal(r, k.memMB, sizeSpread), 3*k.memMB))},
 			EstimateMs: int64(max(scale*math.Exp(estimateSpread*r.NormFloat64()), 1)),
 		}
@@ -130,7 +138,7 @@
 // play runs the load and returns what the callers got.
 func (o callerLoad) play(t testing.TB) callerResult {
 	t.Helper()
-	w := newSimulation(t, o.seed, 0, faults{})
+	w := newSimulation(t, o.seed, 0, faults{lookAhead: o.lookAhead})
 	w.ordersPerSec = ordersPerSec
 	if o.storeMs > 0 {
 		w.storeMs = o.storeMs
@@ -167,7 +175,7 @@
 				}
 			}
 			for owed[p] += q.cores(w.now) * 1000 * stepMs; owed[p] > 0 && q.cores(w.now) > 0; {
-				j := newCallerJob(r, q.kind, len(jobs)+1, p)
+				j := o.newJob(r, q, len(jobs)+1, p)
 				j.sentAt = w.now
 				jobs[j.ID] = j
 				owed[p] -= j.work
@@ -188,9 +196,25 @@
 	w.report()
 	x.moves, x.modelSeconds = w.fleet.moves, w.modelTime.Seconds()
 	x.count(jobs, o.from, o.to)
+	x.countKinds(jobs, w.judge, o)
 	return x
 }
 
+// newJob draws a job of the queue.
+func (o callerLoad) newJob(r *rand.Rand, q queueLoad, n int, pool string) *callerJob {
+	if q.largeShare == 0 {
+		return newCallerJob(r, q.kind, n, pool)
+	}
+	work := func(k jobKind) float64 { return k.steps * k.runMs * k.cpu * cmp.Or(k.tasks, meanTasks) }
+	a, b := q.largeShare/work(q.large), (1-q.largeShare)/work(q.kind)
+	if r.Float64()*(a+b) >= a {
+		return newCallerJob(r, q.kind, n, pool)
+	}
+	j := newCallerJob(r, q.large, n, pool)
+	j.Queue, j.large = "large-"+pool, true
+	return j
+}
+
 // count adds up the shares of the jobs that were submitted in the given time.
 func (x *callerResult) count(jobs map[string]*callerJob, from, to int64) {
 	mean, total := 0.0, 0.0
@@ -274,7 +298,7 @@
 	const cores = 60 * machineCPU / 1000
 	return callerLoad{
 		pools:  pools(map[string]int{"s": 60}),
-		queues: map[string]queueLoad{"s": {checks, peak(0.2*cores, factor*cores, 6_000, 2_000, 12_000)}}, from: 6_000, to: 14_000, until: 32_000,
+		queues: map[string]queueLoad{"s": {kind: checks, cores: peak(0.2*cores, factor*cores, 6_000, 2_000, 12_000)}}, from: 6_000, to: 14_000, until: 32_000,
 	}
 }
 
@@ -310,7 +334,7 @@
 	short := jobKind{steps: 1, runMs: 300, cpu: 2_000, maxCPU: 4_000, memMB: 1_000, taskSpread: 0.15}
 	o := callerLoad{
 		pools: pools(map[string]int{"s": 80}), noStandby: true, storeMs: 200, from: 4_000, to: 8_000, until: 12_000,
-		queues: map[string]queueLoad{"s": {short, peak(0, 300*meanTasks*0.3*2, 3_000, 500, 8_000)}},
+		queues: map[string]queueLoad{"s": {kind: short, cores: peak(0, 300*meanTasks*0.3*2, 3_000, 500, 8_000)}},
 	}
 	x := o.mean(t, 2)
 	t.Log(x)
@@ -325,7 +349,7 @@
 		if i%2 == 1 {
 			k = builds
 		}
-		q[p] = queueLoad{k, bump(2*machineCPU/1000, 62*machineCPU/1000, 4_000+int64(i)*10_000, 10_000)}
+		q[p] = queueLoad{kind: k, cores: bump(2*machineCPU/1000, 62*machineCPU/1000, 4_000+int64(i)*10_000, 10_000)}
 	}
 	for _, n := range []int{0, 5} {
 		t.Run(fmt.Sprintf("%d lasting jobs in each pool", n), func(t *testing.T) {
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -44,6 +44,8 @@
 	OrderGapMs int64 // wait before an order to a machine that another owner may have ordered.
 
 	OrdersPerSec float64 // orders to machines that the platform takes per second; 0 means DefaultOrdersPerSec.
+
+	LookAhead bool // room is reserved and used by the expected ends of runs.
 }
 
 // Model is the owner's view of jobs, workers and machines.
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -41,9 +41,10 @@
 		return
 	}
 	c := m.newCandidates(p)
+	c.keepPromises(l)
 	for _, s := range l {
-		if len(c.workers) == 0 {
-			return // every worker is reserved.
+		if c.finished() {
+			return
 		}
 		if s.Gang {
 			m.placeGang(c, s)
@@ -58,12 +59,16 @@
 			}
 			w := c.choose(t)
 			if w == nil {
-				if k := c.reserveEmptiest(s); k != nil {
+				w = c.backfill(t)
+			}
+			if w == nil {
+				if k := c.reserveFor(s); k != nil {
 					m.preempt(k, s)
 				}
 				break
 			}
 			m.startRun(t, w, t.lastRun+1)
+			c.started(s, w)
 		}
 	}
 }
@@ -234,9 +239,12 @@
 func (m *Model) cost(w *worker, t *task) float64 {
 	s := t.stage
 	c := slowWorkerCost * max(w.slowdown-1, 0)
-	if s.Lasting {
+	switch {
+	case s.Lasting:
 		c += loadShare(w.used.plus(s.Step.Size), w.Room)
-	} else {
+	case m.cfg.LookAhead:
+		c += w.packingCost(s)
+	default:
 		c -= loadShare(w.used, w.Room)
 	}
 	if s.DataRack != "" && s.DataRack != w.rack {
@@ -311,11 +319,16 @@
 		m.giveUp(s.tasks[0])
 		return
 	}
-	workers := m.gangWorkers(c.workers, s, "")
+	usable := c.gangCandidates(s)
+	workers := m.gangWorkers(usable, s, "")
 	if s.SameRack {
-		workers = m.gangInRack(c.workers, s, workers)
+		workers = m.gangInRack(usable, s, workers)
 	}
 	if workers == nil {
+		if c.lookAhead != nil {
+			c.promiseGang(s)
+			return
+		}
 		m.reserveForGang(c, s)
 		return
 	}
@@ -327,6 +340,7 @@
 	for i, t := range s.tasks {
 		t.checkpoint = saved
 		m.startRun(t, workers[i], n+1)
+		c.started(s, workers[i])
 	}
 }
 
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -59,6 +59,7 @@
 	copies                                                              bool // half of the jobs allow copies of the tasks of their first step.
 	lapse                                                               int  // of the workers cut off: their entries lapse too.
 	shrink                                                              int  // a worker's capacity shrinks for some seconds.
+	lookAhead                                                           bool // the owners' setting.
 }
 
 type event struct {
@@ -103,7 +104,7 @@
 	w.claimCount++
 	a := &fakeOwner{w: w, fence: w.rev, alive: true, unreachable: map[string]bool{}}
 	a.m = batch.New(batch.Config{
-		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: 6000, OrderGapMs: w.dutyGap, OrdersPerSec: w.ordersPerSec,
+		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: 6000, OrderGapMs: w.dutyGap, OrdersPerSec: w.ordersPerSec, LookAhead: w.faults.lookAhead,
 	})
 	w.owners = append(w.owners, a)
 	w.formerFence, w.termFence = w.termFence, a.fence
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -60,6 +60,7 @@
 	runMs        float64 // expected run time of one task.
 	rank         rank    // position when the stages were last ordered.
 	chainMs      float64 // expected run time of the longest chain that begins with this stage.
+	promise      *promise
 
 	noFormerRuns   bool              // no former owner can have started any of its tasks.
 	tickets        map[string]ticket // by worker ID.
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -63,6 +63,8 @@
 	lostRuns     []*lostRun
 	ended        bool // the list of machines has shown that the lifetime is over.
 
+	view workerView // of its runs' expected ends.
+
 	goneState MachineState // of its machine, in the list that shows that the lifetime is over; empty if none does.
 }
 
