Add the setting lookAhead, off in the deployments

Cause: deployments are to be served as before unless an operator switches look-ahead placement on.

Change: lookAhead in an entry's settings sets batch.Config.LookAhead; false if absent.

ok node/site (TestLookAhead, TestParse).

--- a/node/site/settings_test.go
+++ b/node/site/settings_test.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// The setting reaches the owner's model, and is off unless it is set.
+func TestLookAhead(t *testing.T) {
+	is := is.New(t)
+	s, err := parse(t, func(map[string]any) {})
+	is.NoErr(err)
+	is.True(!s.model().LookAhead)
+	s, err = parse(t, func(m map[string]any) { m["lookAhead"] = true })
+	is.NoErr(err)
+	is.True(s.model().LookAhead)
+}
+
 // An entry with a narrow link needs more helpers than one with a wide link: through a link of 2 Mbit/s, the starts of a few
 // hundred tasks take seconds, in which the leases of workers lapse.
 func TestHelpersByLink(t *testing.T) {
