--- a/fleet/batch/load_test.go
+++ b/fleet/batch/load_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -21,6 +22,7 @@
 	queues    map[string]queueLoad // by pool.
 	lasting   int                  // lasting jobs in each pool.
 	noStandby bool                 // there is no pool on standby.
+	lookAhead bool                 // the owner's setting.
 	storeMs   int64                // time of a write to the store; 0: the default.
 	late      int                  // orders to workers, in thousandths, that are held up and not answered.
 	from, to  int64                // jobs submitted in this time count.
@@ -31,6 +33,9 @@
 type queueLoad struct {
 	kind  jobKind
 	cores func(now int64) float64 // submitted work per time.
+
+	large      jobKind
+	largeShare float64 // share of the work that jobs of the large kind have.
 }
 
 // jobKind gives the means of a kind of job.
@@ -40,6 +45,7 @@
 	cpu, maxCPU float64 // of one task, in thousandths of a core.
 	memMB       float64 // of one task.
 	taskSpread  float64 // of the run times within a job.
+	tasks       float64 // mean number of tasks of a step; 0 for meanTasks.
 }
 
 // Kinds of jobs: short checks, and larger builds.
@@ -54,6 +60,7 @@
 	moves              int
 	lastingJobs        int
 	modelSeconds       float64 // processor time of the owner.
+	large, small       kindResult
 	poolSeconds        float64 // of machines outside the parked pool.
 }
 
@@ -86,6 +93,7 @@
 	objective int64     // ms
 	sentAt    int64
 	endedAt   int64 // 0 before.
+	large     bool
 }
 
 func newCallerJob(r *rand.Rand, k jobKind, n int, pool string) *callerJob {
@@ -100,7 +108,7 @@
 	}
 	for i := range steps {
 		s := batch.Step{
-			Count:      min(max(int(lognormal(r, meanTasks, sizeSpread)), 1), maxTasks),
+			Count:      min(max(int(lognormal(r, cmp.Or(k.tasks, meanTasks), sizeSpread)), 1), maxTasks),
 			Size:       batch.Size{CPU: int64(min(lognormal(r, k.cpu, cpuSpread), k.maxCPU)), MemMB: int64(min(lognormal(r, k.memMB, sizeSpread), 3*k.memMB))},
 			EstimateMs: int64(max(scale*math.Exp(estimateSpread*r.NormFloat64()), 1)),
 		}
@@ -131,7 +139,7 @@
 // play runs the load and returns what the callers got.
 func (o callerLoad) play(t testing.TB) callerResult {
 	t.Helper()
-	w := newSimulation(t, o.seed, 0, faults{late: o.late})
+	w := newSimulation(t, o.seed, 0, faults{late: o.late, lookAhead: o.lookAhead})
 	w.ordersPerSec = ordersPerSec
 	if o.storeMs > 0 {
 		w.storeMs = o.storeMs
@@ -168,7 +176,7 @@
 				}
 			}
 			for owed[p] += q.cores(w.now) * 1000 * stepMs; owed[p] > 0 && q.cores(w.now) > 0; {
-				j := newCallerJob(r, q.kind, len(jobs)+1, p)
+				j := o.newJob(r, q, len(jobs)+1, p)
 				j.sentAt = w.now
 				jobs[j.ID] = j
 				owed[p] -= j.work
@@ -189,9 +197,25 @@
 	w.report()
 	x.moves, x.modelSeconds = w.fleet.moves, w.modelTime.Seconds()
 	x.count(jobs, o.from, o.to)
+	x.countKinds(jobs, w.judge, o)
 	return x
 }
 
+// newJob draws a job of the queue.
+func (o callerLoad) newJob(r *rand.Rand, q queueLoad, n int, pool string) *callerJob {
+	if q.largeShare == 0 {
+		return newCallerJob(r, q.kind, n, pool)
+	}
+	work := func(k jobKind) float64 { return k.steps * k.runMs * k.cpu * cmp.Or(k.tasks, meanTasks) }
+	a, b := q.largeShare/work(q.large), (1-q.largeShare)/work(q.kind)
+	if r.Float64()*(a+b) >= a {
+		return newCallerJob(r, q.kind, n, pool)
+	}
+	j := newCallerJob(r, q.large, n, pool)
+	j.Queue, j.large = "large-"+pool, true
+	return j
+}
+
 // count adds up the shares of the jobs that were submitted in the given time.
 func (x *callerResult) count(jobs map[string]*callerJob, from, to int64) {
 	mean, total := 0.0, 0.0
@@ -275,7 +299,7 @@
 	const cores = 60 * machineCPU / 1000
 	return callerLoad{
 		pools:  pools(map[string]int{"s": 60}),
-		queues: map[string]queueLoad{"s": {checks, peak(0.2*cores, factor*cores, 6_000, 2_000, 12_000)}}, from: 6_000, to: 14_000, until: 32_000,
+		queues: map[string]queueLoad{"s": {kind: checks, cores: peak(0.2*cores, factor*cores, 6_000, 2_000, 12_000)}}, from: 6_000, to: 14_000, until: 32_000,
 	}
 }
 
@@ -311,7 +335,7 @@
 	short := jobKind{steps: 1, runMs: 300, cpu: 2_000, maxCPU: 4_000, memMB: 1_000, taskSpread: 0.15}
 	o := callerLoad{
 		pools: pools(map[string]int{"s": 80}), noStandby: true, storeMs: 200, from: 4_000, to: 8_000, until: 12_000,
-		queues: map[string]queueLoad{"s": {short, peak(0, 300*meanTasks*0.3*2, 3_000, 500, 8_000)}},
+		queues: map[string]queueLoad{"s": {kind: short, cores: peak(0, 300*meanTasks*0.3*2, 3_000, 500, 8_000)}},
 	}
 	x := o.mean(t, 2)
 	t.Log(x)
@@ -324,7 +348,7 @@
 	const cores = 60 * machineCPU / 1000
 	o := callerLoad{
 		pools: pools(map[string]int{"s": 60}), noStandby: true, late: 50, from: 4_000, to: 10_000, until: 20_000,
-		queues: map[string]queueLoad{"s": {checks, peak(0.1*cores, 0.5*cores, 3_000, 500, 10_000)}},
+		queues: map[string]queueLoad{"s": {kind: checks, cores: peak(0.1*cores, 0.5*cores, 3_000, 500, 10_000)}},
 	}
 	x := o.mean(t, 3)
 	t.Log(x)
@@ -339,7 +363,7 @@
 		if i%2 == 1 {
 			k = builds
 		}
-		q[p] = queueLoad{k, bump(2*machineCPU/1000, 62*machineCPU/1000, 4_000+int64(i)*10_000, 10_000)}
+		q[p] = queueLoad{kind: k, cores: bump(2*machineCPU/1000, 62*machineCPU/1000, 4_000+int64(i)*10_000, 10_000)}
 	}
 	for _, n := range []int{0, 5} {
 		t.Run(fmt.Sprintf("%d lasting jobs in each pool", n), func(t *testing.T) {
