Keep teams within their limits at every start

Cause: max_count limits what a team may have running at all workers; the owner placed tasks without regard to teams.

Change: attachRun and dropRun count each run for its job's team, and a list's runs that belong to no known run count until they are gone. Placement skips a step whose team has no room before it looks for a worker, so the team reserves no worker, preempts nothing and asks for no advice; a wide step goes in waves, a gang starts as a whole or not, copies and restarted lasting tasks ask as well. A step that its limit has blocked for 0.5 s holds up later steps of its own team, for at most 2 s while less than half of the limit is in use, so that small tasks do not keep a large one from starting. A lasting task that could not start again under a fallen limit is not evicted. A new owner starts nothing of a limited team before it has read every worker of all pools or its blind time has passed, nor before the first configuration. Work that a limit does not let run counts neither as demand for machines nor beyond 10 s in the backlog. A job is refused if its team's limit does not let it end in time, and a gang that is larger than the limit always. Teams at their limit are logged, ten lines a second at most.

--- a/fleet/batch/chaos_test.go
+++ b/fleet/batch/chaos_test.go
@@ -24,7 +24,13 @@
 	w := newSimulation(t, seed, 8, f)
 	n := 0
 	w.submit(longJob(900_000))
+	if f.teams {
+		w.submit(teamLastingJob(900_001))
+	}
 	w.run(41_000, func() {
+		if f.teams && w.now%2_000 == 0 {
+			w.teams.fallAndRise(unequalTeams()[:3])
+		}
 		if w.now%200 == 0 && w.rnd.IntN(3) > 0 {
 			n++
 			w.submit(w.job(n))
@@ -37,6 +43,11 @@
 		}
 	})
 	w.faults, w.storeDown = faults{}, false
+	if f.teams {
+		for _, x := range unequalTeams() {
+			w.teams.set(x)
+		}
+	}
 	for _, a := range w.owners {
 		clear(a.unreachable)
 	}
@@ -64,6 +75,7 @@
 		{"owners and workers", faults{depose: 2, crash: 4, restart: 2, cut: 6, late: 10, lost: 10}},
 		{"owners and entries", faults{depose: 3, cut: 6, lapse: 500, fail: 30}},
 		{"owners and copies", faults{depose: 1, cut: 4, lapse: 500, slow: 150, copies: true}},
+		{"teams", faults{teams: true, copies: true, slow: 30, lapse: 300, depose: 2, crash: 3, restart: 2, cut: 6, late: 10, lost: 10, storeLost: 20}},
 		{"all", faults{copies: true, slow: 30, lapse: 300, depose: 2, crash: 3, restart: 3, cut: 6, late: 15, lost: 15, storeDown: 1, storeLost: 40, fail: 30}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/fleet/batch/copies.go
+++ b/fleet/batch/copies.go
@@ -60,6 +60,9 @@
 	if t.stage.job.storedVersion < t.stage.job.copiesVersion {
 		return
 	}
+	if !m.teamAllowsCopy(t.stage) {
+		return
+	}
 	c := m.newCandidates(p)
 	c.reserve(r.worker)
 	w := c.choose(t)
--- a/fleet/batch/demand.go
+++ b/fleet/batch/demand.go
@@ -45,12 +45,14 @@
 	}
 	d := &m.pool(j.Service).demand
 	d.decay(m.now)
-	d.rate += work / rateTimeConstantMs
+	d.rate += m.workWithinLimit(j, work) / rateTimeConstantMs
 }
 
 // measureWaiting brings the demand of each pool up to now, and measures the work that waits for room there. Lasting steps
-// do not count, nor do steps that wait for other steps or for what a former owner may have started.
+// do not count, nor do steps that wait for other steps, for their team's limit or for what a
+// former owner may have started.
 func (m *Model) measureWaiting() {
+	var limited []limitedStage
 	for _, p := range m.pools {
 		p.demand.decay(m.now)
 		short := int64(0)
@@ -58,13 +60,20 @@
 			for _, r := range j.rounds {
 				for _, s := range r.stages {
 					if s.tasksWaiting > 0 && !s.Lasting && s.ready() && !m.waitsForFormer(s) {
+						if j.use.limited() {
+							limited = append(limited, limitedStage{p, s, m.waitingWork(s)})
+							continue
+						}
 						short += m.waitingWork(s)
 					}
 				}
 			}
 		}
 		p.demand.waitingWork = float64(short)
-		if short > 0 {
+	}
+	m.addLimitedWaiting(limited)
+	for _, p := range m.pools {
+		if p.demand.waitingWork > 0 {
 			p.demand.lastWaitingAt = m.now
 		}
 	}
--- a/fleet/batch/export_test.go
+++ b/fleet/batch/export_test.go
@@ -39,3 +39,9 @@
 	}
 	return n
 }
+
+// Demand returns the work that waits for room in a pool, in thousandths of a core times ms, and the number of machines that it wants.
+func Demand(m *Model, service string) (waiting float64, machines int) {
+	d := m.pool(service).demand
+	return d.waitingWork, d.wantedMachines
+}
--- a/fleet/batch/fakeowner_test.go
+++ b/fleet/batch/fakeowner_test.go
@@ -70,6 +70,9 @@
 	case batch.PollCmd:
 		a.poll(k)
 	case batch.StartCmd:
+		if w.teams != nil {
+			w.teams.startSent(k)
+		}
 		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
 			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock()}
 		}, func(r batch.Result) batch.Msg {
--- a/fleet/batch/harness_test.go
+++ b/fleet/batch/harness_test.go
@@ -21,6 +21,8 @@
 	replies   []batch.ReplyCmd
 	starts    []batch.StartCmd
 	stops     []batch.StopCmd
+	logs      []batch.LogCmd
+	advised   int // requests for advice.
 
 	noList       bool // requests for the list of machines fail.
 	listRequests int
@@ -76,6 +78,10 @@
 				if k.Completed {
 					b.completed++
 				}
+			case batch.LogCmd:
+				b.logs = append(b.logs, k)
+			case batch.AdviseCmd:
+				b.advised++
 			case batch.ReplyCmd:
 				b.replies = append(b.replies, k)
 			case batch.StartCmd:
--- a/fleet/batch/machines_test.go
+++ b/fleet/batch/machines_test.go
@@ -55,7 +55,11 @@
 // startWorker starts a new worker on the machine.
 func (p *fakeFleet) startWorker(m *fakeMachine) {
 	w := p.w
-	m.worker = worker.New(fmt.Sprintf("w%02d", p.workerCount), m.room, 0.98+0.02*w.rnd.Float64(), w.now, w.judge.Hooks())
+	h := w.judge.Hooks()
+	if w.teams != nil {
+		h = w.teams.hooks(h)
+	}
+	m.worker = worker.New(fmt.Sprintf("w%02d", p.workerCount), m.room, 0.98+0.02*w.rnd.Float64(), w.now, h)
 	p.workerCount++
 	if p.pool == nil {
 		p.pool = map[string]string{}
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"burdockreach.dev/fleet/quota"
 )
 
 // Times in milliseconds.
@@ -59,6 +61,12 @@
 
 	services         map[string]Service
 	teams            map[string]Team
+	teamsKnown       bool // a TeamsMsg has come.
+	ledger           *quota.Ledger
+	teamUses         map[string]*teamUse
+	limitedTeams     []*teamUse // by name
+	runsKnown        bool       // see updateRunsKnown.
+	limitLogs        limitLogs
 	pools            map[string]*pool
 	workers          map[string]*worker
 	workerList       []*worker // by ID
@@ -84,9 +92,11 @@
 	readyStages []*stage // of the last placement; its memory is reused.
 	dirty       bool
 	placedAt    int64   // time of the last placement.
-	backlog     float64 // accepted work that is not done, in thousandths of a core times ms.
+	backlog     float64 // accepted work that is not done, in thousandths of a core times ms, as far as teams' limits matter (see setBacklog).
 	demand      demand
-	counts      poolCounts
+
+	runnableBacklog float64 // the part of the backlog for which machines are wanted.
+	counts          poolCounts
 
 	crashCount   int     // crashes of its workers so far.
 	trialCrashes []int64 // when trials crashed their workers, within the last trialPauseMs.
@@ -96,7 +106,7 @@
 func New(c Config) *Model {
 	m := &Model{
 		cfg: c, now: c.Now, wallOffset: c.UnixMs - c.Now,
-		services: map[string]Service{}, teams: map[string]Team{}, pools: map[string]*pool{}, workers: map[string]*worker{},
+		services: map[string]Service{}, teams: map[string]Team{}, ledger: quota.New(), teamUses: map[string]*teamUse{}, pools: map[string]*pool{}, workers: map[string]*worker{},
 		jobs: map[string]*job{}, estimators: map[string]*estimator{}, demandCounted: map[string]bool{},
 	}
 	m.commits.start()
@@ -175,6 +185,8 @@
 	m.sweptAt = m.now
 	m.openRounds()
 	m.purge()
+	m.measureTeams()
+	m.logTeams()
 	m.checkRuns()
 	m.evictFromDraining()
 	m.paceWorkers()
--- a/fleet/batch/moves.go
+++ b/fleet/batch/moves.go
@@ -41,7 +41,7 @@
 func (m *Model) setWantedMachines() {
 	room := max(m.fleet.meanCPU, 1)
 	for _, p := range m.pools {
-		need := p.demand.rate*demandHeadroom + p.backlog/backlogDrainMs
+		need := p.demand.rate*demandHeadroom + p.runnableBacklog/backlogDrainMs
 		p.demand.wantedMachines = max(int(math.Ceil((need+m.lastingCPU(p))/room)), minWorkers)
 		if len(p.workers) == 0 && len(p.openJobs) == 0 && p.demand.rate < 1 {
 			p.demand.wantedMachines = 0
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -20,6 +20,7 @@
 // placeAll places the waiting tasks of every pool that has changed.
 func (m *Model) placeAll() {
 	m.placementPending = false
+	m.updateRunsKnown()
 	for _, n := range sortedKeys(m.pools) {
 		p := m.pools[n]
 		if !p.dirty {
@@ -53,6 +54,9 @@
 			if !m.mayStart(t) {
 				continue
 			}
+			if !m.teamAllows(s) {
+				break // the others follow once the team has room.
+			}
 			if t.suspected() && m.placeSuspect(c, t) {
 				continue
 			}
@@ -72,6 +76,7 @@
 func (m *Model) readyStages(p *pool) []*stage {
 	l := p.readyStages[:0]
 	backlog := int64(0)
+	m.clearHeads(p)
 	for _, j := range p.openJobs {
 		if j.phase != open {
 			continue
@@ -82,17 +87,23 @@
 					continue
 				}
 				if !s.Lasting && !m.waitsForFormer(s) {
-					backlog += int64(s.tasksLeft) * s.Step.Size.CPU * int64(s.runMs)
+					work := int64(s.tasksLeft) * s.Step.Size.CPU * int64(s.runMs)
+					if !j.use.addPoolWork(s, work) {
+						backlog += work
+					}
 				}
 				if s.tasksWaiting > 0 && s.ready() {
 					s.rank = m.rankOf(s)
-					l = append(l, s)
+					if m.limitAllows(s) {
+						l = append(l, s)
+					}
 				}
 			}
 		}
 	}
 	slices.SortFunc(l, compareStages)
-	p.readyStages, p.backlog = l, float64(backlog)
+	p.readyStages = l
+	m.setBacklog(p, backlog)
 	return l
 }
 
@@ -223,8 +234,11 @@
 	return best, found
 }
 
-// hasWorkerFor reports whether a worker of t's pool has room for it.
+// hasWorkerFor reports whether t may start again once its run is stopped: its team's limit allows it, and a worker of its pool has room.
 func (m *Model) hasWorkerFor(t *task) bool {
+	if !m.teamAllowsRestart(t.stage) {
+		return false
+	}
 	w, _ := m.cheapest(m.newCandidates(m.pool(t.stage.job.Service)).workers, t)
 	return w != nil
 }
@@ -311,6 +325,9 @@
 		m.giveUp(s.tasks[0])
 		return
 	}
+	if !m.teamAllows(s) {
+		return
+	}
 	workers := m.gangWorkers(c.workers, s, "")
 	if s.SameRack {
 		workers = m.gangInRack(c.workers, s, workers)
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -128,8 +128,9 @@
 			m.keepLostRun(r)
 			m.dropRun(r)
 		}
+		w.setStrays(nil, 0)
 	}
-	if w.dead && len(w.runs) > 0 {
+	if w.dead && len(w.runs)+len(w.strays) > 0 {
 		m.dropDeadRuns(w)
 	}
 	if !w.listed && !w.hasRecentLostRuns(m.now) && len(w.runs) == 0 && !w.polling && (w.dead || w.silentSince != 0 || w.synced) && (w.synced || m.now > m.blindUntil) {
@@ -145,6 +146,7 @@
 	if !m.knowsEnds(w) {
 		return
 	}
+	w.setStrays(nil, 0)
 	for _, r := range w.runsCopy() {
 		switch {
 		case r.state == starting && w.ended:
--- a/fleet/batch/records.go
+++ b/fleet/batch/records.go
@@ -150,6 +150,7 @@
 		j.copiesVersion = 1
 		j.version, j.storedVersion = 1, 1
 	}
+	j.use = m.teamUse(j)
 	j.dueAt = j.submittedAt + m.objectiveMs(j)
 	m.jobs[j.ID] = j
 	m.pool(j.Service).openJobs[j.ID] = j
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -40,6 +40,7 @@
 	ref           uint64
 	refs          map[uint64]*worker.JobRecord // by request number.
 	judge         *worker.Checker
+	teams         *teamChecker // nil without teams.
 	fleet         fakeFleet
 	dutyGap       int64                      // ms between two owners' orders to one machine.
 	ordersPerSec  float64                    // the owners' setting.
@@ -56,6 +57,7 @@
 type faults struct {
 	late, lost, crash, restart, cut, depose, storeDown, storeLost, fail int
 	slow                                                                int  // runs that take five times as long.
+	teams                                                               bool // jobs belong to teams, whose limits fall and rise.
 	copies                                                              bool // half of the jobs allow copies of the tasks of their first step.
 	lapse                                                               int  // of the workers cut off: their entries lapse too.
 	shrink                                                              int  // a worker's capacity shrinks for some seconds.
@@ -82,6 +84,12 @@
 	w.labels = func(string) []string { return []string{"a", "r1"} }
 	w.judge = worker.NewChecker(func() int64 { return w.now })
 	w.fleet = fakeFleet{w: w, services: []batch.Service{{Name: "s", Guards: true}}}
+	if f.teams {
+		c := w.watchTeams()
+		for _, x := range unequalTeams() {
+			c.set(x)
+		}
+	}
 	for range workers {
 		w.fleet.add("s", batch.Size{CPU: 8000, MemMB: 16000})
 	}
@@ -96,6 +104,12 @@
 	w.events = append(w.events, event{dueAt: w.now + d, number: w.eventCount, do: f})
 }
 
+// watchTeams has a checker count what the workers run for each team. It must be called before workers are added.
+func (w *simulation) watchTeams() *teamChecker {
+	w.teams = newTeamChecker(w)
+	return w.teams
+}
+
 // startOwner starts a new owner, which reads the store.
 func (w *simulation) startOwner() {
 	w.rev++
@@ -110,6 +124,9 @@
 	a.m.Update(w.now, batch.ServicesMsg{Services: w.fleet.services})
 	a.m.Update(w.now, w.entries())
 	a.m.Update(w.now, w.records())
+	if w.teams != nil {
+		w.teams.tell(a, 200)
+	}
 	if g := w.deadOwner; g != nil {
 		a.m.Update(w.now, batch.OrdersMsg{Orders: g.m.Orders(g.diedAt).Aged(w.now - g.diedAt)})
 		a.m.Update(w.now, batch.BlindMsg{ForMs: 6_500}) // the longest lease, on a slow clock.
@@ -283,6 +300,9 @@
 	if len(w.owners) == 0 {
 		return
 	}
+	if w.teams != nil {
+		w.teams.job(j.ID)
+	}
 	w.ref++
 	k.Attempts++
 	w.refs[w.ref] = k
@@ -368,6 +388,9 @@
 func (w *simulation) job(n int) batch.Job {
 	j := plainJob(n)
 	j.Steps[0].Copies = w.faults.copies && n%2 == 0
+	if w.faults.teams {
+		j.Team = unequalTeams()[n%4].Name
+	}
 	return j
 }
 
--- a/fleet/batch/submit.go
+++ b/fleet/batch/submit.go
@@ -27,12 +27,17 @@
 		return
 	}
 	j := &job{Job: g.Job, submittedAt: m.now - g.AgeMs, firstTriedAt: m.now, submitRefs: []uint64{g.Ref}}
+	j.use = m.teamUse(j)
 	j.dueAt = j.submittedAt + m.objectiveMs(j)
 	m.addDemand(j)
 	if m.commits.failing {
 		m.refuse(j, m.commits.failReason, minRetryMs)
 		return
 	}
+	if wait, why, ok := m.withinTeamLimit(j); !ok {
+		m.refuse(j, why, wait)
+		return
+	}
 	if wait, ok := m.inTime(j); !ok {
 		m.refuse(j, "the pool is full", wait)
 		return
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -21,12 +21,13 @@
 	finalState    State // state in which it ended; valid in phase ended.
 	shownState    State // state in which it ended, as callers see it: set once the end is stored.
 	started       bool
-	purging       bool   // its record is being deleted.
-	copiesVersion int    // version of the progress record that first says that there may be copies; 0 if none does.
-	formerCopies  bool   // a former owner may have started copies.
-	reason        string // why it has failed; empty otherwise.
-	loaded        bool   // accepted by a former owner.
-	submittedAt   int64  // steady time at which its caller first sent it, as far as known.
+	purging       bool     // its record is being deleted.
+	copiesVersion int      // version of the progress record that first says that there may be copies; 0 if none does.
+	formerCopies  bool     // a former owner may have started copies.
+	reason        string   // why it has failed; empty otherwise.
+	loaded        bool     // accepted by a former owner.
+	use           *teamUse // what its team has running; nil without a team.
+	submittedAt   int64    // steady time at which its caller first sent it, as far as known.
 	endedAt       int64
 	dueAt         int64 // latest end at which it has its full value.
 	rounds        []*round
@@ -260,6 +261,7 @@
 	if w.trial == r {
 		w.trial = nil
 	}
+	r.uncountRun()
 	w.used = w.used.minus(r.task.stage.size())
 	if r.task.stage.Lasting {
 		w.lasting = w.lasting.minus(r.task.stage.size())
@@ -279,6 +281,7 @@
 	if r.state == starting {
 		r.worker.unansweredStarts++
 	}
+	r.countRun()
 	r.worker.used = r.worker.used.plus(r.task.stage.size())
 	if r.task.stage.Lasting {
 		r.worker.lasting = r.worker.lasting.plus(r.task.stage.size())
--- a/fleet/batch/team.go
+++ b/fleet/batch/team.go
@@ -17,4 +17,5 @@
 	for _, t := range l {
 		m.teams[t.Name] = t
 	}
+	m.setLimits()
 }
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -27,6 +27,9 @@
 	unansweredStarts int  // runs whose start has not been answered.
 	unknownRuns      int  // runs in its last list that no record knows, which are being stopped.
 
+	strays            []strayRun // those of them whose tasks are known, if their jobs have teams.
+	runsOfUnknownJobs int        // those of them whose jobs are not known.
+
 	clockMs        int64 // lower bound of the worker's clock at clockAt.
 	clockAt        int64
 	leaseUntil     int64 // latest lease end or start expiry sent to the worker, on its clock.
@@ -153,6 +156,7 @@
 
 // forget removes a worker that is not listed and runs nothing.
 func (m *Model) forget(w *worker) {
+	w.setStrays(nil, 0)
 	m.leavePool(w)
 	delete(m.workers, w.ID)
 	m.workerList = slices.DeleteFunc(m.workerList, func(o *worker) bool { return o == w })
@@ -218,7 +222,8 @@
 // neither running nor ended.
 func (m *Model) applyRunning(w *worker, g PolledMsg, first bool) {
 	listed := make(map[*run]bool, len(g.Running))
-	unknown := 0
+	unknown, ofUnknownJobs := 0, 0
+	var strays []strayRun
 	for _, e := range g.Running {
 		t := m.task(e.Task)
 		var r *run
@@ -234,12 +239,17 @@
 		if r == nil {
 			m.stopUnknown(w, e.Task, e.Run)
 			unknown++
+			strays = addStray(strays, t)
+			if t == nil {
+				ofUnknownJobs++
+			}
 			continue
 		}
 		listed[r] = true
 		m.updateRun(r, e)
 	}
 	w.unknownRuns = unknown
+	w.setStrays(strays, ofUnknownJobs)
 	if g.ListFull {
 		return
 	}
