Show operators what teams have running and what limits them

Cause: which team waits, and whether for its limit or for room, could be read nowhere.

Change: the owner writes what teams have running and waiting to own/teams, at most every 2 s and only if it has changed; forty teams at most, those with the most waiting tasks first. A deployment without teams writes nothing. 'burdockreach fleet' shows the record. A stored record was chosen over a call to the owner: fleet reads only the store, and desk's code is generated.

--- a/fleet/batch/bench_test.go
+++ b/fleet/batch/bench_test.go
@@ -57,3 +57,56 @@
 		})
 	}
 }
+
+// BenchmarkTeams measures a placement with 10,000 waiting jobs of 1,000 teams on 1,000 workers of 32 cores: one task ends before each, and
+// the next placement follows. Each team has ten jobs of 40 tasks that wait for room, or for the limit of their team.
+func BenchmarkTeams(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		teams bool
+		cpu   int64 // limit of each team.
+	}{{"no teams", false, 0}, {"no limits", true, 0}, {"limits above the use", true, 400_000}, {"limits reached", true, 16_000}} {
+		b.Run(c.name, func(b *testing.B) { placeWaiting(b, c.teams, c.cpu) })
+	}
+}
+
+func setBenchTeams(h *harness, limit int64) {
+	var l []batch.Team
+	for i := range 1_000 {
+		l = append(l, batch.Team{Name: "t" + jobID(i), Limit: batch.Size{CPU: limit}})
+	}
+	h.Update(h.now, batch.TeamsMsg{Teams: l})
+}
+
+func placeWaiting(b *testing.B, teams bool, limit int64) {
+	b.Helper()
+	h := &harness{stored: map[string][]byte{}, Model: batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000}), now: 1000}
+	var set []batch.WorkerEntry
+	for i := range 1_000 {
+		id := "w" + jobID(i)
+		set = append(set, batch.WorkerEntry{ID: id, Service: "s", Addr: id, Room: batch.Size{CPU: 32_000, MemMB: 64_000}, ClockMs: 5, Born: 1})
+	}
+	h.Update(h.now, batch.WorkersMsg{All: true, Set: set})
+	if teams {
+		setBenchTeams(h, limit)
+	}
+	h.Update(h.now, batch.LoadedMsg{})
+	h.advance(100)
+	for n := range 10_000 {
+		j := batch.Job{ID: jobID(n), Queue: "q", Service: "s", ObjectiveExtraMs: 900_000, Steps: []batch.Step{{Count: 40, Size: batch.Size{CPU: 1_000, MemMB: 500}, EstimateMs: 1}}}
+		if teams {
+			j.Team = "t" + jobID(n%1_000)
+		}
+		h.Update(h.now, batch.SubmitMsg{Ref: uint64(n), Job: j})
+	}
+	h.advance(2_000)
+	b.ResetTimer()
+	for i := range b.N {
+		s := h.starts[i%len(h.starts)]
+		h.Update(h.now, batch.PolledMsg{Worker: s.Worker, Sent: h.now, ClockMs: h.now, Born: 1, Ended: []batch.EndedRun{{Number: int64(i + 1), Task: s.Task, Run: s.Run, Reason: batch.EndStopped}}})
+		h.now += 4
+		h.Update(h.now, batch.ClaimMsg{Fresh: true, RenewedAt: h.now})
+		h.Commands(h.now)
+	}
+	b.ReportMetric(float64(len(h.starts)), "running")
+}
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -236,6 +236,7 @@
 	g.Go(func() error { return t.watchWorkers(d) })
 	g.Go(func() error { return t.watchBoard(d) })
 	g.Go(func() error { return t.manageHelpers(d) })
+	g.Go(func() error { return t.reportTeams(d) })
 	for range callGoroutines {
 		g.Go(func() error { return t.makeCalls(d) })
 	}
--- a/node/site/status.go
+++ b/node/site/status.go
@@ -23,6 +23,7 @@
 	Services map[string]ServiceStatus `json:"services"`
 	Waves    []WaveStatus             `json:"waves"`
 	Aside    *batch.StoredAside       `json:"aside,omitempty"`  // records that the store does not take; nil if there was never one.
+	Teams    *owner.StoredTeams       `json:"teams,omitempty"`  // what teams have running and waiting; nil if there were never teams.
 	Unread   []string                 `json:"unread,omitempty"` // keys whose values cannot be decoded.
 }
 
@@ -101,6 +102,10 @@
 		s.Aside = &batch.StoredAside{}
 		return json.Unmarshal(i.Value(), s.Aside)
 	}
+	if i.Key() == owner.TeamsKey {
+		s.Teams = &owner.StoredTeams{}
+		return json.Unmarshal(i.Value(), s.Teams)
+	}
 	n, ok := strings.CutPrefix(i.Key(), entryPrefix)
 	if !ok {
 		return nil
--- a/node/site/status_test.go
+++ b/node/site/status_test.go
@@ -11,6 +11,7 @@
 
 	"burdockreach.dev/fleet/batch"
 	"burdockreach.dev/node/board"
+	"burdockreach.dev/node/owner"
 	"burdockreach.dev/plat/keyval"
 )
 
@@ -68,6 +69,7 @@
 	return Platform{Format: plainFormat{}, Store: mapStore{rows: map[string]string{
 		"own/all": `{"holder":"10.0.0.1:7/1/2"}`, "own/entry/e1": `{"cores":0.4,"addr":"10.0.0.1:7"}`, "op/config": "", "op/wave/1": "",
 		"wave/1": `{"number":1,"begun":["m1","m2"],"done":["m1"]}`, "w/a": "", "w/b": "draining", "w/c": "garbage",
+		"own/teams":            `{"fence":7,"count":2,"teams":[{"team":"a","limit":{"cpu":4000},"used":{"cpu":3000},"runs":3,"waiting":5,"limitedBy":"limit"}]}`,
 		"job/0000000000000001": job1, "run/0000000000000001": `{"failed":{"0.0.1":[1]}}`, "run/0000000000000002": `{"state":"completed"}`,
 	}}}
 }
@@ -83,6 +85,9 @@
 	is.Equal(s.Queues, map[string]QueueStatus{"q1": {Service: "s", Open: 1}, "q2": {Service: "s", Priority: 1}})
 	is.Equal(s.Services, map[string]ServiceStatus{"s": {Workers: 2, Draining: 1, Room: batch.Size{CPU: 8000}}})
 	is.Equal(s.Waves, []WaveStatus{{Wave: 1, Machines: 2, Begun: 2, Done: 1}})
+	is.Equal(s.Teams, &owner.StoredTeams{Fence: 7, Count: 2, Teams: []batch.TeamStatus{
+		{Team: "a", Limit: batch.Size{CPU: 4000}, Used: batch.Size{CPU: 3000}, Runs: 3, Waiting: 5, LimitedBy: "limit"},
+	}})
 	is.Equal(s.Unread, []string{"w/c"})
 }
 
