Test that a gang counts what was placed before it

The check in placeGang could be taken out without a failing test: the gang was skipped earlier. The new case places another job of the team in the same placement, and fails without the check.

--- a/fleet/batch/limits_test.go
+++ b/fleet/batch/limits_test.go
@@ -204,6 +204,13 @@
 		b.end(0)
 		is.Equal(b.startsOf(2), 3)
 	})
+	t.Run("placed together with another job", func(t *testing.T) {
+		is := is.New(t)
+		b := newTeamHarness(3_000, "w0", "w1")
+		b.Update(b.now, batch.SubmitMsg{Ref: 1, Job: teamStep(1, "a", 1, 1_000)})
+		b.send(gang())
+		is.Equal([]int{b.startsOf(1), b.startsOf(2)}, []int{1, 0})
+	})
 	t.Run("of an earlier limit", func(t *testing.T) {
 		is := is.New(t)
 		b := newTeamHarness(3_000, "w0", "w1")
