Make the tests of limits fail without their guards

Two tests stayed green when the limit was checked only after a worker had been chosen and reserved, and when a step that may not start yet held up its team. One worker instead of two, and a start that is rejected for 2 s, make them fail. Every guard has been taken out once; the checks before sorting and before each start are red together and for gangs alone.

ok fleet/batch -run 'Limited|TestTeamLimit$'.

--- a/fleet/batch/harness_test.go
+++ b/fleet/batch/harness_test.go
@@ -22,7 +22,8 @@
 	starts    []batch.StartCmd
 	stops     []batch.StopCmd
 	logs      []batch.LogCmd
-	advised   int // requests for advice.
+	advised   int          // requests for advice.
+	result    batch.Result // of starts.
 
 	noList       bool // requests for the list of machines fail.
 	listRequests int
@@ -86,7 +87,7 @@
 				b.replies = append(b.replies, k)
 			case batch.StartCmd:
 				b.starts = append(b.starts, k)
-				b.Update(b.now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
+				b.Update(b.now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now, Result: b.result})
 			case batch.StopCmd:
 				b.stops = append(b.stops, k)
 				b.Update(b.now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
--- a/fleet/batch/limits_test.go
+++ b/fleet/batch/limits_test.go
@@ -75,11 +75,11 @@
 	})
 	t.Run("others use the room", func(t *testing.T) { // a team at its limit must reserve no worker.
 		is := is.New(t)
-		b := newTeamHarness(1_000, "w0", "w1")
+		b := newTeamHarness(1_000, "w0")
 		b.send(teamStep(1, "a", 1, 1_000))
 		b.send(teamStep(2, "a", 1, 4_000))
-		b.send(teamStep(3, "b", 7, 1_000))
-		is.Equal([]int{b.startsOf(1), b.startsOf(2), b.startsOf(3)}, []int{1, 0, 7})
+		b.send(teamStep(3, "b", 3, 1_000))
+		is.Equal([]int{b.startsOf(1), b.startsOf(2), b.startsOf(3)}, []int{1, 0, 3})
 	})
 	t.Run("nothing is preempted", func(t *testing.T) {
 		is := is.New(t)
@@ -166,6 +166,20 @@
 		b.advance(1_000)
 		is.Equal([]int{b.startsOf(2), b.startsOf(3)}, []int{0, 1})
 	})
+	t.Run("it may not start yet", func(t *testing.T) {
+		is := is.New(t)
+		b := newTeamHarness(3_000, "w0", "w1")
+		b.send(teamStep(1, "a", 1, 1_000))
+		b.result = batch.Rejected // tried again after 2 s.
+		b.send(teamStep(2, "a", 1, 2_000))
+		b.result = batch.OK
+		b.send(teamStep(4, "a", 1, 1_000))
+		b.advance(600)
+		j := teamStep(3, "a", 1, 1_000)
+		j.Priority = 1
+		b.send(j)
+		is.Equal([]int{b.startsOf(2), b.startsOf(4), b.startsOf(3)}, []int{1, 1, 1})
+	})
 	t.Run("lasting tasks leave it no room", func(t *testing.T) {
 		is := is.New(t)
 		b := newTeamHarness(3_000, "w0", "w1")
