--- a/fleet/batch/export_test.go
+++ b/fleet/batch/export_test.go
@@ -58,3 +58,9 @@
 	}
 	return workers, first
 }
+
+// Demand returns the work that waits for room in a pool, in thousandths of a core times ms, and the number of machines that it wants.
+func Demand(m *Model, service string) (waiting float64, machines int) {
+	d := m.pool(service).demand
+	return d.waitingWork, d.wantedMachines
+}
