Give simulated tasks that crash workers an ordinary run time

Cause: a short task that crashes its worker was played as one that never ends, and the stand-in reports the progress of such a run as that of a lasting task: 100 percent after 300 ms. No short task of a platform reports 100 percent and goes on.

Change: the run would take its estimate, or twice the time until it crashes its worker, if that is longer. It still crashes each worker before it ends, so the tests ask for the same as before.

--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -307,7 +307,11 @@
 	s := w.judge.FindJob(n.Job).Job.Steps[n.Step]
 	if w.crashAfterMs != nil {
 		if ms := w.crashAfterMs(n); ms > 0 {
-			return worker.Plan{RunMs: worker.Never, Size: s.Size, CrashAfterMs: ms, OutageMs: crashOutageMs}
+			p := worker.Plan{RunMs: max(s.EstimateMs, 2*ms), Size: s.Size, CrashAfterMs: ms, OutageMs: crashOutageMs}
+			if s.Lasting {
+				p.RunMs = worker.Never
+			}
+			return p
 		}
 	}
 	if w.runMs != nil {
