Leave slow workers out of placements, by the progress of their runs

Change: with Config.WorkerSpeed, each list counts what its runs have done for their worker's speed.Meter, which takes the place of worker.slowdown. A worker at a factor of 2 or more is left out of a placement, the slowest first, a third of the pool at most; a step that has found room only there for 2 s may start one task, or its gang. The stand-in's workers can be slowed down; TestChaos has a mix with slow workers. BenchmarkLargePool has a case with speeds learned.

--- a/fakes/worker/worker.go
+++ b/fakes/worker/worker.go
@@ -26,6 +26,22 @@
 
 	crashMs  int64 // when it crashes the worker; 0 for never.
 	outageMs int64 // for how long.
+
+	workMs   int64   // run time at full speed.
+	doneMs   float64 // of it, at sinceMs.
+	sinceMs  int64
+	slowness float64 // factor by which it takes longer since then.
+}
+
+// done returns the part of the run's work that is done by now, as run time at full speed.
+func (r *Run) done(now int64) float64 { return r.doneMs + float64(now-r.sinceMs)/r.slowness }
+
+// setSlowness makes the run take a multiple of its time from now on.
+func (r *Run) setSlowness(now int64, factor float64) {
+	r.doneMs, r.sinceMs, r.slowness = r.done(now), now, factor
+	if r.EndMs != Never {
+		r.EndMs = now + int64(max(float64(r.workMs)-r.doneMs, 0)*factor)
+	}
 }
 
 // Plan sets in advance how a run behaves: how long it takes, how it ends, and which resources of the worker it uses.
@@ -71,13 +87,14 @@
 	unguarded bool             // it starts tasks that do not fit.
 	shrunk    []formerCapacity // capacities before recent changes.
 
-	refusing bool // the last crash was a run's doing: the process has ended, and the machine refuses connections.
+	slowness float64 // factor by which its runs take longer.
+	refusing bool    // the last crash was a run's doing: the process has ended, and the machine refuses connections.
 }
 
 // New returns a worker whose lifetime begins at now, in milliseconds of the simulation's clock. Its own clock advances by clockRate
 // milliseconds per millisecond of the simulation's.
 func New(id string, capacity batch.Size, clockRate float64, now int64, h Hooks) *Worker {
-	return &Worker{id: id, capacity: capacity, clockRate: clockRate, hooks: h, nowMs: now, bornMs: now, highestRun: map[string]int{}}
+	return &Worker{id: id, capacity: capacity, clockRate: clockRate, hooks: h, nowMs: now, bornMs: now, highestRun: map[string]int{}, slowness: 1}
 }
 
 // ID returns the worker's id.
@@ -104,6 +121,14 @@
 	untilMs int64
 }
 
+// SetSlowness makes all runs, also later ones, take the given multiple of their time from now on, until the worker's lifetime ends.
+func (w *Worker) SetSlowness(factor float64) {
+	w.slowness = factor
+	for _, r := range w.runs {
+		r.setSlowness(w.nowMs, factor)
+	}
+}
+
 // Overfilled reports whether the worker runs more than its present capacity and each recent one holds.
 func (w *Worker) Overfilled() bool {
 	w.shrunk = slices.DeleteFunc(w.shrunk, func(f formerCapacity) bool { return f.untilMs <= w.nowMs })
@@ -143,7 +168,7 @@
 	w.previousBornMs, w.offUntilMs, w.bornMs = w.bornMs, w.nowMs+ms, w.nowMs+ms
 	w.fence, w.leaseUntilMs, w.runs, w.ended, w.lastEnd, w.ackedEnd, w.lapsedEnd, w.used = 0, 0, nil, nil, 0, 0, 0, batch.Size{}
 	w.highestRun = map[string]int{}
-	w.refusing = false
+	w.refusing, w.slowness = false, 1
 }
 
 // crashBy lets a run crash the worker.
@@ -244,11 +269,11 @@
 const startupMs = 300
 
 func (w *Worker) percentDone(r *Run) int {
-	span := max(r.EndMs-r.StartMs, 1)
+	span := max(r.workMs, 1)
 	if r.EndMs == Never || r.Lasting {
 		span = startupMs
 	}
-	return int(min(100*(w.nowMs-r.StartMs)/span, 100))
+	return int(min(100*int64(r.done(w.nowMs))/span, 100))
 }
 
 // Start starts a run that behaves as p says.
@@ -270,9 +295,12 @@
 	case !w.unguarded && !p.Size.Fits(subtract(w.capacity, w.used)):
 		return batch.NoRoom
 	}
-	r := &Run{Task: c.Task, Number: c.Run, StartMs: w.nowMs, EndMs: Never, Reason: p.Reason, Size: p.Size, Lasting: p.Lasting}
+	r := &Run{
+		Task: c.Task, Number: c.Run, StartMs: w.nowMs, EndMs: Never, Reason: p.Reason, Size: p.Size, Lasting: p.Lasting,
+		workMs: p.RunMs, sinceMs: w.nowMs, slowness: w.slowness,
+	}
 	if p.RunMs != Never {
-		r.EndMs = w.nowMs + p.RunMs
+		r.EndMs = w.nowMs + int64(float64(p.RunMs)*w.slowness)
 	}
 	if p.CrashAfterMs > 0 {
 		r.crashMs, r.outageMs = w.nowMs+p.CrashAfterMs, p.OutageMs
--- a/fleet/batch/bench_test.go
+++ b/fleet/batch/bench_test.go
@@ -45,11 +45,12 @@
 	for _, c := range []struct {
 		name   string
 		factor float64
-	}{{"full", 0.9}, {"overload", 1.4}} {
+		speeds bool
+	}{{"full", 0.9, false}, {"overload", 1.4, false}, {"overload, speeds learned", 1.4, true}} {
 		b.Run(c.name, func(b *testing.B) {
 			for range b.N {
 				x := callerLoad{
-					seed: 1, pools: pools(map[string]int{"s": workers}), until: 9_000, from: 2_000, to: 8_000,
+					seed: 1, pools: pools(map[string]int{"s": workers}), until: 9_000, from: 2_000, to: 8_000, speeds: c.speeds,
 					queues: map[string]queueLoad{"s": {checks, peak(0.3*cores, c.factor*cores, 3_000, 500, 8_000)}},
 				}.play(&testing.T{})
 				b.ReportMetric(x.modelSeconds/6, "cores")
--- a/fleet/batch/candidates.go
+++ b/fleet/batch/candidates.go
@@ -11,6 +11,7 @@
 	m       *Model
 	pool    *pool
 	workers []*worker // that are not reserved, by ID.
+	slow    []*worker // that are left out because they are slow.
 	usable  int       // number of workers before any was reserved.
 	trials  int       // trials in progress; -1 until they are counted.
 
@@ -29,6 +30,7 @@
 		}
 	}
 	c.usable = len(c.workers)
+	c.workers, c.slow = m.splitSlow(c.workers)
 	return c
 }
 
--- a/fleet/batch/chaos_test.go
+++ b/fleet/batch/chaos_test.go
@@ -37,7 +37,7 @@
 			}
 		}
 	})
-	w.faults, w.storeDown = faults{}, false
+	w.faults, w.storeDown = faults{speeds: f.speeds}, false
 	for _, a := range w.owners {
 		clear(a.unreachable)
 	}
@@ -65,6 +65,7 @@
 		{"owners and workers", faults{depose: 2, crash: 4, restart: 2, cut: 6, late: 10, lost: 10}},
 		{"owners and entries", faults{depose: 3, cut: 6, lapse: 500, fail: 30}},
 		{"owners and copies", faults{depose: 1, cut: 4, lapse: 500, slow: 150, copies: true}},
+		{"slow workers", faults{speeds: true, drag: 10, copies: true, depose: 1, crash: 2, late: 10, fail: 20}},
 		{"all", faults{copies: true, slow: 30, lapse: 300, depose: 2, crash: 3, restart: 3, cut: 6, late: 15, lost: 15, storeDown: 1, storeLost: 40, fail: 30}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/fleet/batch/export_test.go
+++ b/fleet/batch/export_test.go
@@ -39,3 +39,11 @@
 	}
 	return n
 }
+
+// Slowdown returns the factor by which the model believes a worker to be slow.
+func Slowdown(m *Model, id string) float64 {
+	if w := m.workers[id]; w != nil {
+		return m.slowdown(w)
+	}
+	return 1
+}
--- a/fleet/batch/harness_test.go
+++ b/fleet/batch/harness_test.go
@@ -38,8 +38,12 @@
 }
 
 // newUnreadHarness returns a harness whose owner has not read the records.
-func newUnreadHarness(workers ...string) *harness {
-	b := &harness{stored: map[string][]byte{}, Model: batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000, OrderGapMs: 3500}), now: 1000}
+func newUnreadHarness(workers ...string) *harness { return newHarnessOf(batch.Config{}, workers...) }
+
+// newHarnessOf returns a harness with the given settings whose owner has not read the records.
+func newHarnessOf(c batch.Config, workers ...string) *harness {
+	c.Fence, c.Now, c.UnixMs, c.LeaseMs, c.OrderGapMs = 9, 1000, 1_000_000, 6000, 3500
+	b := &harness{stored: map[string][]byte{}, Model: batch.New(c), now: 1000}
 	var set []batch.WorkerEntry
 	for _, w := range workers {
 		set = append(set, batch.WorkerEntry{ID: w, Service: "s", Addr: w, Room: batch.Size{CPU: 4000, MemMB: 8000}, ClockMs: 5, Born: 1})
--- a/fleet/batch/learn.go
+++ b/fleet/batch/learn.go
@@ -16,6 +16,8 @@
 // times.
 type estimator struct {
 	n, x, y, xx, xy, yy float64
+
+	reports bool // its tasks report their progress.
 }
 
 // add records a task with the given estimate and actual run time in ms.
@@ -61,10 +63,12 @@
 	}
 	took := float64(m.now - r.confirmedAt)
 	q := m.estimator(s.job.Queue)
-	if e := q.expectedMs(float64(s.EstimateMs)); e > 0 {
+	if m.measures(r) {
+		m.measure(r, fullPercent)
+	} else if e := q.expectedMs(float64(s.EstimateMs)); e > 0 && !m.cfg.WorkerSpeed {
 		w.slowdown += learnRate * (min(took/e, maxSlowdown) - w.slowdown)
 	}
-	if w.slowdown < stuckFactor { // the run times of a slow worker say nothing about the queue.
+	if m.slowdown(w) < stuckFactor { // the run times of a slow worker say nothing about the queue.
 		q.add(float64(s.EstimateMs), took)
 	}
 }
--- a/fleet/batch/load_test.go
+++ b/fleet/batch/load_test.go
@@ -24,6 +24,9 @@
 	storeMs   int64                // time of a write to the store; 0: the default.
 	from, to  int64                // jobs submitted in this time count.
 	until     int64
+	copies    bool              // half of the jobs allow copies.
+	each      func(*simulation) // called in every step, if not nil.
+	speeds    bool              // owners learn the speeds of workers.
 }
 
 // queueLoad is the load of one queue.
@@ -52,6 +55,7 @@
 	inTime, late, lost float64
 	moves              int
 	lastingJobs        int
+	twice              float64 // work that is done again or for nothing, as a share of all work.
 	modelSeconds       float64 // processor time of the owner.
 	poolSeconds        float64 // of machines outside the parked pool.
 }
@@ -130,7 +134,7 @@
 // play runs the load and returns what the callers got.
 func (o callerLoad) play(t testing.TB) callerResult {
 	t.Helper()
-	w := newSimulation(t, o.seed, 0, faults{})
+	w := newSimulation(t, o.seed, 0, faults{speeds: o.speeds})
 	w.ordersPerSec = ordersPerSec
 	if o.storeMs > 0 {
 		w.storeMs = o.storeMs
@@ -170,10 +174,16 @@
 				j := newCallerJob(r, q.kind, len(jobs)+1, p)
 				j.sentAt = w.now
 				jobs[j.ID] = j
+				for i := range j.Steps {
+					j.Steps[i].Copies = o.copies && len(jobs)%2 == 0
+				}
 				owed[p] -= j.work
 				w.submit(j.Job)
 			}
 		}
+		if o.each != nil {
+			o.each(w)
+		}
 		for id, j := range jobs {
 			if j.endedAt == 0 && w.owners[0].m.State(id) == batch.StateCompleted {
 				j.endedAt = w.now
@@ -188,9 +198,29 @@
 	w.report()
 	x.moves, x.modelSeconds = w.fleet.moves, w.modelTime.Seconds()
 	x.count(jobs, o.from, o.to)
+	x.twice = workDoneTwice(w.judge, jobs)
 	return x
 }
 
+// workDoneTwice returns the share of the workers' time that went into runs which did not end their task, weighted by cores.
+func workDoneTwice(k *worker.Checker, jobs map[string]*callerJob) float64 {
+	all, waste := 0.0, 0.0
+	for _, j := range jobs {
+		for s, l := range j.runMs {
+			for i := range l {
+				for _, r := range k.Runs(batch.TaskName{Job: j.ID, Step: s, Index: i}.String()) {
+					c := float64(max(r.EndMs-r.StartMs, 0) * j.Steps[s].Size.CPU)
+					all += c
+					if r.EndMs > 0 && r.Reason != batch.EndDone {
+						waste += c
+					}
+				}
+			}
+		}
+	}
+	return waste / all
+}
+
 // count adds up the shares of the jobs that were submitted in the given time.
 func (x *callerResult) count(jobs map[string]*callerJob, from, to int64) {
 	mean, total := 0.0, 0.0
@@ -224,6 +254,7 @@
 		x := o.play(t)
 		n := float64(seeds)
 		sum.inTime, sum.late, sum.lost = sum.inTime+x.inTime/n, sum.late+x.late/n, sum.lost+x.lost/n
+		sum.twice += x.twice / n
 		sum.moves, sum.poolSeconds = sum.moves+x.moves/int(seeds), sum.poolSeconds+x.poolSeconds/n
 	}
 	return sum
@@ -231,7 +262,7 @@
 
 // String returns the result as text.
 func (x callerResult) String() string {
-	return fmt.Sprintf("in time %.2f, late %.2f, lost %.2f, %d moves, %.0f pool seconds", x.inTime, x.late, x.lost, x.moves, x.poolSeconds)
+	return fmt.Sprintf("in time %.3f, late %.3f, lost %.3f, %.4f done twice, %d moves, %.0f pool seconds", x.inTime, x.late, x.lost, x.twice, x.moves, x.poolSeconds)
 }
 
 // peak returns a load that rises linearly from base to top in the given time, and lasts until the end.
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -43,6 +43,7 @@
 	StatusMs   int64 // how long callers can query the state of an ended job.
 	OrderGapMs int64 // wait before an order to a machine that another owner may have ordered.
 
+	WorkerSpeed  bool    // learn the speeds of workers from the progress of their runs.
 	OrdersPerSec float64 // orders to machines that the platform takes per second; 0 means DefaultOrdersPerSec.
 }
 
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -57,6 +57,9 @@
 				continue
 			}
 			w := c.choose(t)
+			if w == nil {
+				w = c.chooseSlow(t)
+			}
 			if w == nil {
 				if k := c.reserveEmptiest(s); k != nil {
 					m.preempt(k, s)
@@ -290,7 +293,7 @@
 		m.log("lasting task placed", t.stage.job.ID, "task", t.name().String(), "run", n, "worker", w.ID, "rack", w.rack)
 	}
 	m.attachRun(r)
-	w.lastStartAt = m.now
+	w.lastStartAt, t.stage.noRoomSince = m.now, 0
 	if t.crashes != nil {
 		t.crashes.trialWantedAt, t.crashes.plannedTrial = 0, 0
 	}
@@ -311,9 +314,14 @@
 		m.giveUp(s.tasks[0])
 		return
 	}
-	workers := m.gangWorkers(c.workers, s, "")
+	l := c.workers
+	workers := m.gangWorkers(l, s, "")
+	if workers == nil && c.mayUseSlow(s) {
+		l = slices.Concat(c.workers, c.slow)
+		workers = m.gangWorkers(l, s, "")
+	}
 	if s.SameRack {
-		workers = m.gangInRack(c.workers, s, workers)
+		workers = m.gangInRack(l, s, workers)
 	}
 	if workers == nil {
 		m.reserveForGang(c, s)
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -58,6 +58,8 @@
 	slow                                                                int  // runs that take five times as long.
 	copies                                                              bool // half of the jobs allow copies of the tasks of their first step.
 	lapse                                                               int  // of the workers cut off: their entries lapse too.
+	speeds                                                              bool // owners learn the speeds of workers.
+	drag                                                                int  // a worker's runs take three to five times as long for some seconds.
 	shrink                                                              int  // a worker's capacity shrinks for some seconds.
 }
 
@@ -104,6 +106,7 @@
 	a := &fakeOwner{w: w, fence: w.rev, alive: true, unreachable: map[string]bool{}}
 	a.m = batch.New(batch.Config{
 		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: 6000, OrderGapMs: w.dutyGap, OrdersPerSec: w.ordersPerSec,
+		WorkerSpeed: w.faults.speeds,
 	})
 	w.owners = append(w.owners, a)
 	w.formerFence, w.termFence = w.termFence, a.fence
@@ -211,6 +214,9 @@
 		w.schedule(500+w.rnd.Int64N(4000), func() { w.storeDown = false })
 	case w.chance(f.shrink):
 		w.shrink(k)
+	case w.chance(f.drag):
+		k.SetSlowness(3 + 2*w.rnd.Float64())
+		w.schedule(1000+w.rnd.Int64N(9000), func() { k.SetSlowness(1) })
 	case w.chance(f.cut) && len(w.owners) > 0:
 		a := w.owners[w.rnd.IntN(len(w.owners))]
 		a.unreachable[k.ID()] = true
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"burdockreach.dev/fleet/speed"
 )
 
 // phase is the stage of a job's life at the owner.
@@ -59,6 +61,8 @@
 	tasksWaiting int     // tasks that are not done and have no run.
 	runMs        float64 // expected run time of one task.
 	rank         rank    // position when the stages were last ordered.
+	bias         speed.Bias
+	noRoomSince  int64   // since when its tasks find room at slow workers at most; 0 after a start.
 	chainMs      float64 // expected run time of the longest chain that begins with this stage.
 
 	noFormerRuns   bool              // no former owner can have started any of its tasks.
@@ -113,6 +117,8 @@
 	advancedAt     int64 // when percent last changed.
 	listedAt       int64 // when the worker last listed it.
 	gauge          int64
+	measuredAt     int64 // when its progress was last counted for its worker's speed; 0 before.
+	measured       int   // the progress then, in percent.
 	pace           int
 	resumed        bool     // it began from a checkpoint.
 	evicted        bool     // this owner stopped it to free the worker or to restart the task elsewhere.
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"burdockreach.dev/fleet/speed"
 )
 
 // Quarantine of workers that fail the tasks they start.
@@ -55,6 +57,8 @@
 	lifetimeKnownAt  int64 // when this owner first learned of its lifetime.
 	cordoned         bool  // its machine is about to be moved or maintained.
 	slowdown         float64
+	speed            speed.Meter
+	slow             bool // it was slow in the last placement.
 
 	heardAt      int64 // when it last answered.
 	watchedUntil int64 // until when it is polled often, because a trial is to begin.
@@ -169,7 +173,7 @@
 	w.Born, w.sentAck, w.confirmedAck, w.lastEnd, w.unsavedEnds = born, 0, 0, 0, nil
 	w.clockMs, w.clockAt, w.leaseUntil = 0, m.now, max(m.cfg.LeaseMs, workerLeaseMs)
 	w.lifetimeSeenAt = 0
-	w.failuresInRow, w.failedJobs, w.quarantinedUntil, w.quarantineMs, w.slowdown = 0, nil, 0, 0, 1
+	w.failuresInRow, w.failedJobs, w.quarantinedUntil, w.quarantineMs, w.slowdown, w.speed, w.slow = 0, nil, 0, 0, 1, speed.Meter{}, false
 	w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = 0, true, m.now
 }
 
@@ -274,6 +278,7 @@
 	}
 	r.listedAt, r.workerBorn, r.crash = m.now, r.worker.Born, nil
 	m.clearProven(r)
+	m.noteProgress(r, e.Percent)
 	if e.Percent != r.percent {
 		r.percent, r.advancedAt = e.Percent, m.now
 	}
