Add the setting workerSpeed

Cause: learning the speeds of workers is a change of placement that an operator must be able to switch off.

Measured: TestWorkerSpeedReachesOwner; go test ./node/site: ok.

--- a/node/site/settings.go
+++ b/node/site/settings.go
@@ -29,6 +29,7 @@
 	OrdersPerSec  float64 `json:"machineOrdersPerSec"` // orders to machines that the platform takes per second; 0 means the default.
 	LinkMbps      float64 `json:"linkMbps"`            // bandwidth of the network link, Mbit/s; 0 means that it is not known.
 	HelperWorkers int     `json:"helperWorkers"`       // workers per helper, an entry that makes calls for the owner; 0 means the default.
+	WorkerSpeed   bool    `json:"workerSpeed"`         // learn the speeds of workers from the progress of their tasks.
 	LogLevel      string  `json:"logLevel"`
 }
 
--- a/node/site/settings_test.go
+++ b/node/site/settings_test.go
@@ -55,6 +55,22 @@
 	}
 }
 
+// The owner must get the setting, and without it the speeds of workers are not learned.
+func TestWorkerSpeedReachesOwner(t *testing.T) {
+	for _, v := range []bool{false, true} {
+		t.Run(fmt.Sprint(v), func(t *testing.T) {
+			is := is.New(t)
+			s, err := parse(t, func(m map[string]any) {
+				if v {
+					m["workerSpeed"] = true
+				}
+			})
+			is.NoErr(err)
+			is.Equal(s.model().WorkerSpeed, v)
+		})
+	}
+}
+
 // An entry with a narrow link needs more helpers than one with a wide link: through a link of 2 Mbit/s, the starts of a few
 // hundred tasks take seconds, in which the leases of workers lapse.
 func TestHelpersByLink(t *testing.T) {
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -114,7 +114,7 @@
 
 // model returns the settings of the owner's model.
 func (s Settings) model() batch.Config {
-	return batch.Config{LeaseMs: s.LeaseMaxMs, StatusMs: s.StatusSecs * msPerSecond, OrderGapMs: s.DutyGapMs + dutyGapSlackMs, OrdersPerSec: s.OrdersPerSec}
+	return batch.Config{LeaseMs: s.LeaseMaxMs, StatusMs: s.StatusSecs * msPerSecond, OrderGapMs: s.DutyGapMs + dutyGapSlackMs, OrdersPerSec: s.OrdersPerSec, WorkerSpeed: s.WorkerSpeed}
 }
 
 // dutyGapSlackMs is added to the least time between orders of two owners to one machine, to allow for slow calls.
