Let a new owner start a limited team's tasks beside all that may run uncounted

Cause: a new owner started nothing of any limited team before it had read every worker of all pools.

Change: until all lists are read, the tasks of stored jobs that the former owner may have started count for their team, and a start must fit beside them. TestNewOwnerCountsFirst now has four such tasks, which makes it as strict as before, and a case in which the limit leaves room. TestTeamLimits and the mix 'teams' of TestChaos pass.

--- a/fleet/batch/limits.go
+++ b/fleet/batch/limits.go
@@ -20,6 +20,7 @@
 	*quota.Account
 	name      string
 	lasting   quota.Size // part of the use that lasting tasks hold.
+	uncounted quota.Size // bound of what a former owner's runs hold that are not known yet.
 	head      *stage     // the first step in service order that the limit keeps from starting; nil if there is none.
 	headSince int64
 	belowHalf int64 // since when less than half of the limit is in use; 0 while more is.
@@ -125,18 +126,58 @@
 }
 
 // updateRunsKnown sets whether all runs of a former owner are counted: the lists of every worker of all pools are read, or the time is
-// over in which its starts may still be carried out.
+// over in which its starts may still be carried out. Until then it counts what may run uncounted for each team.
 func (m *Model) updateRunsKnown() {
 	m.runsKnown = m.now >= m.blindUntil || len(m.limitedTeams) == 0
 	if m.runsKnown {
 		return
 	}
+	m.runsKnown = m.allRunsRead()
+	if !m.runsKnown && m.now-m.uncountedAt >= sweepIntervalMs {
+		m.uncountedAt = m.now
+		m.boundUncounted()
+	}
+}
+
+func (m *Model) allRunsRead() bool {
 	for n := range m.pools {
 		if !m.services[n].Standby && m.workersUnlisted(n) || m.workersUnread(n) {
-			return
+			return false
+		}
+	}
+	return !slices.ContainsFunc(m.workerList, func(w *worker) bool { return w.runsOfUnknownJobs > 0 && !w.dead })
+}
+
+// boundUncounted sets the most that runs of a former owner that are not known yet may hold of each team: the tasks of its stored jobs that
+// the former owner may have started. Waiting for every worker instead would leave all teams without starts for as long as one worker
+// is cut off. Runs of jobs that have ended are not included; they are being stopped.
+func (m *Model) boundUncounted() {
+	for _, u := range m.limitedTeams {
+		u.uncounted = quota.Size{}
+	}
+	for _, p := range m.pools {
+		for _, j := range p.openJobs {
+			if j.loaded && j.use.limited() {
+				j.addUncounted()
+			}
+		}
+	}
+}
+
+// addUncounted adds the tasks of the job that a former owner may have started and that are not known to run.
+func (j *job) addUncounted() {
+	for _, r := range j.rounds {
+		for _, s := range r.stages {
+			if s.noFormerRuns || s.tasksWaiting == 0 || !s.ready() {
+				continue
+			}
+			for _, t := range s.tasks {
+				if !t.done && !t.noFormerRuns && len(t.runs) == 0 {
+					j.use.uncounted = quota.Size(Size(j.use.uncounted).plus(s.Step.Size))
+				}
+			}
 		}
 	}
-	m.runsKnown = !slices.ContainsFunc(m.workerList, func(w *worker) bool { return w.runsOfUnknownJobs > 0 && !w.dead })
 }
 
 // teamAllows reports whether the limit of its team lets the next task of s start, or the whole gang, and no earlier step of the team waits
@@ -152,15 +193,22 @@
 	switch {
 	case u == nil, m.teamsKnown && !u.Limited():
 		return true
-	case !m.teamsKnown, !m.runsKnown:
+	case !m.teamsKnown:
 		return false
-	case !u.fits(s):
-		m.limitBlocks(u, s)
+	case !m.fitsLimit(u, s):
+		if m.runsKnown {
+			m.limitBlocks(u, s)
+		}
 		return false
 	}
 	return true
 }
 
+// fitsLimit reports whether the next task of s, or all of a gang, fits within the limit, also beside what may run uncounted.
+func (m *Model) fitsLimit(u *teamUse, s *stage) bool {
+	return u.fits(s) && (m.runsKnown || u.fitsBesideUncounted(s))
+}
+
 // teamAllowsCopy reports whether the limit lets a copy start. Copies do not compete with steps that the limit keeps waiting.
 func (m *Model) teamAllowsCopy(s *stage) bool {
 	u := s.job.use
@@ -182,6 +230,15 @@
 	return u.Fits(quota.Size(s.Step.Size))
 }
 
+// fitsBesideUncounted reports whether s fits beside all that may run without being counted.
+func (u *teamUse) fitsBesideUncounted(s *stage) bool {
+	n := 1
+	if s.Gang {
+		n = s.Count
+	}
+	return u.FitsTogetherBeside(quota.Size(s.Step.Size), n, quota.Size(Size(u.Used()).plus(Size(u.uncounted))))
+}
+
 // fitsOnceDrained reports whether s fits once all short tasks of its team have ended.
 func (u *teamUse) fitsOnceDrained(s *stage) bool {
 	n := 1
--- a/fleet/batch/limits_test.go
+++ b/fleet/batch/limits_test.go
@@ -275,18 +275,22 @@
 	is.True(play(2_000) > 0)
 }
 
-// takeOver returns a new owner, which may be blind for 13 s, with a waiting job of the limited team and one without a team. Only w0 has
-// been read; there, team a runs what the list says.
-func takeOver(running ...batch.ActiveRun) *batch.Model {
+func takeOver(running ...batch.ActiveRun) *batch.Model { return takeOverWith(2_000, running...) }
+
+// takeOverWith returns a new owner, which may be blind for 13 s, with a waiting job of the team a, which has the given limit, and one
+// without a team. The former owner may have started four tasks of the team. Only w0 has been read; there, team a runs what the list says.
+func takeOverWith(limit int64, running ...batch.ActiveRun) *batch.Model {
 	m := batch.New(batch.Config{Fence: 9, Now: 1000, UnixMs: 1_000_000, LeaseMs: 6000, OrderGapMs: 3500})
 	m.Update(1000, batch.ClaimMsg{Fresh: true, RenewedAt: 1000})
 	room := batch.Size{CPU: 8000, MemMB: 8000}
 	m.Update(1000, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}, {Name: "other"}}})
-	m.Update(1000, batch.TeamsMsg{Teams: []batch.Team{{Name: "a", Limit: batch.Size{CPU: 2_000}}}})
+	m.Update(1000, batch.TeamsMsg{Teams: []batch.Team{{Name: "a", Limit: batch.Size{CPU: limit}}}})
+	j := teamStep(9, "a", 4, 500) // only one of its tasks finds a worker.
+	j.Steps[0].PerWorker = 1
 	m.Update(1000, batch.WorkersMsg{All: true, Set: []batch.WorkerEntry{
 		{ID: "w0", Service: "s", Addr: "w0", Room: room, ClockMs: 5, Born: 1}, {ID: "w1", Service: "other", Addr: "w1", Room: room, ClockMs: 5, Born: 1},
 	}})
-	m.Update(1000, batch.LoadedMsg{BlindMs: 13_000, Jobs: []batch.StoredJob{{Job: teamStep(9, "a", 1, 500), SubmittedMs: 1_000_000}}})
+	m.Update(1000, batch.LoadedMsg{BlindMs: 13_000, Jobs: []batch.StoredJob{{Job: j, SubmittedMs: 1_000_000}}})
 	m.Update(1000, batch.MachinesMsg{Sent: 1000, List: []batch.Machine{
 		{Name: "m0", Pool: "s", State: batch.MachineUp, Room: room, Worker: "w0"}, {Name: "m1", Pool: "other", State: batch.MachineUp, Room: room, Worker: "w1"},
 	}})
@@ -336,6 +340,9 @@
 		is.Equal(jobsStarted(m, 1_050, 13_900), [2]int{0, 1})
 		is.Equal(jobsStarted(m, 14_050, 15_000)[0], 1) // the former owner's starts are over.
 	})
+	t.Run("a worker is not read, and the limit leaves room beside all that may run", func(t *testing.T) {
+		is.New(t).Equal(jobsStarted(takeOverWith(3_000), 1_050, 2_000), [2]int{1, 1})
+	})
 	t.Run("all are read", func(t *testing.T) {
 		is := is.New(t)
 		m := takeOver()
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -69,6 +69,7 @@
 	teamUses         map[string]*teamUse
 	limitedTeams     []*teamUse // by name
 	runsKnown        bool       // see updateRunsKnown.
+	uncountedAt      int64      // when what may run uncounted was last computed.
 	limitLogs        limitLogs
 	pools            map[string]*pool
 	workers          map[string]*worker
--- a/fleet/batch/teamwork.go
+++ b/fleet/batch/teamwork.go
@@ -101,7 +101,7 @@
 	m.updateRunsKnown()
 	for _, s := range l {
 		u := s.job.use
-		if !m.teamsKnown || !m.runsKnown || !u.fits(s.stage) {
+		if !m.teamsKnown || !m.fitsLimit(u, s.stage) {
 			continue
 		}
 		free := max(1-u.Share(u.Used()), u.share(s.Step)) // a task larger than the limit fits alone.
