Review: a late acceptance makes a new owner run a finished submission again

Cause: the record of an acceptance is written without a condition on the record, so that a late write restores it after the end.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,8 +15,8 @@
 // cases are the cases by number. A case returns what broke the rule.
 var cases = map[int]func(w *world, trouble bool) ([]string, error){}
 
-// maxCase is the longest time that a case may run.
-const maxCase = 115 * time.Second
+// maxCase is the longest time that a case may run, unless the case is played by hand with other figures.
+var maxCase = 115 * time.Second
 
 func main() { os.Exit(play()) }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -42,8 +42,10 @@
 	lastID  int64
 	changed chan struct{}
 
-	// hold, if not nil, is asked about each transaction. It returns how long the answer is lost and the change held back: 0 for neither.
-	hold func(put []storeItem) time.Duration
+	// late, if not nil, is asked about each transaction. If it returns more than 0, the transaction is not answered and is made after that
+	// time. It is set before the entries start.
+	late     func(put []storeItem) time.Duration
+	lateDone func(put []storeItem, status int)
 }
 
 func newStore() *store {
@@ -259,10 +261,13 @@
 			return
 		}
 	}
-	if s.hold != nil {
-		if d := s.hold(b.Put); d > 0 {
-			// The answer is lost, and the change is made later, if its condition still holds.
-			time.AfterFunc(d, func() { s.commit(b) })
+	if s.late != nil {
+		if d := s.late(b.Put); d > 0 {
+			time.AfterFunc(d, func() {
+				status, _ := s.commit(b)
+				s.lateDone(b.Put, status)
+			})
+			<-r.Context().Done() // the channel returns nothing further.
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -76,10 +76,17 @@
 }
 
 func (w *world) addWorker(service string, n int, room size) (*worker, error) {
-	x := &worker{
-		w: w, id: fmt.Sprintf("i-%s-%02d", service, n), machine: fmt.Sprintf("m-%s-%02d", service, n), service: service,
-		zone: w.zones[n%len(w.zones)], rack: fmt.Sprintf("r%d-%d", n%len(w.zones)+1, n/4+1), room: room,
+	k := &machine{
+		name: fmt.Sprintf("m-%s-%02d", service, n), pool: service, state: "up", zone: w.zones[n%len(w.zones)],
+		rack: fmt.Sprintf("r%d-%d", n%len(w.zones)+1, n/4+1), room: room,
 	}
+	w.fleet = append(w.fleet, k)
+	return k.boot(w, fmt.Sprintf("i-%s-%02d", service, n))
+}
+
+// boot starts an executor on the machine.
+func (k *machine) boot(w *world, id string) (*worker, error) {
+	x := &worker{w: w, id: id, machine: k.name, service: k.pool, zone: k.zone, rack: k.rack, room: k.room}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -89,7 +96,7 @@
 	x.server = &http.Server{Handler: x}
 	go func() { _ = x.server.Serve(l) }()
 	go x.beat()
-	w.workers = append(w.workers, x)
+	k.worker = x
 	return x, nil
 }
 
@@ -114,8 +121,8 @@
 			"service": x.service, "address": x.addr, "zone": x.zone, "version": "v1", "slots": 8, "state": "ready", "warmup_left_ms": 0,
 			"capacity": x.room, "labels": []string{"a", x.rack}, "clock_ms": x.clock(), "sequence": x.sequence, "born": x.born.UnixMilli(),
 		}
-		x.mu.Unlock()
 		x.w.store.put("servers/"+x.id, v)
+		x.mu.Unlock()
 		time.Sleep(heartbeatMs * time.Millisecond)
 	}
 }
@@ -306,20 +313,15 @@
 	_ = x.server.Close()
 }
 
-// machines serves the list of machines. All of them are up, and no order to them is needed in these cases.
-func (w *world) machines(rw http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet {
-		w.rec.add("machines", "%s refused as busy", r.URL.Path)
-		answer(rw, http.StatusConflict, map[string]string{"reason": "busy"})
-		return
-	}
-	l := []map[string]any{}
-	for _, x := range w.workers {
-		l = append(l, map[string]any{
-			"machine": x.machine, "pool": x.service, "state": "up", "zone": x.zone, "labels": []string{"a", x.rack}, "capacity": x.room, "id": x.id,
-		})
+// leave ends the executor with all that runs on it, and removes its entry.
+func (x *worker) leave() {
+	x.close()
+	x.mu.Lock()
+	for _, u := range x.runs {
+		x.endRun(u, "ended with its executor")
 	}
-	answer(rw, http.StatusOK, map[string]any{"machines": l, "next_token": nil})
+	x.mu.Unlock()
+	x.w.store.remove("servers/" + x.id)
 }
 
 // indexOf returns the index of a work item in its step, and 0 if its name cannot be read.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -24,7 +24,8 @@
 	checker *checker
 	store   *store
 	zones   []string
-	workers []*worker
+	fleetMu sync.Mutex
+	fleet   []*machine
 	entries []*entry
 	plan    func(task, spec string) taskPlan
 	dir     string // for settings and logs.
@@ -36,6 +37,7 @@
 	services                []map[string]any
 	version                 int64
 	host                    string
+	statusS                 int // how long the state of an ended submission must be readable, s.
 }
 
 // entry is one process of the system.
@@ -49,7 +51,7 @@
 }
 
 func newWorld(dir, bin, tmpl string, rec *record) (*world, error) {
-	w := &world{rec: rec, checker: newChecker(rec), store: newStore(), zones: []string{"nbi-a", "nbi-b", "nbi-c"}, dir: dir, bin: bin, tmpl: tmpl, host: "pule25.example"}
+	w := &world{rec: rec, checker: newChecker(rec), store: newStore(), zones: []string{"nbi-a", "nbi-b", "nbi-c"}, dir: dir, bin: bin, tmpl: tmpl, host: "pule25.example", statusS: 120}
 	var err error
 	if w.storeAddr, err = serve(w.store); err != nil {
 		return nil, err
@@ -111,7 +113,7 @@
 	ip, port, _ := net.SplitHostPort(e.peer)
 	f := map[string]any{
 		"node_name": e.name, "zone": e.zone, "listen_addrs.front": e.front, "listen_addrs.ready": e.ready, "ip": ip, "internal_port_range.0": json.Number(port),
-		"platform.address": w.storeAddr, "cloud_api.address": w.machinesAddr, "advice": "", "bounds.hold_max_ms": holdMaxMs, "bounds.status_s": 120,
+		"platform.address": w.storeAddr, "cloud_api.address": w.machinesAddr, "advice": "", "bounds.hold_max_ms": holdMaxMs, "bounds.status_s": w.statusS,
 		"bounds.lease_ms": 3000, "cloud_api.duty_per_s": 64, "bounds.grace_s": 6, "limits.cpu_share": 0.4, "limits.memory_mb": 284, "limits.link_mbps": 1000,
 	}
 	unknown := ""
@@ -173,13 +175,25 @@
 	_ = e.cmd.Process.Signal(s)
 }
 
-// kill kills the process and starts it again after d.
+// killAndRestart kills the process and starts it again after d.
 func (e *entry) killAndRestart(d time.Duration) {
 	e.signal(syscall.SIGKILL)
 	<-e.exited
 	time.AfterFunc(d, func() { _ = e.start() })
 }
 
+// stop stops the process by SIGTERM, kills it if it has not ended after grace_s, and starts it again after d.
+func (e *entry) stop(d time.Duration) {
+	e.signal(syscall.SIGTERM)
+	select {
+	case <-e.exited:
+	case <-time.After(6 * time.Second):
+		e.signal(syscall.SIGKILL)
+		<-e.exited
+	}
+	time.AfterFunc(d, func() { _ = e.start() })
+}
+
 // close ends all processes that the world started.
 func (w *world) close() {
 	for _, e := range w.entries {
@@ -192,8 +206,12 @@
 		}
 		e.mu.Unlock()
 	}
-	for _, x := range w.workers {
-		x.close()
+	w.fleetMu.Lock()
+	defer w.fleetMu.Unlock()
+	for _, k := range w.fleet {
+		if k.worker != nil {
+			k.worker.close()
+		}
 	}
 }
 
