Review: an owner without a claim runs again what its successor runs

Cause: after a takeover an owner takes what it has not seen for ended at a fixed time, also when its claim has lapsed meanwhile and a successor extends the leases. Each entry gets paths of its own to the store and to executors.

--- a/review/standin/case_late.go
+++ b/review/standin/case_late.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases[4] = lateAcceptance }
+func init() { cases[5] = lateAcceptance }
 
 // lateAcceptance has the store lose the answers of some writes and make them 1 to 6 s later, while submissions are handed in that are done
 // soon. The owner is stopped by SIGTERM once the records of their ends are no longer kept.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -109,6 +109,22 @@
 	s.notify()
 }
 
+// lapse ends all leases, and removes the entries of the executors.
+func (s *store) lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+	s.rev++
+	for k := range s.items {
+		if strings.HasPrefix(k, "servers/") {
+			s.apply(k, nil, 0, true)
+		}
+	}
+	s.notify()
+}
+
 // put writes a key on behalf of the operator or an executor.
 func (s *store) put(key string, v any) {
 	b, _ := json.Marshal(v)
@@ -135,15 +151,26 @@
 	return s.items[key].Value
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	p := strings.TrimPrefix(r.URL.Path, "/burdockreach/")
+// storeView is the store as one entry sees it.
+type storeView struct {
+	*store
+	silent  func() bool                 // reports whether the entry gets no answers.
+	rewrite func(i storeItem) storeItem // changes an item that the entry reads.
+}
+
+// ServeHTTP answers a call, or leaves it without an answer while the store is silent for the entry.
+func (v storeView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if v.silent() {
+		hang(r)
+	}
+	s, p := v.store, strings.TrimPrefix(r.URL.Path, "/burdockreach/")
 	switch {
 	case p == "kv-key":
-		s.get(w, r)
+		s.get(w, r, v)
 	case p == "kv-range":
-		s.list(w, r)
+		s.list(w, r, v)
 	case p == "kv-watch":
-		s.watch(w, r)
+		s.watch(w, r, v)
 	case p == "kv-txn":
 		s.txn(w, r)
 	case p == "kv-lease":
@@ -177,7 +204,13 @@
 	_, _ = w.Write(b)
 }
 
-func (s *store) get(w http.ResponseWriter, r *http.Request) {
+// hang leaves a request without an answer, until its sender gives it up.
+func hang(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+func (s *store) get(w http.ResponseWriter, r *http.Request, v storeView) {
 	s.mu.Lock()
 	i, ok := s.items[r.URL.Query().Get("key")]
 	s.mu.Unlock()
@@ -185,17 +218,17 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	answer(w, http.StatusOK, i)
+	answer(w, http.StatusOK, v.rewrite(i))
 }
 
-func (s *store) list(w http.ResponseWriter, r *http.Request) {
+func (s *store) list(w http.ResponseWriter, r *http.Request, v storeView) {
 	q := r.URL.Query()
 	prefix, after := q.Get("prefix"), q.Get("after")
 	s.mu.Lock()
 	l := []storeItem{}
 	for k, i := range s.items {
 		if strings.HasPrefix(k, prefix) && k > after {
-			l = append(l, i)
+			l = append(l, v.rewrite(i))
 		}
 	}
 	rev := s.rev
@@ -209,7 +242,7 @@
 	answer(w, http.StatusOK, map[string]any{"items": l[:n], "has_more": n < len(l), "current_rev": rev})
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request, v storeView) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	waitMs, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
@@ -219,11 +252,14 @@
 		events := []storeItem{}
 		for n := len(s.history) - 1; n >= 0 && s.history[n].Revision > after; n-- {
 			if strings.HasPrefix(s.history[n].Key, q.Get("prefix")) {
-				events = append(events, s.history[n])
+				events = append(events, v.rewrite(s.history[n]))
 			}
 		}
 		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
+		if v.silent() {
+			hang(r)
+		}
 		if len(events) > 0 {
 			sort.SliceStable(events, func(a, b int) bool { return events[a].Revision < events[b].Revision })
 			answer(w, http.StatusOK, map[string]any{"events": events, "current_rev": rev})
@@ -267,8 +303,7 @@
 				status, _ := s.commit(b)
 				s.lateDone(b.Put, status)
 			})
-			<-r.Context().Done() // the channel returns nothing further.
-			panic(http.ErrAbortHandler)
+			hang(r) // the channel returns nothing further.
 		}
 	}
 	status, body := s.commit(b)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -56,7 +56,7 @@
 	rack    string
 	addr    string
 	room    size
-	server  *http.Server
+	servers []*http.Server
 
 	mu       sync.Mutex
 	born     time.Time
@@ -87,14 +87,20 @@
 // boot starts an executor on the machine.
 func (k *machine) boot(w *world, id string) (*worker, error) {
 	x := &worker{w: w, id: id, machine: k.name, service: k.pool, zone: k.zone, rack: k.rack, room: k.room}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	x.addr = l.Addr().String()
 	x.begin()
-	x.server = &http.Server{Handler: x}
-	go func() { _ = x.server.Serve(l) }()
+	addrs := make([]string, maxEntries)
+	for n := range addrs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		addrs[n] = l.Addr().String()
+		s := &http.Server{Handler: path{worker: x, entry: n}}
+		x.servers = append(x.servers, s)
+		go func() { _ = s.Serve(l) }()
+	}
+	x.addr = addrs[0]
+	w.paths.Store(id, addrs)
 	go x.beat()
 	k.worker = x
 	return x, nil
@@ -108,9 +114,18 @@
 
 func (x *worker) clock() int64 { return time.Since(x.born).Milliseconds() }
 
-// beat writes the executor's entry until the executor is closed.
+// beat writes the executor's entry until the executor is closed, while it reaches the store.
 func (x *worker) beat() {
 	for {
+		for lost := false; ; lost = true {
+			if !x.w.storeDown.Load() && !x.w.isCut(x.zone) {
+				if lost && x.w.returnAfter != nil {
+					time.Sleep(x.w.returnAfter(x))
+				}
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
 		x.mu.Lock()
 		if x.closed {
 			x.mu.Unlock()
@@ -127,7 +142,23 @@
 	}
 }
 
-func (x *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// maxEntries is the largest number of entries of a case.
+const maxEntries = 4
+
+// path is the way of one entry to an executor.
+type path struct {
+	*worker
+	entry int
+}
+
+func (p path) open() bool { return p.w.reaches(p.w.entries[p.entry].zone, p.zone) }
+
+// ServeHTTP carries out an order, or leaves it without an answer while the path is cut.
+func (p path) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !p.open() {
+		hang(r)
+	}
+	x := p.worker
 	if i := r.Header.Get("X-Burdockreach-Expect-Instance"); i != "" && i != x.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -175,7 +206,7 @@
 		x.mu.Unlock()
 		answer(w, http.StatusOK, v)
 	case "hold":
-		x.hold(w, r, b.UntilMs, b.LastSeen, b.WaitMs) // unlocks
+		x.hold(w, r, p, b.UntilMs, b.LastSeen, b.WaitMs) // unlocks
 	case "pace":
 		v := map[string]any{"clock_ms": x.clock()}
 		x.mu.Unlock()
@@ -263,7 +294,7 @@
 }
 
 // hold answers with both lists. The caller holds the lock, which hold releases.
-func (x *worker) hold(w http.ResponseWriter, r *http.Request, until, lastSeen, waitMs int64) {
+func (x *worker) hold(w http.ResponseWriter, r *http.Request, p path, until, lastSeen, waitMs int64) {
 	if until > 0 {
 		x.extend(until)
 	}
@@ -300,6 +331,9 @@
 	v := map[string]any{"clock_ms": x.clock(), "born": x.born.UnixMilli(), "running": running, "ended": ends}
 	n := len(x.ends)
 	x.mu.Unlock()
+	if !p.open() {
+		hang(r)
+	}
 	if n > maxEndRows {
 		x.w.rec.add(x.id, "lists %d of %d ends", maxEndRows, n)
 	}
@@ -310,7 +344,9 @@
 	x.mu.Lock()
 	x.closed = true
 	x.mu.Unlock()
-	_ = x.server.Close()
+	for _, s := range x.servers {
+		_ = s.Close()
+	}
 }
 
 // leave ends the executor with all that runs on it, and removes its entry.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,6 +27,7 @@
 	checker *checker
 	store   *store
 	zones   []string
+	paths   sync.Map // by the id of an executor: its addresses, one for each entry.
 	fleetMu sync.Mutex
 	fleet   []*machine
 	entries []*entry
@@ -32,18 +36,23 @@
 	bin     string
 	tmpl    string
 
-	storeAddr, machinesAddr string
-	routes                  []map[string]any
-	services                []map[string]any
-	version                 int64
-	host                    string
-	statusS                 int // how long the state of an ended submission must be readable, s.
+	machinesAddr string
+	routes       []map[string]any
+	services     []map[string]any
+	version      int64
+	host         string
+	storeDown    atomic.Bool
+	cutZone      atomic.Pointer[string]        // zone that is partitioned from the store and from the other zones; nil for none.
+	returnAfter  func(x *worker) time.Duration // how long after the store's return an executor's entry is back; nil for at once.
+	statusS      int                           // how long the state of an ended submission must be readable, s.
 }
 
 // entry is one process of the system.
 type entry struct {
 	w                         *world
 	name, zone                string
+	index                     int
+	storeAddr                 string // the store, as this entry sees it.
 	front, ready, peer, stats string
 	mu                        sync.Mutex
 	cmd                       *exec.Cmd
@@ -53,13 +62,33 @@
 func newWorld(dir, bin, tmpl string, rec *record) (*world, error) {
 	w := &world{rec: rec, checker: newChecker(rec), store: newStore(), zones: []string{"nbi-a", "nbi-b", "nbi-c"}, dir: dir, bin: bin, tmpl: tmpl, host: "pule25.example", statusS: 120}
 	var err error
-	if w.storeAddr, err = serve(w.store); err != nil {
-		return nil, err
-	}
 	w.machinesAddr, err = serve(http.HandlerFunc(w.machines))
 	return w, err
 }
 
+// isCut reports whether a zone is partitioned from the store and from the other zones.
+func (w *world) isCut(zone string) bool {
+	z := w.cutZone.Load()
+	return z != nil && *z == zone
+}
+
+// reaches reports whether an entry reaches an executor.
+func (w *world) reaches(e, executor string) bool {
+	return e == executor || !w.isCut(e) && !w.isCut(executor)
+}
+
+// rewriteFor gives each entry an address of its own for each executor, so that single paths can be cut.
+func (w *world) rewriteFor(n int) func(storeItem) storeItem {
+	return func(i storeItem) storeItem {
+		id, ok := strings.CutPrefix(i.Key, "servers/")
+		if a, known := w.paths.Load(id); ok && known && !i.Deleted {
+			l := a.([]string)
+			i.Value = bytes.Replace(i.Value, []byte(`"`+l[0]+`"`), []byte(`"`+l[n]+`"`), 1)
+		}
+		return i
+	}
+}
+
 func serve(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -69,14 +98,15 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddr returns a loopback address with a free port.
+// freeAddr returns a loopback address with a free port, below the range from which the system takes the ports of its own choice.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		a := net.JoinHostPort("127.0.0.1", strconv.Itoa(20_000+rand.IntN(12_000)))
+		if l, err := net.Listen("tcp", a); err == nil {
+			return a, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port was found")
 }
 
 // addRoute adds a queue to the configuration, which configure writes.
@@ -98,10 +128,14 @@
 
 // addEntry writes the settings of an entry from the template of the deploy file, and starts it.
 func (w *world) addEntry(n int) (*entry, error) {
-	e := &entry{w: w, zone: w.zones[n%len(w.zones)]}
+	e := &entry{w: w, zone: w.zones[n%len(w.zones)], index: n}
+	var err error
+	e.storeAddr, err = serve(storeView{store: w.store, silent: func() bool { return w.storeDown.Load() || w.isCut(e.zone) }, rewrite: w.rewriteFor(n)})
+	if err != nil {
+		return nil, err
+	}
 	e.name = fmt.Sprintf("front-%s-%d", e.zone, n/len(w.zones)+1)
 	for _, a := range []*string{&e.front, &e.ready, &e.peer, &e.stats} {
-		var err error
 		if *a, err = freeAddr(); err != nil {
 			return nil, err
 		}
@@ -113,7 +147,7 @@
 	ip, port, _ := net.SplitHostPort(e.peer)
 	f := map[string]any{
 		"node_name": e.name, "zone": e.zone, "listen_addrs.front": e.front, "listen_addrs.ready": e.ready, "ip": ip, "internal_port_range.0": json.Number(port),
-		"platform.address": w.storeAddr, "cloud_api.address": w.machinesAddr, "advice": "", "bounds.hold_max_ms": holdMaxMs, "bounds.status_s": w.statusS,
+		"platform.address": e.storeAddr, "cloud_api.address": w.machinesAddr, "advice": "", "bounds.hold_max_ms": holdMaxMs, "bounds.status_s": w.statusS,
 		"bounds.lease_ms": 3000, "cloud_api.duty_per_s": 64, "bounds.grace_s": 6, "limits.cpu_share": 0.4, "limits.memory_mb": 284, "limits.link_mbps": 1000,
 	}
 	unknown := ""
