--- a/review/standin/case_ends.go
+++ b/review/standin/case_ends.go
@@ -41,7 +41,7 @@
 	if err := w.awaitReady(15 * time.Second); err != nil {
 		return nil, err
 	}
-	o, err := w.awaitOwner(nil, 10*time.Second)
+	o, err := w.awaitOwner("", 10*time.Second)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/case_handover.go
+++ b/review/standin/case_handover.go
@@ -32,7 +32,7 @@
 	if err := w.awaitReady(15 * time.Second); err != nil {
 		return nil, err
 	}
-	first, err := w.awaitOwner(nil, 10*time.Second)
+	first, err := w.awaitOwner("", 10*time.Second)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -65,7 +65,8 @@
 		done <- result{l, err}
 	}()
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a closed pipe must not leave processes behind.
 	select {
 	case r := <-done:
 		if r.err != nil {
