Keep the progress that a former owner stored by a clock ahead

Cause: a job's time of submission is stored as the accepting owner's time of day. loadJob opened the rounds that are due by this owner's clock and restored progress into those only. A submission in this owner's future had no round, so what was done, failed and saved was dropped; the round opened later and began anew. The ends that workers still listed were acknowledged without a look, as their tasks were not known.

Change: a time of submission in the future counts as now. The record decides which occurrences of a repeated job are open, and a worker's list that names an occurrence opens it. Tasks of an occurrence that is not due by this owner's clock wait until it is.

--- /dev/null
+++ b/fleet/batch/clock_test.go
@@ -0,0 +1,91 @@
+package batch_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/fleet/batch"
+)
+
+// fourTaskJob returns a job of one step with four tasks.
+func fourTaskJob() batch.Job {
+	j := plainJob(1)
+	j.Steps = []batch.Step{{Count: 4, Size: batch.Size{CPU: 1000}, EstimateMs: 600}}
+	return j
+}
+
+// startedTasks returns the run number of each task that the owner has started, by task.
+func startedTasks(b *harness) map[batch.TaskName]int {
+	l := map[batch.TaskName]int{}
+	for _, s := range b.starts {
+		l[s.Task] = s.Run
+	}
+	return l
+}
+
+// ordered lets ms milliseconds pass in which no call is answered, and returns the tasks that the owner starts or stops.
+func ordered(b *harness, ms int64) []batch.TaskName {
+	var l []batch.TaskName
+	for end := b.now + ms; b.now < end; b.now += 10 {
+		for _, c := range b.Commands(b.now) {
+			switch k := c.(type) {
+			case batch.StartCmd:
+				l = append(l, k.Task)
+			case batch.StopCmd:
+				l = append(l, k.Task)
+			}
+		}
+	}
+	return l
+}
+
+// A former owner whose clock was ahead stores submissions that lie in its successor's future. The successor must not drop their progress
+// and start again what is done.
+func TestSuccessorWithEarlierClock(t *testing.T) {
+	j := fourTaskJob()
+	load := func(aheadMs int64) *harness {
+		return newHarnessWith(batch.LoadedMsg{
+			Jobs: []batch.StoredJob{{Job: j, SubmittedMs: 1_000_000 + aheadMs}},
+			Runs: []batch.StoredRun{{ID: j.ID, Rev: 7, Done: map[string]string{"0.0": "1100"}, Last: map[string]int{"0.0.2": 3}}},
+		}, "w1")
+	}
+	for _, c := range []struct {
+		name    string
+		aheadMs int64
+	}{{"the same time", 0}, {"2 s ahead", 2_000}, {"an hour ahead", 3_600_000}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := load(c.aheadMs)
+			is.New(t).Equal(startedTasks(b), map[batch.TaskName]int{{Job: j.ID, Index: 2}: 4, {Job: j.ID, Index: 3}: 1})
+		})
+	}
+}
+
+// The occurrences of a repeated job that a former owner has opened are kept, although they are not due yet by the successor's clock. Their
+// waiting tasks start once they are due.
+func TestSuccessorKeepsOccurrencesAheadOfItsClock(t *testing.T) {
+	j := fourTaskJob()
+	j.Rounds, j.FirstMs, j.EveryMs = 3, 1_000_000, 2_000
+	done := batch.StoredRun{ID: j.ID, Rev: 7, Rounds: []int{0}, Done: map[string]string{"1.0": "1100"}}
+	jobs := []batch.StoredJob{{Job: j, SubmittedMs: 999_000}}
+	t.Run("by the record", func(t *testing.T) {
+		is := is.New(t)
+		b := newHarnessWith(batch.LoadedMsg{Jobs: jobs, Runs: []batch.StoredRun{done}}, "w1")
+		is.Equal(len(b.starts), 0) // the second occurrence is due 2 s after the takeover.
+		b.advance(2_000)
+		is.Equal(startedTasks(b), map[batch.TaskName]int{{Job: j.ID, Round: 1, Index: 2}: 1, {Job: j.ID, Round: 1, Index: 3}: 1})
+	})
+	t.Run("by a worker's list", func(t *testing.T) {
+		is := is.New(t)
+		b := newUnreadHarness("w1")
+		b.Update(b.now, batch.LoadedMsg{Jobs: jobs, Runs: []batch.StoredRun{{ID: j.ID, Rev: 7, Rounds: []int{0}}}})
+		b.Commands(b.now)
+		task := func(index int) batch.TaskName { return batch.TaskName{Job: j.ID, Round: 1, Index: index} }
+		b.listRuns("w1", []batch.ActiveRun{{Task: task(1), Run: 1, Percent: 10}}, batch.EndedRun{Number: 1, Task: task(0), Run: 1, Reason: batch.EndDone})
+		is.Equal(len(ordered(b, 1_900)), 0)
+		l := ordered(b, 300)
+		is.Equal(len(l), 2)
+		is.Equal(l[0], batch.TaskName{Job: j.ID, Round: 1, Index: 2})
+		is.Equal(l[1], batch.TaskName{Job: j.ID, Round: 1, Index: 3})
+	})
+}
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -90,6 +90,9 @@
 			continue
 		}
 		for _, r := range j.rounds {
+			if r.dueAt > m.now {
+				continue // a former owner whose clock was ahead has opened it.
+			}
 			for _, s := range r.stages {
 				if s.tasksLeft == 0 {
 					continue
--- a/fleet/batch/records.go
+++ b/fleet/batch/records.go
@@ -3,7 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"iter"
+	"maps"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 // Prefixes of the keys in the store.
@@ -145,7 +149,8 @@
 }
 
 func (m *Model) loadJob(s StoredJob, r StoredRun) {
-	j := &job{Job: s.Job, phase: open, loaded: true, submittedAt: s.SubmittedMs - m.wallOffset, rev: r.Rev, formerCopies: r.Copied}
+	submittedAt := min(s.SubmittedMs-m.wallOffset, m.now) // the former owner's clock may have been ahead.
+	j := &job{Job: s.Job, phase: open, loaded: true, submittedAt: submittedAt, rev: r.Rev, formerCopies: r.Copied}
 	if r.Copied {
 		j.copiesVersion = 1
 		j.version, j.storedVersion = 1, 1
@@ -154,7 +159,21 @@
 	j.dueAt = j.submittedAt + m.objectiveMs(j)
 	m.jobs[j.ID] = j
 	m.pool(j.Service).openJobs[j.ID] = j
-	m.openRounds()
+	m.restoreRounds(j, r)
+	j.started = r.Rev > 0
+	m.checkDone(j)
+	if j.phase == ended {
+		m.markChanged(j)
+	}
+}
+
+// restoreRounds opens the rounds of j that are due, and those that the record shows as opened: the former owner's clock may have been
+// ahead. It restores their progress.
+func (m *Model) restoreRounds(j *job, r StoredRun) {
+	opened := r.openedRounds()
+	for j.nextRound < j.roundCount() && (j.nextRound < opened || m.roundDue(j) <= m.now) && j.hasRoomForRound() {
+		m.openRound(j)
+	}
 	for _, o := range j.rounds {
 		if slices.Contains(r.Rounds, o.number) {
 			o.markDone()
@@ -166,11 +185,26 @@
 			o.stagesLeft = 0
 		}
 	}
-	j.started = r.Rev > 0
-	m.checkDone(j)
-	if j.phase == ended {
-		m.markChanged(j)
+}
+
+// openedRounds returns the number of rounds that had been opened for certain when the record was written.
+func (r StoredRun) openedRounds() int {
+	last := -1
+	for _, n := range r.Rounds {
+		last = max(last, n)
+	}
+	named := func(key string) {
+		number, _, _ := strings.Cut(key, ".")
+		if n, err := strconv.Atoi(number); err == nil {
+			last = max(last, n)
+		}
+	}
+	for _, l := range []iter.Seq[string]{maps.Keys(r.Done), maps.Keys(r.Failed), maps.Keys(r.Saved), maps.Keys(r.Last), maps.Keys(r.Crashes)} {
+		for key := range l {
+			named(key)
+		}
 	}
+	return last + 1
 }
 
 func (r *round) markDone() {
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -204,24 +204,48 @@
 func (m *Model) openRounds() {
 	for _, p := range m.pools {
 		for _, j := range p.openJobs {
-			for j.phase == open && j.nextRound < max(j.Rounds, 1) && m.roundDue(j) <= m.now && j.hasRoomForRound() {
-				m.setExpectedTimes(j.addRound(j.nextRound, m.roundDue(j)))
-				j.nextRound++
-				p.dirty = true
+			for j.phase == open && j.nextRound < j.roundCount() && m.roundDue(j) <= m.now && j.hasRoomForRound() {
+				m.openRound(j)
 			}
 		}
 	}
 }
 
+// openRound opens the next round of j.
+func (m *Model) openRound(j *job) *round {
+	r := j.addRound(j.nextRound, m.roundDue(j))
+	m.setExpectedTimes(r)
+	j.nextRound++
+	m.pool(j.Service).dirty = true
+	return r
+}
+
+// listedTask returns the task that a worker's list names, or nil if there is none. A former owner may have opened rounds that are not due
+// yet by this owner's clock, or for which this owner has no room because it does not know all ends yet; they are opened now.
+func (m *Model) listedTask(n TaskName) *task {
+	if j := m.jobs[n.Job]; j != nil && j.loaded && j.phase == open {
+		for j.nextRound <= n.Round && j.nextRound < j.roundCount() && j.openTasks() <= maxJobTasks {
+			m.openRound(j)
+		}
+	}
+	return m.task(n)
+}
+
+// roundCount returns the number of rounds of the job.
+func (j *Job) roundCount() int { return max(j.Rounds, 1) }
+
 // hasRoomForRound reports whether another round leaves the job's open rounds within maxJobTasks.
-func (j *job) hasRoomForRound() bool {
-	n := j.tasks()
+func (j *job) hasRoomForRound() bool { return j.openTasks()+j.tasks() <= maxJobTasks }
+
+// openTasks returns the number of tasks of the rounds that are open and not done.
+func (j *job) openTasks() int {
+	n := 0
 	for _, r := range j.rounds {
 		if r.stagesLeft > 0 {
 			n += j.tasks()
 		}
 	}
-	return n <= maxJobTasks
+	return n
 }
 
 // setExpectedTimes sets the expected run times of the stages of a round.
@@ -384,7 +408,7 @@
 }
 
 func (m *Model) checkDone(j *job) {
-	if j.nextRound < max(j.Rounds, 1) || slices.ContainsFunc(j.rounds, func(r *round) bool { return r.stagesLeft > 0 }) {
+	if j.nextRound < j.roundCount() || slices.ContainsFunc(j.rounds, func(r *round) bool { return r.stagesLeft > 0 }) {
 		return
 	}
 	m.endJob(j, StateCompleted)
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -193,7 +193,7 @@
 			continue
 		}
 		w.lastEnd = e.Number
-		t := m.task(e.Task)
+		t := m.listedTask(e.Task)
 		if t == nil {
 			continue
 		}
@@ -231,7 +231,7 @@
 	unknown, ofUnknownJobs := 0, 0
 	var strays []strayRun
 	for _, e := range g.Running {
-		t := m.task(e.Task)
+		t := m.listedTask(e.Task)
 		var r *run
 		if t != nil {
 			r = t.findRun(e.Run)
