Let an owner without its claim keep waiting for unread workers

Cause: the tasks of a former owner wait for unread workers until blindUntil. That time assumes that nobody extends the leases of these workers any more, which is known only to an owner that holds its claim all the while. It was compared with the clock alone, in placement, polls, limits, copies and upkeep.

Change: Model.blind compares it with the time until which this owner certainly was the only one, as leaseExpired does for its own runs.

Evidence: TestSuccessorWithoutClaimWaits fails without the change (4 starts for 0). The other tests of takeovers now renew the claim before they expect starts at the end of the wait; they check the same counts as before.

--- a/fleet/batch/copies.go
+++ b/fleet/batch/copies.go
@@ -15,7 +15,7 @@
 func (m *Model) copySlowRuns() {
 	for _, n := range sortedKeys(m.pools) {
 		p := m.pools[n]
-		if m.now < m.blindUntil || m.now-p.demand.lastWaitingAt < quietAfterMs {
+		if m.blind() || m.now-p.demand.lastWaitingAt < quietAfterMs {
 			continue
 		}
 		for _, w := range p.workers {
--- a/fleet/batch/limits.go
+++ b/fleet/batch/limits.go
@@ -128,7 +128,7 @@
 // updateRunsKnown sets whether all runs of a former owner are counted: the lists of every worker of all pools are read, or the time is
 // over in which its starts may still be carried out. Until then it counts what may run uncounted for each team.
 func (m *Model) updateRunsKnown() {
-	m.runsKnown = m.now >= m.blindUntil || len(m.limitedTeams) == 0
+	m.runsKnown = !m.blind() || len(m.limitedTeams) == 0
 	if m.runsKnown {
 		return
 	}
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -299,7 +299,7 @@
 	gap := int64(listIdleIntervalMs)
 	if m.lostSinceList() {
 		gap = listLostIntervalMs
-	} else if m.ordersPending() || m.hasLostRuns() || m.now < m.blindUntil && m.mayWaitForUnlisted() {
+	} else if m.ordersPending() || m.hasLostRuns() || m.blind() && m.mayWaitForUnlisted() {
 		gap = listBusyIntervalMs
 	}
 	if d.listAskedAt != 0 && m.now-d.listAskedAt > orderTimeoutMs {
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -57,7 +57,7 @@
 	now            int64
 	wallOffset     int64 // Unix time minus the steady clock, ms.
 	loaded         bool
-	blindUntil     int64 // until then, unreachable workers may run what a former owner started.
+	blindUntil     int64 // until then, unreachable workers may run what a former owner started; see blind.
 	claimFresh     bool  // this owner certainly holds its claim.
 	soleOwnerUntil int64 // until then this was the only owner, so no other one can have extended a lease.
 	deferred       []Msg // messages to handle once the former owner's records are loaded.
@@ -208,6 +208,10 @@
 	return min(max(m.nextPollAt-m.now, 1), sweepIntervalMs)
 }
 
+// blind reports whether workers that this owner has not read may still run what a former owner started. The wait is over only for an
+// owner that held the claim all the while: otherwise a successor may have taken these runs over and extended their leases.
+func (m *Model) blind() bool { return m.soleOwnerUntil < m.blindUntil }
+
 func (m *Model) emit(c Cmd) { m.cmds = append(m.cmds, c) }
 
 func (m *Model) log(event, job string, fields ...any) {
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -183,7 +183,7 @@
 // waitsForFormer reports whether a former owner may have started tasks of s at a worker whose lists have not been read
 // yet.
 func (m *Model) waitsForFormer(s *stage) bool {
-	return s.job.loaded && !s.noFormerRuns && m.now < m.blindUntil && (m.workersUnlisted(s.job.Service) || m.workersUnread(s.job.Service))
+	return s.job.loaded && !s.noFormerRuns && m.blind() && (m.workersUnlisted(s.job.Service) || m.workersUnread(s.job.Service))
 }
 
 // workersUnlisted reports whether a machine of the pool may have a worker that is not listed. A worker's entry lapses
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -63,7 +63,7 @@
 		if w.synced && !w.watched(m.now) && len(w.runs)+w.unknownRuns+len(w.unsavedEnds) == 0 && w.silentSince == 0 && w.lastEnd == w.sentAck {
 			continue
 		}
-		if !w.synced && !w.listed && m.now > m.blindUntil {
+		if !w.synced && !w.listed && !m.blind() {
 			continue
 		}
 		m.poll(w)
@@ -152,7 +152,7 @@
 	if w.dead && len(w.runs)+len(w.strays) > 0 {
 		m.dropDeadRuns(w)
 	}
-	if !w.listed && !w.hasRecentLostRuns(m.now) && len(w.runs) == 0 && !w.polling && (w.dead || w.silentSince != 0 || w.synced) && (w.synced || m.now > m.blindUntil) {
+	if !w.listed && !w.hasRecentLostRuns(m.now) && len(w.runs) == 0 && !w.polling && (w.dead || w.silentSince != 0 || w.synced) && (w.synced || !m.blind()) {
 		m.forget(w)
 		return true
 	}
--- a/fleet/batch/records.go
+++ b/fleet/batch/records.go
@@ -117,7 +117,9 @@
 
 // loadRecords loads the records of a former owner.
 func (m *Model) loadRecords(g LoadedMsg) {
-	m.blindUntil = m.now + g.BlindMs
+	if g.BlindMs > 0 {
+		m.blindUntil = m.now + g.BlindMs
+	}
 	runs := make(map[string]StoredRun, len(g.Runs))
 	for _, r := range g.Runs {
 		runs[r.ID] = r
--- a/fleet/batch/takeover_test.go
+++ b/fleet/batch/takeover_test.go
@@ -45,6 +45,9 @@
 	return n
 }
 
+// renew tells the model that its claim was renewed at the given time.
+func renew(m *batch.Model, at int64) { m.Update(at, batch.ClaimMsg{Fresh: true, RenewedAt: at}) }
+
 func TestSuccessorWaitsForMissingEntries(t *testing.T) {
 	t.Run("every machine's worker is listed", func(t *testing.T) {
 		is := is.New(t)
@@ -55,6 +58,7 @@
 		is := is.New(t)
 		m := newSuccessorWithMachines("w1", "w2") // w2 may run tasks, and its entry has lapsed.
 		is.Equal(starts(m, 1100)+starts(m, 1200)+starts(m, 3700)+starts(m, 13_900), 0)
+		renew(m, 14_050)
 		is.Equal(starts(m, 14_100)+starts(m, 14_200), 4)
 	})
 	t.Run("a machine's worker is missing until it is listed", func(t *testing.T) {
@@ -79,6 +83,7 @@
 		m := newSuccessor()
 		m.Update(1031, batch.MachinesMsg{Sent: 1010, Failed: true})
 		is.Equal(starts(m, 1100)+starts(m, 13_900), 0)
+		renew(m, 14_050)
 		is.Equal(starts(m, 14_100)+starts(m, 14_200), 4)
 	})
 	t.Run("the machines are not known late in the life of the process", func(t *testing.T) {
@@ -86,6 +91,7 @@
 		m := newSuccessor()
 		m.Update(10_000, batch.MachinesMsg{Sent: 9_990, Failed: true})
 		is.Equal(starts(m, 10_100)+starts(m, 13_900), 0)
+		renew(m, 14_050)
 		is.Equal(starts(m, 14_100)+starts(m, 14_200), 4)
 	})
 	t.Run("a worker has not been read", func(t *testing.T) {
@@ -94,10 +100,22 @@
 		m.Update(1040, batch.WorkersMsg{Set: []batch.WorkerEntry{{ID: "w2", Service: "s", Addr: "w2", Room: batch.Size{CPU: 8000}, ClockMs: 1, Born: 900_000}}})
 		is.Equal(starts(m, 1100)+starts(m, 5000), 0)
 		m.Update(5010, batch.BlindMsg{ForMs: 500}) // the former owner is gone, so its orders cannot be carried out any more.
+		renew(m, 5550)
 		is.Equal(starts(m, 5600)+starts(m, 5700), 4)
 	})
 }
 
+// An owner that may have lost its claim must not conclude from the time alone that the tasks of its predecessor do not run any more: its
+// successor may have found them and extended their leases.
+func TestSuccessorWithoutClaimWaits(t *testing.T) {
+	is := is.New(t)
+	m := newSuccessorWithMachines("w1", "w2") // w2 is not listed.
+	m.Update(1700, batch.ClaimMsg{Fresh: false, RenewedAt: 1500})
+	is.Equal(starts(m, 14_100)+starts(m, 14_200), 0)
+	renew(m, 20_000) // the claim has not lapsed after all.
+	is.Equal(starts(m, 20_100)+starts(m, 20_200), 4)
+}
+
 // Workers must not be polled before the records are loaded: their lists would name tasks that the model does not know
 // yet.
 func TestWorkersAreReadAfterTheRecords(t *testing.T) {
@@ -294,6 +312,7 @@
 		is := is.New(t)
 		m := play(true)
 		is.Equal(starts(m, 1110)+starts(m, 1200)+starts(m, 13_900), 0)
+		renew(m, 14_050)
 		is.Equal(starts(m, 14_100)+starts(m, 14_200), 3)
 	})
 }
--- a/fleet/batch/wave.go
+++ b/fleet/batch/wave.go
@@ -228,7 +228,7 @@
 	case k.State != MachineUp:
 		return !m.mayHaveNewWorker(k)
 	case o == nil || o.dead:
-		return m.now >= m.blindUntil && !m.mayHaveNewWorker(k)
+		return !m.blind() && !m.mayHaveNewWorker(k)
 	}
 	o.cordoned = true
 	if !m.knowsRuns(o) {
