Remember former owners that may still give orders

Cause: own/term named the last owner only. When that one had left in order, the next waited 5.5 s for its leases, and not the up to 13.7 s that the owner before it may still give orders. A second owner that was killed and answered as "gone" hid the first one in the same way.

Change: the record of a term names the earlier owners that may still give orders, and for how long. A new owner waits for the longest, asks all of them, and rewrites its record once none is left. Records of older builds name none.

--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -203,6 +203,7 @@
 	queries     chan modelQuery
 	recordRev   atomic.Int64 // store revision of the term record; 0 until it is written.
 	helpers     helpers
+	formers     formerTerms
 	workerCount atomic.Int64 // number of listed workers.
 	stop        func()
 }
@@ -266,7 +267,7 @@
 	}
 }
 
-// loadRecords writes this term's record, passes the stored jobs, runs and waves to the model, and then checks on the former owner.
+// loadRecords writes this term's record, passes the stored jobs, runs and waves to the model, and then checks on the former owners.
 func (t *term) loadRecords(ctx context.Context) error {
 	for ctx.Err() == nil {
 		former, err := t.recordStart(ctx)
@@ -277,7 +278,7 @@
 		if err == nil {
 			m.BlindMs, m.FormerFence = former.orderLifetime().Milliseconds(), former.Fence
 			t.send(ctx, m)
-			return t.probeFormer(ctx, former)
+			return t.probeFormers(ctx, former)
 		}
 		t.o.log.Warn().Str("step", "load").Str("reason", err.Error()).Msg("records not read")
 		if errors.Is(err, errClaimLost) {
