Wait for the leases that a new owner's own polls extend

Cause: the first poll of a worker extends its lease by up to 5 s. When the answer is lost, the worker stays unread, and its tasks waited until the former owner's orders had run out, but not until the lease that this owner had extended itself had.

Change: a worker counts as unread until the latest lease end has passed that was sent to it before its lists were read.

Evidence: TestUnreadWorkerKeepsExtendedLease fails without the change. One case of TestSuccessorWaitsForMissingEntries expected starts 4.5 s after a poll that had extended the lease of an unread worker by 5 s, which is this fault; it now expects none then, and all once the lease is over.

--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -183,7 +183,7 @@
 // waitsForFormer reports whether a former owner may have started tasks of s at a worker whose lists have not been read
 // yet.
 func (m *Model) waitsForFormer(s *stage) bool {
-	return s.job.loaded && !s.noFormerRuns && m.blind() && (m.workersUnlisted(s.job.Service) || m.workersUnread(s.job.Service))
+	return s.job.loaded && !s.noFormerRuns && (m.blind() && m.workersUnlisted(s.job.Service) || m.workersUnread(s.job.Service))
 }
 
 // workersUnlisted reports whether a machine of the pool may have a worker that is not listed. A worker's entry lapses
@@ -192,10 +192,19 @@
 	return !m.fleet.listKnown || m.pool(service).counts.unlisted > 0
 }
 
-// workersUnread reports whether the pool has a worker whose running and ended runs are not known yet. Those of a worker that has ended
-// are known to a certain owner only: another one may have read them.
+// workersUnread reports whether the pool has a worker that may run what a former owner started.
 func (m *Model) workersUnread(service string) bool {
-	return slices.ContainsFunc(m.pool(service).workers, func(w *worker) bool { return !w.synced && (!w.dead || !m.claimFresh) })
+	return slices.ContainsFunc(m.pool(service).workers, m.mayRunFormer)
+}
+
+// mayRunFormer reports whether w may run, or have ended, what a former owner started and this owner does not know: its lists have not been
+// read, and its lease may have been extended since the former owner's last order, also by this owner's own polls. The runs of a worker that has
+// ended are known to a certain owner only: another one may have read them.
+func (m *Model) mayRunFormer(w *worker) bool {
+	if w.synced || w.dead && m.claimFresh {
+		return false
+	}
+	return m.blind() || w.formerUntil > 0 && m.soleOwnerUntil < w.expiresBy(w.formerUntil)
 }
 
 // usable reports whether w may be given tasks at all, apart from their room.
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -63,7 +63,7 @@
 		if w.synced && !w.watched(m.now) && len(w.runs)+w.unknownRuns+len(w.unsavedEnds) == 0 && w.silentSince == 0 && w.lastEnd == w.sentAck {
 			continue
 		}
-		if !w.synced && !w.listed && !m.blind() {
+		if !w.synced && !w.listed && !m.mayRunFormer(w) {
 			continue
 		}
 		m.poll(w)
@@ -75,6 +75,9 @@
 	if w.clockAt > 0 && w.silentSince == 0 && (len(w.runs) > 0 || !w.synced) { // the lease of a worker that does not answer must expire.
 		h.UntilMs = m.workerClock(w) + m.requestedLeaseMs()
 		w.leaseUntil = max(w.leaseUntil, h.UntilMs)
+		if m.mayRunFormer(w) {
+			w.formerUntil = w.leaseUntil
+		}
 	}
 	switch {
 	case !w.synced || w.watched(m.now) || w.silentSince != 0 || len(w.unsavedEnds) > 0 || w.shortPoll || len(w.runs) == 0 || w.hasUnconfirmed():
@@ -152,7 +155,7 @@
 	if w.dead && len(w.runs)+len(w.strays) > 0 {
 		m.dropDeadRuns(w)
 	}
-	if !w.listed && !w.hasRecentLostRuns(m.now) && len(w.runs) == 0 && !w.polling && (w.dead || w.silentSince != 0 || w.synced) && (w.synced || !m.blind()) {
+	if !w.listed && !w.hasRecentLostRuns(m.now) && len(w.runs) == 0 && !w.polling && (w.dead || w.silentSince != 0 || w.synced) && !m.mayRunFormer(w) {
 		m.forget(w)
 		return true
 	}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -35,6 +35,7 @@
 	clockMs        int64 // lower bound of the worker's clock at clockAt.
 	clockAt        int64
 	leaseUntil     int64 // latest lease end or start expiry sent to the worker, on its clock.
+	formerUntil    int64 // latest lease end sent while it may have run what a former owner started, on its clock; 0 if there is none.
 	sentAck        int64 // the highest ended run that the worker was told it may forget.
 	confirmedAck   int64 // the highest ended run that it has certainly forgotten.
 	lifetimeSeenAt int64 // when a list of this lifetime last came. Answers to starts and stops do not tell the lifetime.
@@ -178,7 +179,7 @@
 	w.ended, w.goneState, w.trial = false, "", nil
 	w.Born, w.sentAck, w.confirmedAck, w.lastEnd, w.unsavedEnds = born, 0, 0, 0, nil
 	w.clockMs, w.clockAt, w.leaseUntil = 0, m.now, max(m.cfg.LeaseMs, workerLeaseMs)
-	w.lifetimeSeenAt = 0
+	w.lifetimeSeenAt, w.formerUntil = 0, 0
 	w.failuresInRow, w.failedJobs, w.quarantinedUntil, w.quarantineMs, w.slowdown, w.speed, w.slow = 0, nil, 0, 0, 1, speed.Meter{}, false
 	w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = 0, true, m.now
 }
