Hold back acknowledgements that may reach a worker's next lifetime

Cause: a worker counts its ends anew in each lifetime, and the platform's hold does not name the lifetime whose ends it acknowledges. An end that no owner knew was then forgotten, and its task ran again.

Change: the process that makes the call keeps the last list of each worker that has arrived in it. Without a current list of the lifetime that is meant it polls first without the acknowledgement, and holds it back if the worker has restarted. The owner learns that and acknowledges again. Orders of older builds name no lifetime and pass as before.

--- a/fleet/batch/harness_test.go
+++ b/fleet/batch/harness_test.go
@@ -22,8 +22,9 @@
 	starts    []batch.StartCmd
 	stops     []batch.StopCmd
 	logs      []batch.LogCmd
-	advised   int          // requests for advice.
-	result    batch.Result // of starts.
+	advised   int                                 // requests for advice.
+	result    batch.Result                        // of starts.
+	polled    func(batch.PollCmd) batch.PolledMsg // answers polls, if not nil.
 
 	noList       bool // requests for the list of machines fail.
 	listRequests int
@@ -96,7 +97,9 @@
 				b.stops = append(b.stops, k)
 				b.Update(b.now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
 			case batch.PollCmd:
-				if len(b.starts) == 0 {
+				if b.polled != nil {
+					b.Update(b.now, b.polled(k))
+				} else if len(b.starts) == 0 {
 					b.Update(b.now, batch.PolledMsg{Worker: k.Worker, Sent: b.now, ClockMs: b.now, Born: 1})
 				}
 			}
--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -69,6 +69,8 @@
 	Running  []ActiveRun
 	Ended    []EndedRun
 	ListFull bool // the worker lists more ended runs than the answer holds.
+
+	AckWithheld bool // the worker was not told which ended runs it may forget, because it may have restarted.
 }
 
 // ActiveRun is a run that is in progress at a worker.
@@ -207,6 +209,7 @@
 	Worker, Addr string
 	UntilMs      int64 // new end of the lease on the worker's clock; 0 leaves the lease unchanged.
 	ForgetUpTo   int64 // the worker may forget ended runs up to this number.
+	Born         int64 // start of the lifetime whose ended runs ForgetUpTo counts, Unix ms.
 	WaitMs       int64
 	Fence        int64
 }
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // Polls of workers. A poll extends the worker's lease and returns its running and ended runs.
@@ -45,6 +46,10 @@
 // that, so the number does not reach another lifetime, which counts its ends anew.
 const ackWithinMs = 35
 
+// AckWithin is the longest time from a worker's list to a poll that acknowledges ends of the same lifetime. The process that makes the call
+// checks it, too: the answer and the poll may be delayed on the way between this process and the owner.
+const AckWithin = ackWithinMs * time.Millisecond
+
 // pollWorkers polls the workers that have runs or whose lists have not been read yet.
 func (m *Model) pollWorkers() {
 	m.nextPollAt = m.now + sweepIntervalMs
@@ -71,7 +76,7 @@
 }
 
 func (m *Model) poll(w *worker) {
-	h := PollCmd{Worker: w.ID, Addr: w.Addr, ForgetUpTo: w.forgettableEnd(), WaitMs: maxPollWaitMs, Fence: m.cfg.Fence}
+	h := PollCmd{Worker: w.ID, Addr: w.Addr, ForgetUpTo: w.forgettableEnd(), Born: w.Born, WaitMs: maxPollWaitMs, Fence: m.cfg.Fence}
 	if w.clockAt > 0 && w.silentSince == 0 && (len(w.runs) > 0 || !w.synced) { // the lease of a worker that does not answer must expire.
 		h.UntilMs = m.workerClock(w) + m.requestedLeaseMs()
 		w.leaseUntil = max(w.leaseUntil, h.UntilMs)
@@ -215,6 +220,9 @@
 	}
 	m.setClock(w, g.ClockMs)
 	w.lostRuns, w.lifetimeSeenAt = nil, m.now // if there were any, it has only been cut off.
+	if g.AckWithheld {
+		w.sentAck = w.confirmedAck
+	}
 	w.confirmedAck = w.sentAck
 	first := !w.synced
 	m.applyEnded(w, g, first)
@@ -223,7 +231,7 @@
 		w.synced = true
 		m.pool(w.Service).dirty = true
 	}
-	if len(w.unsavedEnds) > 0 || w.hasUnconfirmed() || w.unknownRuns > 0 {
+	if len(w.unsavedEnds) > 0 || w.hasUnconfirmed() || w.unknownRuns > 0 || g.AckWithheld {
 		w.nextPollAt = m.now + unsavedPollMs
 	}
 	if w.watched(m.now) {
--- a/fleet/batch/poll_test.go
+++ b/fleet/batch/poll_test.go
@@ -155,3 +155,25 @@
 	}
 	is.True(acked > 0)
 }
+
+// An acknowledgement that was held back on its way to the worker is sent again.
+func TestWithheldAcknowledgementIsRepeated(t *testing.T) {
+	is := is.New(t)
+	b := newUnreadHarness("w1")
+	var acks []int64
+	b.polled = func(k batch.PollCmd) batch.PolledMsg {
+		g := batch.PolledMsg{Worker: k.Worker, Sent: b.now, ClockMs: b.now, Born: 1}
+		if k.ForgetUpTo > 0 {
+			acks = append(acks, k.ForgetUpTo)
+			g.AckWithheld = len(acks) == 1
+		}
+		if len(b.starts) > 0 && len(acks) < 2 {
+			g.Ended = []batch.EndedRun{{Number: 1, Task: b.starts[0].Task, Run: 1, Reason: batch.EndDone}}
+		}
+		return g
+	}
+	b.Update(b.now, batch.LoadedMsg{})
+	b.Update(b.now, batch.SubmitMsg{Ref: 1, Job: taskJob(1, 1, batch.Step{})})
+	b.advance(2_000)
+	is.Equal(acks, []int64{1, 1})
+}
--- a/node/owner/carry.go
+++ b/node/owner/carry.go
@@ -33,6 +33,8 @@
 
 	mu       sync.Mutex
 	sessions map[string]*session
+
+	lists workerLists
 }
 
 // session holds the calls and answers of one term of an owner.
@@ -46,7 +48,7 @@
 
 // NewCarrier returns a Carrier whose calls end when ctx is canceled.
 func NewCarrier(ctx context.Context, g *errgroup.Group, w Workers, s *stats.Registry, l zerolog.Logger) *Carrier {
-	return &Carrier{workers: w, stats: s, log: l, ctx: ctx, group: g, sessions: map[string]*session{}}
+	return &Carrier{workers: w, stats: s, log: l, ctx: ctx, group: g, sessions: map[string]*session{}, lists: workerLists{byWorker: map[string]workerList{}}}
 }
 
 // session returns the session with this id, which it creates if needed, and drops idle ones.
@@ -127,8 +129,9 @@
 func (c *Carrier) call(o *desk.Order) *desk.Answer {
 	a, begin := &desk.Answer{Id: o.GetId()}, time.Now()
 	if o.GetTask() == "" {
-		g, err := c.workers.Hold(c.ctx, batch.PollCmd{
-			Worker: o.GetWorker(), Addr: o.GetAddr(), UntilMs: o.GetUntil(), ForgetUpTo: o.GetSeen(), WaitMs: o.GetWaitMs(), Fence: o.GetFence(),
+		g, err := c.poll(c.ctx, batch.PollCmd{
+			Worker: o.GetWorker(), Addr: o.GetAddr(), UntilMs: o.GetUntil(), ForgetUpTo: o.GetSeen(), Born: o.GetBorn(), WaitMs: o.GetWaitMs(),
+			Fence: o.GetFence(),
 		})
 		count(c.stats, c.log, "carried_hold", begin, err)
 		encodeHeld(a, g)
@@ -158,6 +161,7 @@
 
 func encodeHeld(a *desk.Answer, g batch.PolledMsg) {
 	a.Result, a.ClockMs, a.Born, a.ListFull = int32(g.Result), g.ClockMs, g.Born, g.ListFull
+	a.SeenWithheld = g.AckWithheld
 	for _, r := range g.Running {
 		a.Running = append(a.Running, &desk.Running{Task: r.Task.String(), Run: int64(r.Run), Saved: r.Checkpoint, Percent: int64(r.Percent), Gauge: r.Gauge})
 	}
@@ -170,6 +174,7 @@
 func decodeHeld(a *desk.Answer, worker string, sent int64) batch.PolledMsg {
 	g := batch.PolledMsg{
 		Worker: worker, Sent: sent, Result: batch.Result(a.GetResult()), Born: a.GetBorn(), ClockMs: a.GetClockMs(), ListFull: a.GetListFull(),
+		AckWithheld: a.GetSeenWithheld(),
 	}
 	for _, r := range a.GetRunning() {
 		t, err := batch.ParseTaskName(r.GetTask())
--- a/node/owner/helper.go
+++ b/node/owner/helper.go
@@ -203,7 +203,7 @@
 func encodeOrder(c batch.Cmd) *desk.Order {
 	switch k := c.(type) {
 	case batch.PollCmd:
-		return &desk.Order{Worker: k.Worker, Addr: k.Addr, Fence: k.Fence, Until: k.UntilMs, Seen: k.ForgetUpTo, WaitMs: k.WaitMs}
+		return &desk.Order{Worker: k.Worker, Addr: k.Addr, Fence: k.Fence, Until: k.UntilMs, Seen: k.ForgetUpTo, Born: k.Born, WaitMs: k.WaitMs}
 	case batch.StopCmd:
 		return &desk.Order{Worker: k.Worker, Addr: k.Addr, Fence: k.Fence, Task: k.Task.String(), Run: int64(k.Run), Stop: true}
 	case batch.StartCmd:
--- a/node/owner/perform.go
+++ b/node/owner/perform.go
@@ -89,7 +89,7 @@
 	begin := time.Now()
 	switch k := c.(type) {
 	case batch.PollCmd:
-		g, err := o.workers.Hold(ctx, k)
+		g, err := o.poll(ctx, k)
 		g.Sent = sent
 		o.count("hold", begin, err)
 		t.send(ctx, g)
