Refuse late copies of a request that was refused

Cause: an entry repeats a call to the owner that is not answered in time, on a new connection. When the repeated call was refused, the entry passed the refusal on, taking the owner to know of its earlier calls. The first call may still be on its way: after a cut TCP sends it again, and a process that was paused reads it late. The owner then accepted the job.

Change: all calls for one request of a caller carry the same attempt; an owner remembers refused attempts for 30 s, across its terms, and refuses their late copies. Calls to other entries that are given up reset their connections, as those to the platform do.

Evidence: TestLateCopyOfRefusedRequest fails without the memory: the late copy is accepted. TestCopiesOfRequestAreMarked and TestGivenUpCallResetsConnection show the entry's part.

--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -324,10 +324,10 @@
 	p.openJobs[j.ID] = j
 	p.dirty = true
 	m.log("job accepted", j.ID, "queue", j.Queue, "ageMs", m.now-j.submittedAt, "dueMs", j.dueAt-m.now, "backlogCoreMs", int64(p.backlog)/1000)
-	for _, r := range j.submitRefs {
-		m.emit(ReplyCmd{Ref: r, Verdict: Accepted})
+	for _, s := range j.submissions {
+		m.emit(ReplyCmd{Ref: s.ref, Verdict: Accepted})
 	}
-	j.submitRefs = nil
+	j.submissions = nil
 	if len(j.cancelRefs) > 0 {
 		m.endCanceled(j)
 	}
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -49,6 +49,8 @@
 	OrdersPerSec float64 // orders to machines that the platform takes per second; 0 means DefaultOrdersPerSec.
 
 	LookAhead bool // room is reserved and used by the expected ends of runs.
+
+	Refusals *Refusals // of this process's terms; nil means that none are known.
 }
 
 // Model is the owner's view of jobs, workers and machines.
@@ -113,6 +115,9 @@
 		services: map[string]Service{}, teams: map[string]Team{}, ledger: quota.New(), teamUses: map[string]*teamUse{}, pools: map[string]*pool{}, workers: map[string]*worker{},
 		jobs: map[string]*job{}, estimators: map[string]*estimator{}, demandCounted: map[string]bool{},
 	}
+	if m.cfg.Refusals == nil {
+		m.cfg.Refusals = NewRefusals()
+	}
 	m.commits.start()
 	m.fleet.start(c.Now + formerClaimMs)
 	m.fleet.pace = newOrderPace(c.OrdersPerSec, c.Now)
--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -46,11 +46,13 @@
 // BlindMsg shortens the time in which a former owner's commands may still be carried out.
 type BlindMsg struct{ ForMs int64 }
 
-// SubmitMsg submits a job. AgeMs is the time since its caller first sent it, as far as known.
+// SubmitMsg submits a job. AgeMs is the time since its caller first sent it, as far as known. Attempt identifies the caller's request, of
+// which several copies may arrive; it may be empty.
 type SubmitMsg struct {
-	Ref   uint64
-	Job   Job
-	AgeMs int64
+	Ref     uint64
+	Job     Job
+	AgeMs   int64
+	Attempt string
 }
 
 // CancelMsg cancels a job.
--- a/fleet/batch/submit.go
+++ b/fleet/batch/submit.go
@@ -20,13 +20,18 @@
 		m.resubmit(j, g)
 		return
 	}
+	if m.cfg.Refusals.has(g.Attempt) {
+		m.log("late copy of a refused submission", g.Job.ID, "queue", g.Job.Queue)
+		m.emit(ReplyCmd{Ref: g.Ref, Verdict: Refused, RetryAfterMs: minRetryMs, Reason: "an earlier copy of this request was refused"})
+		return
+	}
 	if err := g.Job.Validate(); err != nil {
 		var f *FieldError
 		errors.As(err, &f)
 		m.emit(ReplyCmd{Ref: g.Ref, Verdict: Malformed, Reason: f.Error()})
 		return
 	}
-	j := &job{Job: g.Job, submittedAt: m.now - g.AgeMs, firstTriedAt: m.now, submitRefs: []uint64{g.Ref}}
+	j := &job{Job: g.Job, submittedAt: m.now - g.AgeMs, firstTriedAt: m.now, submissions: []submission{{g.Ref, g.Attempt}}}
 	j.use = m.teamUse(j)
 	j.dueAt = j.submittedAt + m.objectiveMs(j)
 	m.addDemand(j)
@@ -49,7 +54,7 @@
 // resubmit answers a repeated submission of a known job.
 func (m *Model) resubmit(j *job, g SubmitMsg) {
 	if j.phase == committing {
-		j.submitRefs = append(j.submitRefs, g.Ref)
+		j.submissions = append(j.submissions, submission{g.Ref, g.Attempt})
 		return
 	}
 	m.emit(ReplyCmd{Ref: g.Ref, Verdict: Accepted})
@@ -59,8 +64,9 @@
 func (m *Model) refuse(j *job, why string, retry int64) {
 	retry = min(max(retry, minRetryMs), maxRetryMs)
 	m.log("job refused", j.ID, "queue", j.Queue, "reason", why, "retryMs", retry, "backlogCoreMs", int64(m.pool(j.Service).backlog)/1000)
-	for _, r := range j.submitRefs {
-		m.emit(ReplyCmd{Ref: r, Verdict: Refused, RetryAfterMs: retry, Reason: why})
+	for _, s := range j.submissions {
+		m.cfg.Refusals.add(s.attempt, m.now)
+		m.emit(ReplyCmd{Ref: s.ref, Verdict: Refused, RetryAfterMs: retry, Reason: why})
 	}
 }
 
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -35,14 +35,20 @@
 	rounds        []*round
 	nextRound     int // number of the next round to open.
 
-	version, storedVersion int   // version of the progress in memory, and the version that is stored.
-	rev                    int64 // revision of the progress record in the store.
-	submitRefs             []uint64
+	version, storedVersion int          // version of the progress in memory, and the version that is stored.
+	rev                    int64        // revision of the progress record in the store.
+	submissions            []submission // that wait for an answer.
 	cancelRefs             []uint64
 	maybeStored            bool  // the acceptance may be in the store.
 	firstTriedAt           int64 // when this owner first took the submission.
 }
 
+// submission is a submission of a job: its request number, and the caller's request that it belongs to.
+type submission struct {
+	ref     uint64
+	attempt string
+}
+
 // round is one run of all steps.
 type round struct {
 	number     int
--- a/node/desk/client.go
+++ b/node/desk/client.go
@@ -44,7 +44,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[addr]
 	if !ok {
-		p = newPeer(addr, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+		p = newPeer(addr, dial)
 		c.peers[addr] = p
 	}
 	return p.desk
@@ -71,6 +71,21 @@
 	return a, err
 }
 
+// dial opens a connection that is reset when it is closed. Otherwise a call that was given up could still arrive after a network
+// partition has healed.
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		if err := t.SetLinger(0); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+	}
+	return c, nil
+}
+
 // Reset closes the idle connections to addr, which may be dead.
 func (c *Client) Reset(addr string) {
 	c.mu.Lock()
--- a/node/front/front.go
+++ b/node/front/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -239,8 +240,9 @@
 	if err != nil {
 		return f.refuse(fasthttp.StatusBadRequest, err.Error(), 0)
 	}
+	attempt := strconv.FormatUint(rand.Uint64(), 36) //nolint:gosec // it needs to be unique only.
 	r, err := f.callOwner(f.deadline(c, begin), func(x context.Context, d desk.Desk) (*desk.Reply, error) {
-		return d.Submit(x, &desk.SubmitRequest{Job: b, AgeMs: time.Since(begin).Milliseconds()})
+		return d.Submit(x, &desk.SubmitRequest{Job: b, AgeMs: time.Since(begin).Milliseconds(), Attempt: attempt})
 	})
 	if err != nil {
 		return f.callFailed(err)
@@ -276,7 +278,7 @@
 		r, err := f.callOwnerOnce(a, until, call)
 		switch {
 		case err == nil:
-			delete(unanswered, a) // a process knows of the calls that it has taken.
+			delete(unanswered, a) // a process that has refused a request refuses all copies of it that arrive later.
 			if batch.Verdict(r.GetVerdict()) != batch.Refused || len(unanswered) == 0 {
 				return r, nil
 			}
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -109,6 +109,7 @@
 	started    time.Time
 	yielding   atomic.Bool
 	lastOrders atomic.Pointer[lastOrders]
+	refusals   *batch.Refusals // used by the model of the present term alone.
 }
 
 // Dependencies holds what New needs to build an Owner.
@@ -132,6 +133,7 @@
 	o := &Owner{
 		store: p.Store, workers: p.Workers, machines: p.Machines, format: p.Format, board: p.Board, lease: p.Lease,
 		settings: s, log: p.Log, stats: p.Stats, peers: p.Peers, Carrier: p.Carrier, entries: p.Entries, holder: p.Holder, started: time.Now(),
+		refusals: batch.NewRefusals(),
 	}
 	o.lastOrders.Store(&lastOrders{})
 	return o
@@ -217,7 +219,7 @@
 // runTerm runs the jobs under the claim with fence f until the claim is lost, the owner yields or ctx ends.
 func (o *Owner) runTerm(ctx context.Context, f keyval.Revision) error {
 	c := o.settings.Model
-	c.Fence, c.Now, c.UnixMs = int64(f), o.now(), time.Now().UnixMilli()
+	c.Fence, c.Now, c.UnixMs, c.Refusals = int64(f), o.now(), time.Now().UnixMilli(), o.refusals
 	t := &term{
 		o: o, fence: f, model: batch.New(c), msgs: make(chan batch.Msg, maxQueuedMsgs),
 		pending: map[uint64]chan batch.ReplyCmd{}, queries: make(chan modelQuery), calls: make(chan batch.Cmd, callGoroutines),
--- a/node/owner/serve.go
+++ b/node/owner/serve.go
@@ -58,7 +58,9 @@
 	if err := json.Unmarshal(r.GetJob(), &j); err != nil {
 		return &desk.Reply{Verdict: int32(batch.Malformed), Reason: err.Error()}, nil
 	}
-	return o.request(ctx, func(ref uint64) batch.Msg { return batch.SubmitMsg{Ref: ref, Job: j, AgeMs: r.GetAgeMs()} })
+	return o.request(ctx, func(ref uint64) batch.Msg {
+		return batch.SubmitMsg{Ref: ref, Job: j, AgeMs: r.GetAgeMs(), Attempt: r.GetAttempt()}
+	})
 }
 
 // Cancel implements desk.Desk.
