Count a worker as read once all its ends are listed

Cause: a worker counted as read after its first answer, also if that held a part of its ends. The tasks of the others started again, and their ends were acknowledged without a look.

Change: a worker is read once an answer holds all its ends. Until then it gets no starts, and its tasks wait while it answers, and after that until its lease has expired.

--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -204,7 +204,7 @@
 	if w.synced || w.dead && m.claimFresh {
 		return false
 	}
-	return m.blind() || w.formerUntil > 0 && m.soleOwnerUntil < w.expiresBy(w.formerUntil)
+	return m.blind() || w.partlyRead && w.silentSince == 0 || w.formerUntil > 0 && m.soleOwnerUntil < w.expiresBy(w.formerUntil)
 }
 
 // usable reports whether w may be given tasks at all, apart from their room.
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -228,7 +228,7 @@
 	m.applyEnded(w, g, first)
 	m.applyRunning(w, g, first)
 	if first {
-		w.synced = true
+		w.synced, w.partlyRead = !g.ListFull, g.ListFull
 		m.pool(w.Service).dirty = true
 	}
 	if len(w.unsavedEnds) > 0 || w.hasUnconfirmed() || w.unknownRuns > 0 || g.AckWithheld {
--- a/fleet/batch/clock_test.go
+++ b/fleet/batch/successor_test.go
@@ -89,3 +89,48 @@
 		is.Equal(l[1], batch.TaskName{Job: j.ID, Round: 1, Index: 3})
 	})
 }
+
+// A worker that lists more ends than fit in one answer has been read only once the last of them is known. A successor must not start what
+// has ended beyond the first part of the list.
+func TestSuccessorReadsListsInParts(t *testing.T) {
+	j := fourTaskJob()
+	ended := func(number int) batch.EndedRun {
+		return batch.EndedRun{Number: int64(number), Task: batch.TaskName{Job: j.ID, Index: number - 1}, Run: 1, Reason: batch.EndDone}
+	}
+	// play returns a successor whose worker lists two ends in its first answer, and the others once the first are forgotten.
+	play := func(answersAll bool) *harness {
+		b := newUnreadHarness("w1", "w2")
+		b.polled = func(k batch.PollCmd) batch.PolledMsg {
+			g := batch.PolledMsg{Worker: k.Worker, Sent: b.now, ClockMs: b.now, Born: 1}
+			switch {
+			case k.Worker == "w2":
+			case k.ForgetUpTo < 2 && b.now < 1_200:
+				g.Ended, g.ListFull = []batch.EndedRun{ended(1), ended(2)}, true
+			case answersAll:
+				g.Ended = []batch.EndedRun{ended(3), ended(4)}
+			default:
+				g.Result = batch.NoAnswer
+			}
+			return g
+		}
+		b.Update(b.now, batch.LoadedMsg{Jobs: []batch.StoredJob{{Job: j, SubmittedMs: 999_000}}})
+		return b
+	}
+	t.Run("all parts are read", func(t *testing.T) {
+		is := is.New(t)
+		b := play(true)
+		b.advance(3_000)
+		is.Equal(len(b.starts), 0)
+		is.Equal(b.State(j.ID), batch.StateCompleted)
+	})
+	t.Run("the worker falls silent after the first part", func(t *testing.T) {
+		is := is.New(t)
+		b := play(false)
+		b.advance(4_000)
+		is.Equal(len(b.starts), 0) // its lease has not expired.
+		b.advance(3_000)
+		l := startedTasks(b)
+		is.Equal(len(l), 2)
+		is.True(l[batch.TaskName{Job: j.ID, Index: 2}] > 0 && l[batch.TaskName{Job: j.ID, Index: 3}] > 0)
+	})
+}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -50,6 +50,7 @@
 	shortPoll      bool  // the next poll must not wait.
 	silentSince    int64 // when it stopped answering; 0 while it answers.
 	synced         bool  // its lists have been read by this owner.
+	partlyRead     bool  // its lists have been read in part: it lists further ends once it has forgotten those that are stored.
 	noStartsBefore int64 // no starts before this time.
 
 	failuresInRow    int
@@ -179,7 +180,7 @@
 	w.ended, w.goneState, w.trial = false, "", nil
 	w.Born, w.sentAck, w.confirmedAck, w.lastEnd, w.unsavedEnds = born, 0, 0, 0, nil
 	w.clockMs, w.clockAt, w.leaseUntil = 0, m.now, max(m.cfg.LeaseMs, workerLeaseMs)
-	w.lifetimeSeenAt, w.formerUntil = 0, 0
+	w.lifetimeSeenAt, w.formerUntil, w.partlyRead = 0, 0, false
 	w.failuresInRow, w.failedJobs, w.quarantinedUntil, w.quarantineMs, w.slowdown, w.speed, w.slow = 0, nil, 0, 0, 1, speed.Meter{}, false
 	w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = 0, true, m.now
 }
