Restore all occurrences of a large repeated job

Cause: occurrences were opened before their progress was restored, so that those that were done counted towards the limit of open tasks. The ones beyond it were opened later, without their stored progress.

Change: occurrences are restored one after the other. Those that are done take no room and are kept without their tasks; those that the record shows as open are opened in any case.

--- a/fleet/batch/records.go
+++ b/fleet/batch/records.go
@@ -170,25 +170,38 @@
 }
 
 // restoreRounds opens the rounds of j that are due, and those that the record shows as opened: the former owner's clock may have been
-// ahead. It restores their progress.
+// ahead. It restores their progress. Rounds that are done take no room, and those that the former owner had open have theirs already.
 func (m *Model) restoreRounds(j *job, r StoredRun) {
-	opened := r.openedRounds()
-	for j.nextRound < j.roundCount() && (j.nextRound < opened || m.roundDue(j) <= m.now) && j.hasRoomForRound() {
-		m.openRound(j)
-	}
-	for _, o := range j.rounds {
-		if slices.Contains(r.Rounds, o.number) {
-			o.markDone()
-		}
-		for _, g := range o.stages {
-			g.restore(r)
-		}
-		if o.stagesLeft > 0 && !slices.ContainsFunc(o.stages, func(g *stage) bool { return g.tasksLeft > 0 }) {
-			o.stagesLeft = 0
+	opened, done := r.openedRounds(), make(map[int]bool, len(r.Rounds))
+	for _, n := range r.Rounds {
+		done[n] = true
+	}
+	for j.nextRound < j.roundCount() {
+		n := j.nextRound
+		switch {
+		case done[n]:
+			m.skipRound(j)
+		case n < opened || m.roundDue(j) <= m.now && j.hasRoomForRound():
+			m.openRound(j).restore(r)
+		default:
+			return
 		}
 	}
 }
 
+// skipRound adds the next round of j, which is done, without its tasks.
+func (m *Model) skipRound(j *job) {
+	j.rounds = append(j.rounds, &round{number: j.nextRound, dueAt: m.roundDue(j)})
+	j.nextRound++
+}
+
+// restore restores the progress of the round.
+func (r *round) restore(s StoredRun) {
+	for _, g := range r.stages {
+		g.restore(s)
+	}
+}
+
 // openedRounds returns the number of rounds that had been opened for certain when the record was written.
 func (r StoredRun) openedRounds() int {
 	last := -1
@@ -209,16 +222,6 @@
 	return last + 1
 }
 
-func (r *round) markDone() {
-	r.stagesLeft = 0
-	for _, s := range r.stages {
-		s.tasksLeft, s.tasksWaiting = 0, 0
-		for _, t := range s.tasks {
-			t.done = true
-		}
-	}
-}
-
 func (s *stage) restore(r StoredRun) {
 	key := fmt.Sprintf("%d.%d", s.round.number, s.number)
 	for i, t := range s.tasks {
--- a/fleet/batch/successor_test.go
+++ b/fleet/batch/successor_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -134,3 +135,23 @@
 		is.True(l[batch.TaskName{Job: j.ID, Index: 2}] > 0 && l[batch.TaskName{Job: j.ID, Index: 3}] > 0)
 	})
 }
+
+// A job whose occurrences have more tasks than may be open together keeps their progress at a change of owner: those that are done take no
+// room.
+func TestSuccessorOfManyOccurrences(t *testing.T) {
+	is := is.New(t)
+	const occurrences, tasks = 60, 2_000 // 120,000 tasks, 50,000 of which may be open.
+	j := fourTaskJob()
+	j.Steps[0].Count, j.Rounds, j.FirstMs, j.EveryMs = tasks, occurrences, 900_000, 1_000
+	r := batch.StoredRun{ID: j.ID, Rev: 7, Done: map[string]string{"59.0": strings.Repeat("1", tasks-3) + "000"}}
+	for n := range occurrences - 1 {
+		r.Rounds = append(r.Rounds, n)
+	}
+	b := newHarnessWith(batch.LoadedMsg{Jobs: []batch.StoredJob{{Job: j, SubmittedMs: 890_000}}, Runs: []batch.StoredRun{r}}, "w1")
+	l := startedTasks(b)
+	is.Equal(len(l), 3)
+	for i := tasks - 3; i < tasks; i++ {
+		is.Equal(l[batch.TaskName{Job: j.ID, Round: 59, Index: i}], 1)
+	}
+	is.Equal(batch.OpenTasks(b.Model, j.ID), 3)
+}
