Remove an acceptance that was written late with the record of the end

Cause: the write of an acceptance that the store did not answer may be made seconds later, when the job has ended and its record is gone. The record was back then, and once the record of the end had been removed, the next owner ran the job.

Change: the removal of the record of the end removes that of the acceptance, too.

Evidence: TestLateAcceptanceIsRemoved fails without the change. TestEndedJobsAreForgotten expected exactly one row in that transaction; it now expects exactly these two.

--- a/fleet/batch/harness_test.go
+++ b/fleet/batch/harness_test.go
@@ -110,6 +110,10 @@
 // commit stores the rows of a transaction.
 func (b *harness) commit(k batch.CommitCmd) {
 	for _, r := range k.Rows {
+		if r.Delete {
+			delete(b.stored, r.Key)
+			continue
+		}
 		b.stored[r.Key] = r.Value
 	}
 	b.Update(b.now, batch.CommittedMsg{ID: k.ID, Rev: b.now})
--- a/fleet/batch/successor_test.go
+++ b/fleet/batch/successor_test.go
@@ -155,3 +155,32 @@
 	}
 	is.Equal(batch.OpenTasks(b.Model, j.ID), 3)
 }
+
+// A write of an acceptance that was not answered may be made seconds later, when the job has ended and its record is gone. The record must
+// not outlive that of the end: an owner that finds it alone runs the job again.
+func TestLateAcceptanceIsRemoved(t *testing.T) {
+	is := is.New(t)
+	j := fourTaskJob()
+	b := newHarnessOf(batch.Config{StatusMs: 10_000}, "w1")
+	b.Update(b.now, batch.LoadedMsg{})
+	b.storeDown = true
+	b.Update(b.now, batch.SubmitMsg{Ref: 1, Job: j})
+	b.advance(50)
+	b.storeDown = false
+	b.polled = func(k batch.PollCmd) batch.PolledMsg {
+		g := batch.PolledMsg{Worker: k.Worker, Sent: b.now, ClockMs: b.now, Born: 1}
+		for i, s := range b.starts {
+			if n := int64(i + 1); n > k.ForgetUpTo {
+				g.Ended = append(g.Ended, batch.EndedRun{Number: n, Task: s.Task, Run: s.Run, Reason: batch.EndDone})
+			}
+		}
+		return g
+	}
+	b.advance(1_000)
+	is.Equal(b.State(j.ID), batch.StateCompleted)
+	is.Equal(b.stored[batch.JobPrefix+j.ID], nil)
+	b.stored[batch.JobPrefix+j.ID] = []byte("{}") // the write that was not answered is made now.
+	b.advance(30_000)
+	is.Equal(b.State(j.ID), batch.StateAbsent)
+	is.Equal(len(b.stored), 0)
+}
--- a/fleet/batch/takeover_test.go
+++ b/fleet/batch/takeover_test.go
@@ -237,7 +237,9 @@
 	}
 	is.Equal(len(removed(20_000)), 0)
 	is.Equal(m.State(id), batch.StateCompleted)
-	is.Equal(removed(30_000), []batch.Row{{Key: batch.RunPrefix + id, Rev: 7, Guarded: true, Delete: true}})
+	is.Equal(removed(30_000), []batch.Row{
+		{Key: batch.RunPrefix + id, Rev: 7, Guarded: true, Delete: true}, {Key: batch.JobPrefix + id, Delete: true},
+	})
 	is.Equal(m.State(id), batch.StateAbsent)
 }
 
--- a/fleet/batch/txn.go
+++ b/fleet/batch/txn.go
@@ -80,14 +80,16 @@
 // progressRows returns the rows that store the progress of j, its end or its removal.
 func progressRows(j *job) []Row {
 	r := Row{Key: RunPrefix + j.ID, Rev: j.rev, Guarded: true}
-	if j.purging {
+	accepted := Row{Key: JobPrefix + j.ID, Delete: true}
+	switch {
+	case j.purging: // a late write of the acceptance may have restored its record.
 		r.Delete = true
-		return []Row{r}
+		return []Row{r, accepted}
+	case j.phase == ended:
+		r.Value = encodeRun(j)
+		return []Row{r, accepted}
 	}
 	r.Value = encodeRun(j)
-	if j.phase == ended {
-		return []Row{r, {Key: JobPrefix + j.ID, Delete: true}}
-	}
 	return []Row{r}
 }
 
