Leave half of an idle pool's workers to tasks that fit

Cause: each step whose task finds no room reserves the emptiest worker, without a limit. With as many such steps as workers, the whole pool was reserved.

Change: in a pool with less than half of its cores in use, waiting tasks reserve half of the workers at most.

Evidence: TestLargeTasksLeaveRoomInIdlePool fails without the change (a job is still queued after 3 s). TestLargeTasksGetRoom passes as before.

--- a/fleet/batch/candidates.go
+++ b/fleet/batch/candidates.go
@@ -15,6 +15,8 @@
 	usable  int       // number of workers before any was reserved.
 	trials  int       // trials in progress; -1 until they are counted.
 
+	maxReserved int // most workers that waiting tasks may reserve; -1 until it is known.
+
 	stepTrials map[*stage]int // by step.
 	reserved   map[*worker]bool
 	full       []Size   // sizes for which no worker has room now.
@@ -25,7 +27,7 @@
 }
 
 func (m *Model) newCandidates(p *pool) *candidates {
-	c := &candidates{m: m, pool: p, workers: make([]*worker, 0, len(p.workers)), trials: -1, reserved: map[*worker]bool{}}
+	c := &candidates{m: m, pool: p, workers: make([]*worker, 0, len(p.workers)), trials: -1, maxReserved: -1, reserved: map[*worker]bool{}}
 	for _, w := range p.workers {
 		if m.usable(w) {
 			c.workers = append(c.workers, w)
@@ -66,10 +68,29 @@
 	}
 }
 
+// reservationLimit returns how many workers waiting tasks may reserve. In a pool that is mostly idle they may not reserve more than half of
+// the workers, rounded up: large tasks that wait for long runs would keep the whole pool from the tasks that fit.
+func (c *candidates) reservationLimit() int {
+	if c.maxReserved >= 0 {
+		return c.maxReserved
+	}
+	used, room := int64(0), int64(0)
+	for _, w := range c.pool.workers {
+		if c.m.usable(w) {
+			used, room = used+w.used.CPU, room+w.Room.CPU
+		}
+	}
+	c.maxReserved = c.usable
+	if 2*used < room {
+		c.maxReserved = (c.usable + 1) / 2
+	}
+	return c.maxReserved
+}
+
 // reserveEmptiest reserves the worker with the most free CPU that will have room for a task of s once its short tasks have
-// ended. It returns nil if there is none.
+// ended. It returns nil if there is none, or if no more workers may be reserved.
 func (c *candidates) reserveEmptiest(s *stage) *worker {
-	if fitsNone(c.never, s.size()) {
+	if fitsNone(c.never, s.size()) || len(c.reserved) >= c.reservationLimit() {
 		return nil
 	}
 	if c.byRoom == nil {
--- a/fleet/batch/large_tasks_test.go
+++ b/fleet/batch/large_tasks_test.go
@@ -75,3 +75,32 @@
 		}}), 3)
 	})
 }
+
+// Large tasks that wait for room must not keep a mostly idle pool from smaller jobs of a lower priority.
+func TestLargeTasksLeaveRoomInIdlePool(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, 4, faults{})
+	w.runMs = func(n batch.TaskName) int64 {
+		if n.Job < jobID(10) {
+			return 60_000
+		}
+		return 400
+	}
+	job := func(n, priority int, s batch.Step) batch.Job {
+		return batch.Job{ID: jobID(n), Queue: "q", Service: "s", Priority: priority, ObjectiveExtraMs: 90_000, Steps: []batch.Step{s}}
+	}
+	w.submit(job(1, 0, batch.Step{Count: 4, Size: batch.Size{CPU: 1000, MemMB: 100}, EstimateMs: 60_000, PerWorker: 1}))
+	w.run(3_000, nil)
+	for n := range 4 {
+		w.submit(job(2+n, 0, batch.Step{Count: 1, Size: batch.Size{CPU: 7500, MemMB: 100}, EstimateMs: 60_000}))
+	}
+	w.run(3_500, nil)
+	for n := range 5 {
+		w.submit(job(10+n, 1, batch.Step{Count: 2, Size: batch.Size{CPU: 500, MemMB: 100}, EstimateMs: 400}))
+	}
+	w.run(6_500, nil)
+	w.report()
+	for n := range 5 {
+		is.Equal(w.owners[0].m.State(jobID(10+n)), batch.StateCompleted)
+	}
+}
