End the term of an owner that was paused before it gives an order

Cause: a term ends once a renewal has failed. A process that goes on after a long pause asked the model for commands before that, and started tasks at workers that its successor had not fenced.

Change: the owner compares the time since its last acknowledged renewal with the time for which its successor waits, before each round of commands.

After a pause of 1 s the owner works on.

--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -372,6 +372,9 @@
 			continue
 		case <-timer.C:
 		}
+		if t.o.lease.SinceRenewal() > ClaimTTL+ClaimGracePeriod {
+			return errClaimLost // this process was paused, and a successor no longer waits for its orders.
+		}
 		_, ok := t.o.lease.Held()
 		if checkedMs := t.o.now() - t.o.lease.SinceRenewal().Milliseconds(); ok != claimHeld || checkedMs-lastCheckedMs > minCheckedChangeMs {
 			claimHeld, lastCheckedMs = ok, checkedMs
