--- a/node/owner/former.go
+++ b/node/owner/former.go
@@ -86,9 +86,9 @@
 			return f, eris.Wrapf(err, "key %q", termKey)
 		}
 	}
-	if f.Fence == int64(t.fence) { // an earlier attempt replaced the former record, of which only these terms are known now.
+	if f.Fence == int64(t.fence) { // an earlier attempt replaced the former record; of that, only the terms in Former are known now.
 		t.recordRev.Store(int64(i.Rev()))
-		f.Holder = ""
+		f.Holder = "" // this term is no former one.
 		t.formers.start(f.mayOrder(), time.Now())
 		return f, nil
 	}
