Let the lease of TestPausedOwnerGivesNoOrders outlive the term

Cause, by reading: the test ended the lease and the term by one context, and a lease that has ended reports no renewal, so that the term could see a renewal long ago before it saw its own end. An entry that stops ends its owner first. The test now does so, too; what it checks is unchanged.

--- a/node/owner/pause_test.go
+++ b/node/owner/pause_test.go
@@ -54,7 +54,9 @@
 	l := lease.New(unrenewedStore{s}, ClaimKey, "a/1", lease.WithTTL(ClaimTTL), lease.WithRenewalGrace(ClaimGracePeriod),
 		lease.WithClock(func() time.Time { return time.Now().Add(time.Duration(paused.Load())) }))
 	g := errgroup.Group{}
-	g.Go(func() error { return l.Run(x) })
+	held, release := context.WithCancel(context.Background()) // outlives the term, as in an entry that stops.
+	defer release()
+	g.Go(func() error { return l.Run(held) })
 	for f, ok := l.Retained(); !ok || f == 0; f, ok = l.Retained() {
 		time.Sleep(time.Millisecond)
 	}
@@ -78,6 +80,7 @@
 	}
 	paused.Store(int64(d))
 	err := m.runModel(x)
+	release()
 	is.NoErr(m.group.Wait())
 	is.NoErr(g.Wait())
 	return w.starts.Load(), err
