review: give the scripts of cases 6 and 9 more time to spare

Cause: on a slower machine the successor of case 6 might call the executor after the first step has ended, and the third start of case 9 might come after the executor has recovered.

Change: the first step of case 6 takes 3.6 s, and the leader is cut off 1.5 s after the job is accepted. The job of case 9 comes 0.1 s after the executor has become unhealthy.

--- a/review/standin-2/scenes.go
+++ b/review/standin-2/scenes.go
@@ -79,7 +79,7 @@
 // becomes the successor.
 func playSteps(w *world, trouble string) (string, error) {
 	const id = "00000000000000b3"
-	first, second := step("a", 3*time.Second, false), step("g", 2*time.Second, false)
+	first, second := step("a", 3600*ms, false), step("g", 2*time.Second, false)
 	second["after"] = []int{0}
 	w.setWork(id+".0.1", work{took: 2 * time.Second})
 	j := map[string]any{"spec": "ledger", "phases": []any{first, second}}
@@ -95,17 +95,17 @@
 	if trouble != "0" {
 		w.workers[0].cut(successor, true)
 	}
-	if err := w.submit(id, work{took: 3 * time.Second}, j); err != nil {
+	if err := w.submit(id, work{took: 3600 * ms}, j); err != nil {
 		return "", err
 	}
 	if trouble != "0" {
 		g := w.entries[leader].gate
-		at(t, 1300*ms) // the claim lapses 0.8 to 1.2 s later, while the first step is at work.
+		at(t, 1500*ms) // the claim lapses 0.8 to 1.2 s later, while the first step is at work.
 		w.note("entry %d is cut off from the store", leader+1)
 		g.cut.Store(true)
 		at(t, 5000*ms)
 		w.workers[0].cut(successor, false)
-		at(t, 6800*ms)
+		at(t, 7000*ms)
 		g.cut.Store(false)
 		w.note("the cut ends")
 	}
@@ -199,7 +199,7 @@
 	if trouble != "0" {
 		w.setGrey(k, true)
 	}
-	at(t, 200*ms)
+	at(t, 100*ms)
 	if err := w.submit(id, work{lasts: true}, job(step("g", time.Second, true))); err != nil {
 		return "", err
 	}
