review: state what case 8 shows, and avoid taken ports

Scripts that run beside each other took each other's ports.

Case 8 also hands in a short job, whose fate stands in the record. The stand-ins take ports below those of outgoing connections, and start an entry again whose port was taken.

--- a/review/standin-2/scenes.go
+++ b/review/standin-2/scenes.go
@@ -164,7 +164,14 @@
 		restart(k, 400*ms, "g")
 	}
 	at(t, 5700*ms+max(calmTime, lastRun))
-	return lostUnlessRunning(w, id, 20*time.Second), nil
+	const short = "00000000000000c2" // not judged; the record shows what becomes of it.
+	if err := w.submit(short, work{took: time.Second}, job(step("g", time.Second, false))); err != nil {
+		return "", err
+	}
+	found := lostUnlessRunning(w, id, 20*time.Second)
+	time.Sleep(2 * time.Second)
+	w.request(1, "GET", short, nil)
+	return found, nil
 }
 
 func (w *world) setSkew(k *worker, d time.Duration) {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"sort"
@@ -141,7 +142,7 @@
 // serve opens a listener for one entry, so that its link can be cut apart from the others.
 func (s *store) serve(n int) *gate {
 	g := &gate{}
-	l := listen(anyPort)
+	l := listen("")
 	g.addr = l.Addr().String()
 	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -158,16 +159,24 @@
 	return g
 }
 
-// anyPort lets the system choose a free port.
-const anyPort = "127.0.0.1:0"
+// Ports of the scripts. They lie below those that the system gives to outgoing connections, which could take the port of an executor that
+// is down for a moment.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
 
-// listen opens a listener. The port of an executor that starts again may be in use for a moment.
+// listen opens a listener on loopback: at addr, which may be in use for a moment, or at a free port if addr is empty.
 func listen(addr string) net.Listener {
-	for range 100 {
-		if l, err := net.Listen("tcp", addr); err == nil {
+	for range 200 {
+		a := addr
+		if a == "" {
+			a = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.Intn(lastPort-firstPort))
+		}
+		if l, err := net.Listen("tcp", a); err == nil {
 			return l
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
 	giveUp("cannot listen at " + addr)
 	return nil
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -63,9 +63,6 @@
 func (k *worker) start() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.addr == "" {
-		k.addr = anyPort
-	}
 	l := listen(k.addr)
 	k.addr = l.Addr().String()
 	k.up, k.life, k.startedAt = true, k.life+1, time.Now()
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,6 +32,9 @@
 	begun, ended            time.Time // ended is zero while it runs.
 }
 
+// errEnded reports that an entry ended at its start.
+var errEnded = errors.New("the entry has ended")
+
 // world is one small deployment: the platform's store, its machines, the executors, and the entries as processes.
 type world struct {
 	store    *store
@@ -63,9 +67,12 @@
 	gate          *gate
 	caller, ready string
 	cmd           *exec.Cmd
+	exited        chan struct{} // closed once the process has ended.
 }
 
 const (
+	startTime  = 300 * time.Millisecond // after which a process that is still there has opened its ports.
+	startTries = 3
 	readyWait  = 20 * time.Second
 	settleTime = 4 * time.Second // over stable_window_ms.
 )
@@ -86,7 +93,14 @@
 	}
 	w.serveMachines()
 	for i, c := range cores {
-		if err := w.startEntry(i, c); err != nil {
+		err := w.startEntry(i, c)
+		for range startTries {
+			if !errors.Is(err, errEnded) {
+				break
+			}
+			err = w.startEntry(i, c)
+		}
+		if err != nil {
 			return w, err
 		}
 	}
@@ -109,7 +123,7 @@
 
 // serveMachines serves the platform's list of machines. No case asks for orders to machines, so none is carried out.
 func (w *world) serveMachines() {
-	l := listen(anyPort)
+	l := listen("")
 	w.machines = l.Addr().String()
 	go http.Serve(l, http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/burdockreach/machines" {
@@ -135,7 +149,7 @@
 
 // freeAddr returns a loopback address with a port that was free a moment ago.
 func freeAddr() string {
-	l := listen(anyPort)
+	l := listen("")
 	defer l.Close()
 	return l.Addr().String()
 }
@@ -166,8 +180,18 @@
 	if err := e.cmd.Start(); err != nil {
 		return err
 	}
-	w.entries = append(w.entries, e)
-	return nil
+	e.exited = make(chan struct{})
+	go func() {
+		e.cmd.Wait()
+		close(e.exited)
+	}()
+	select {
+	case <-e.exited: // one of its ports was taken meanwhile.
+		return errEnded
+	case <-time.After(startTime):
+		w.entries = append(w.entries, e)
+		return nil
+	}
 }
 
 func (w *world) waitReady() error {
@@ -201,7 +225,7 @@
 func (w *world) stop() {
 	for _, e := range w.entries {
 		e.cmd.Process.Kill()
-		e.cmd.Wait()
+		<-e.exited
 	}
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(w.dir)
