review: case 8, a late list of machines ends a new lifetime

Cause: the list of machines that was requested when an executor had crashed arrives after the executor has started again under its id. It is taken for the end of the new lifetime, and nothing takes that back.

--- a/review/standin-2/scenes.go
+++ b/review/standin-2/scenes.go
@@ -13,6 +13,7 @@
 	"twice": {sevenOf("a"), threeEntries, playTwice},
 	"steps": {[]string{"g", "g", "a", "a", "a", "a", "a"}, []float64{0.8, 0.8, 0.4, 0.4}, playSteps},
 	"clock": {sevenOf("g"), threeEntries, playClock},
+	"list":  {sevenOf("g"), threeEntries, playList},
 	"grey":  {sevenOf("g"), threeEntries, playGrey},
 	"count": {sevenOf("g"), threeEntries, playCount},
 }
@@ -191,6 +192,29 @@
 	return fmt.Sprintf("LOST: nothing of %s ran for %.1f s in calm, with its executor idle; its state is %d %s", id, d.Seconds(), s, x)
 }
 
+// playList: the calls about machines are answered slowly for 5 s. An executor crashes and starts again under its id meanwhile.
+func playList(w *world, trouble string) (string, error) {
+	const id = "00000000000000e7"
+	if err := w.submit(id, work{lasts: true}, job(step("g", time.Second, true))); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * time.Second)
+	t := time.Now()
+	if trouble != "0" {
+		if trouble != "crash" {
+			w.machinesSlow.Store(200)
+			w.note("the machines' calls are answered 200 ms late")
+		}
+		at(t, 2000*ms)
+		restart(w.workers[0], 120*ms, "g")
+		at(t, 5000*ms)
+		w.machinesSlow.Store(0)
+		w.note("the machines' calls are answered at once")
+	}
+	at(t, 5000*ms+max(calmTime, lastRun))
+	return lostUnlessRunning(w, id, 20*time.Second), nil
+}
+
 // setGrey makes an executor refuse starts with 503, or accept them again.
 func (w *world) setGrey(k *worker, grey bool) {
 	k.mu.Lock()
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +45,8 @@
 	begun    time.Time
 	machines string // address of the machines' calls.
 
+	machinesSlow atomic.Int64 // added to each answer of the machines' calls, ms.
+
 	mu     sync.Mutex
 	record []string
 	runs   []runRecord
@@ -143,6 +146,7 @@
 			k.mu.Unlock()
 			m = append(m, x)
 		}
+		time.Sleep(time.Duration(w.machinesSlow.Load()) * time.Millisecond)
 		answer(a, 200, map[string]any{"machines": m, "next_token": nil})
 	}))
 }
