review: case 6, a late list of machines ends a new lifetime

Cause: the list of machines that was requested when an executor had crashed arrives after the executor has started again under its id. It is taken for the end of the new lifetime: what runs there is started elsewhere, and the executor is not used any more.

A stand-in starts an entry again that ended before it was ready.

--- a/review/standin-2/scenes.go
+++ b/review/standin-2/scenes.go
@@ -192,19 +192,26 @@
 	return fmt.Sprintf("LOST: nothing of %s ran for %.1f s in calm, with its executor idle; its state is %d %s", id, d.Seconds(), s, x)
 }
 
-// playList: the calls about machines are answered slowly for 5 s. An executor crashes and starts again under its id meanwhile.
+// playList: the calls about machines are answered slowly for 5 s. An executor that runs a short job, and one that lasts, crashes and starts
+// again under its id meanwhile.
 func playList(w *world, trouble string) (string, error) {
-	const id = "00000000000000e7"
-	if err := w.submit(id, work{lasts: true}, job(step("g", time.Second, true))); err != nil {
+	const short, lasts = "00000000000000e8", "00000000000000e7"
+	if err := w.submit(lasts, work{lasts: true}, job(step("g", time.Second, true))); err != nil {
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
 	t := time.Now()
+	if trouble != "0" && trouble != "crash" {
+		w.machinesSlow.Store(200)
+		w.note("the machines' calls are answered 200 ms late")
+	}
+	at(t, 1000*ms)
+	s := step("", 3*time.Second, false)
+	delete(s, "required_label")
+	if err := w.submit(short, work{took: 3 * time.Second}, job(s)); err != nil {
+		return "", err
+	}
 	if trouble != "0" {
-		if trouble != "crash" {
-			w.machinesSlow.Store(200)
-			w.note("the machines' calls are answered 200 ms late")
-		}
 		at(t, 2000*ms)
 		restart(w.workers[0], 120*ms, "g")
 		at(t, 5000*ms)
@@ -212,7 +219,9 @@
 		w.note("the machines' calls are answered at once")
 	}
 	at(t, 5000*ms+max(calmTime, lastRun))
-	return lostUnlessRunning(w, id, 20*time.Second), nil
+	w.request(2, "GET", short, nil)
+	w.note("the job that lasts (not judged): %s", lostUnlessRunning(w, lasts, 10*time.Second))
+	return overlap(w.allRuns(short)), nil
 }
 
 // setGrey makes an executor refuse starts with 503, or accept them again.
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -67,6 +67,7 @@
 
 // entry is one process of the project.
 type entry struct {
+	cores         float64
 	gate          *gate
 	caller, ready string
 	cmd           *exec.Cmd
@@ -160,7 +161,7 @@
 
 // startEntry starts one entry with the command of deploy/system.toml, and with the fields of deploy/settings.json.
 func (w *world) startEntry(i int, cores float64) error {
-	e := &entry{gate: w.store.serve(i), caller: freeAddr(), ready: freeAddr()}
+	e := &entry{cores: cores, gate: w.store.serve(i), caller: freeAddr(), ready: freeAddr()}
 	s := map[string]any{
 		"name": fmt.Sprintf("front-z-a-%d", i+1), "dataCentre": "z-a", "callerAddr": e.caller, "readyAddr": e.ready, "peerAddr": freeAddr(),
 		"metricsAddr": "", "storeAddr": e.gate.addr, "machinesAddr": w.machines, "adviceAddr": "", "leaseMaxMs": holdMaxMs, "statusSecs": 120,
@@ -193,15 +194,28 @@
 	case <-e.exited: // one of its ports was taken meanwhile.
 		return errEnded
 	case <-time.After(startTime):
-		w.entries = append(w.entries, e)
+		if i < len(w.entries) {
+			w.entries[i] = e
+		} else {
+			w.entries = append(w.entries, e)
+		}
 		return nil
 	}
 }
 
 func (w *world) waitReady() error {
 	end := time.Now().Add(readyWait)
-	for _, e := range w.entries {
+	for i := range w.entries {
 		for {
+			e := w.entries[i]
+			select {
+			case <-e.exited:
+				if err := w.startEntry(i, e.cores); err != nil {
+					return err
+				}
+				continue
+			default:
+			}
 			r, err := http.Get("http://" + e.ready + "/burdockreach/readiness")
 			if err == nil {
 				r.Body.Close()
