fleet/batch: a late answer does not end a newer lifetime

A worker crashes and starts again under its ID while the list of machines is on its way. Its lost task starts there again, and 0.14 s later at another worker too. The restarted worker is not used any more.

Cause: the list shows the machine as it was while the worker was down. noteGoneWorker and noteUnnamedWorkers did not compare the time of the request with the time at which the owner learned of the lifetime, and ended the new lifetime. The answer of another worker at the former address (workerReplaced) had the same effect.

Evidence: both runs carry the same fence, and the first one ran in the new lifetime, so that neither a second owner nor an unnoticed restart explains them.

Change: lists of machines and answers of other workers count only if they were asked for after the lifetime was known. What is true of the new lifetime is shown by the next list.

--- a/fleet/batch/answers.go
+++ b/fleet/batch/answers.go
@@ -24,7 +24,7 @@
 	case Fenced:
 		m.emit(DeposedCmd{Reason: "worker " + w.ID + " has seen a newer fence"})
 	default:
-		m.startRefused(r, g.Result)
+		m.startRefused(r, g.Result, g.Sent)
 	}
 }
 
@@ -59,8 +59,8 @@
 	}
 }
 
-// startRefused handles a start that certainly did nothing.
-func (m *Model) startRefused(r *run, why Result) {
+// startRefused handles a start that was sent at sent and certainly did nothing.
+func (m *Model) startRefused(r *run, why Result, sent int64) {
 	w, t := r.worker, r.task
 	m.log("start refused", t.stage.job.ID, "task", t.name().String(), "run", r.number, "worker", w.ID, "why", int(why))
 	m.endTrial(r)
@@ -73,7 +73,7 @@
 		w.quarantineMs = min(max(2*w.quarantineMs, minQuarantineMs), maxQuarantineMs)
 		w.quarantinedUntil = m.now + w.quarantineMs
 	case WrongWorker:
-		m.workerReplaced(w)
+		m.workerReplaced(w, sent)
 	case NotSent:
 		m.markUnreachable(w, why)
 	case NoTicket: // the worker has restarted since the ticket was granted.
@@ -93,7 +93,7 @@
 		return
 	}
 	if g.Result == WrongWorker {
-		m.workerReplaced(w)
+		m.workerReplaced(w, g.Sent)
 		return
 	}
 	if g.Result != OK {
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -200,7 +200,7 @@
 			k = &machine{}
 			d.machines[x.Name] = k
 		}
-		m.noteGoneWorker(k, x)
+		m.noteGoneWorker(k, x, g.Sent)
 		if k.Machine.Name != "" && (k.State != x.State || k.Worker != x.Worker) && k.orderedAt == 0 {
 			m.log("machine changed", "", "machine", x.Name, "pool", x.Pool, "state", string(x.State), "before", string(k.State), "worker", x.Worker, "workerBefore", k.Worker)
 		}
@@ -226,10 +226,10 @@
 }
 
 // noteGoneWorker records that the machine's worker has ended, if the new entry x of the list shows it: the machine is not up any more,
-// or has another worker.
-func (m *Model) noteGoneWorker(k *machine, x Machine) {
+// or has another worker. The list was requested at sent.
+func (m *Model) noteGoneWorker(k *machine, x Machine, sent int64) {
 	w := m.workerOf(k)
-	if w == nil || w.dead || x.Worker == w.ID || x.State == MachineUp && x.Worker == "" {
+	if w == nil || w.dead || w.lifetimeKnownAt >= sent || x.Worker == w.ID || x.State == MachineUp && x.Worker == "" {
 		return
 	}
 	w.goneState = x.State
@@ -238,14 +238,15 @@
 	}
 }
 
-// noteUnnamedWorkers records which workers that have stopped answering are on no machine of the list, which was requested after that.
+// noteUnnamedWorkers records which workers that have stopped answering are on no machine of the list, which was requested after that
+// and after their lifetimes began. A lifetime counts as silent from its start if the one before it was silent.
 func (m *Model) noteUnnamedWorkers(g MachinesMsg) {
 	named := make(map[string]bool, len(g.List))
 	for _, x := range g.List {
 		named[x.Worker] = true
 	}
 	for _, w := range m.workerList {
-		if w.silentSince != 0 && w.silentSince < g.Sent && !named[w.ID] && w.goneState == "" && !w.machineTaken {
+		if w.silentSince != 0 && max(w.silentSince, w.lifetimeKnownAt) < g.Sent && !named[w.ID] && w.goneState == "" && !w.machineTaken {
 			w.goneState = MachineDown
 		}
 	}
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -201,8 +201,7 @@
 		m.emit(DeposedCmd{Reason: "worker " + w.ID + " has seen a newer fence"})
 		return
 	case WrongWorker:
-		m.log("worker replaced", "", "worker", w.ID, "addr", w.Addr, "runs", len(w.runs))
-		m.workerReplaced(w)
+		m.workerReplaced(w, g.Sent)
 		return
 	default:
 		m.markUnreachable(w, g.Result)
@@ -247,8 +246,12 @@
 	}
 }
 
-// workerReplaced records that another worker answers at w's address.
-func (m *Model) workerReplaced(w *worker) {
+// workerReplaced records that another worker answers at w's address, by the answer to a call that was sent at sent.
+func (m *Model) workerReplaced(w *worker, sent int64) {
+	if sent < w.lifetimeKnownAt {
+		return // the call was meant for an earlier lifetime, which may have had another address.
+	}
+	m.log("worker replaced", "", "worker", w.ID, "addr", w.Addr, "runs", len(w.runs))
 	if !w.dead && !w.Draining {
 		m.markCrashed(w, "replaced")
 	}
