fleet/batch, node/owner: no start reaches a lifetime without the fence

An owner is cut off from the store while nothing runs, and another entry takes the claim. A worker starts again under its ID. Both owners then start the task of a scheduled job, the former one at the restarted worker.

Cause: a fence protects a lifetime, not a worker. restart kept synced for the new lifetime, so that the successor neither called an idle worker that had restarted nor waited for its lists. And an owner without a certain claim, which relies on the fences of its successor, started tasks in lifetimes that it had not learned of.

Evidence: the record of the case shows no call of the successor to the restarted worker before the start of the former owner (fence 10 against 53), and that worker refused nothing.

Change: a new lifetime counts as not read. A start of an owner without a certain claim names the lifetime that it is meant for; the process that makes the call sends it within 35 ms of a list of that lifetime, and polls first otherwise. Another lifetime gets no start, and a fenced worker deposes the owner.

--- a/fleet/batch/fakeowner_test.go
+++ b/fleet/batch/fakeowner_test.go
@@ -74,6 +74,9 @@
 			w.teams.startSent(k)
 		}
 		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
+			if k.Born != 0 && k.Born != f.Born() {
+				return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: batch.WrongWorker, Sent: w.now}
+			}
 			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock()}
 		}, func(r batch.Result) batch.Msg {
 			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r}
--- a/fleet/batch/lifetime_test.go
+++ b/fleet/batch/lifetime_test.go
@@ -144,3 +144,58 @@
 		is.Equal(l.Workers(), 2)
 	})
 }
+
+// A worker that starts again has seen no fence. Its owner must call it and read its lists before it relies on the new lifetime: a former
+// owner may start tasks there until then.
+func TestNewLifetimeIsRead(t *testing.T) {
+	t.Run("an idle worker is called", func(t *testing.T) {
+		is := is.New(t)
+		l := newLifetimes("w1")
+		l.restart("w1")
+		l.advance(100)
+		is.True(l.polls["w1"] > 0)
+	})
+	t.Run("it is given no task before", func(t *testing.T) {
+		is := is.New(t)
+		l := newLifetimes("w1")
+		l.polled = func(k batch.PollCmd) batch.PolledMsg {
+			return batch.PolledMsg{Worker: k.Worker, Sent: l.now, ClockMs: l.now, Born: 1} // sent by the former lifetime.
+		}
+		l.restart("w1")
+		l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: fourTaskJob()})
+		l.advance(300)
+		is.Equal(len(l.starts), 0)
+		l.polled = l.answer
+		l.advance(300)
+		is.Equal(len(l.starts), 4)
+	})
+	t.Run("a successor waits for it", func(t *testing.T) {
+		is := is.New(t)
+		m := newSuccessorWithMachines("w1", "w2")
+		entry := func(id string, born int64) batch.WorkerEntry {
+			return batch.WorkerEntry{ID: id, Service: "s", Addr: id, Room: batch.Size{CPU: 8000, MemMB: 8000}, ClockMs: 1, Born: born}
+		}
+		m.Update(1040, batch.WorkersMsg{Set: []batch.WorkerEntry{entry("w2", 900_000)}})
+		m.Commands(1045)
+		m.Update(1050, batch.PolledMsg{Worker: "w2", Sent: 1045, Born: 900_000, ClockMs: 2})
+		m.Update(1055, batch.WorkersMsg{Set: []batch.WorkerEntry{entry("w2", 900_500)}})
+		is.Equal(starts(m, 1100)+starts(m, 1200), 0)
+		m.Update(1210, batch.PolledMsg{Worker: "w2", Sent: 1200, Born: 900_500, ClockMs: 3})
+		is.Equal(starts(m, 1260)+starts(m, 1320), 4)
+	})
+}
+
+// Without a certain claim, a successor may have fenced the workers. A start must then not reach a lifetime that has not seen its fence.
+func TestStartWithoutClaimNamesLifetime(t *testing.T) {
+	born := func(fresh bool) int64 {
+		w := newListedWorkers(batch.LoadedMsg{}, "w")
+		w.run(1010, 1_100)
+		w.m.Update(1_100, batch.ClaimMsg{Fresh: fresh, RenewedAt: 1_090})
+		w.submit(1_100, 1)
+		w.run(1_100, 1_300)
+		is.New(t).Equal(len(w.starts), 1)
+		return w.starts[0].Born
+	}
+	t.Run("certain claim", func(t *testing.T) { is.New(t).Equal(born(true), int64(0)) })
+	t.Run("uncertain claim", func(t *testing.T) { is.New(t).Equal(born(false), int64(500)) })
+}
--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -226,6 +226,7 @@
 	Fence        int64
 	Checkpoint   string
 	Ticket       string
+	Born         int64 // start of the only lifetime that may get the start, Unix ms; 0 if any may.
 }
 
 // StopCmd stops a run.
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -330,10 +330,19 @@
 	}
 	m.emit(StartCmd{
 		Worker: w.ID, Addr: w.Addr, Task: t.name(), Run: n, Spec: t.stage.job.Spec, UntilMs: r.startExpiresAt,
-		Fence: m.cfg.Fence, Checkpoint: t.checkpoint, Ticket: t.stage.ticket(w, m.now),
+		Fence: m.cfg.Fence, Checkpoint: t.checkpoint, Ticket: t.stage.ticket(w, m.now), Born: m.onlyLifetime(w),
 	})
 }
 
+// onlyLifetime returns the start of the lifetime of w that a start is meant for. It is 0 for any lifetime while the claim is certain.
+// Without it, a successor may have fenced this lifetime, and the next one would not refuse the start.
+func (m *Model) onlyLifetime(w *worker) int64 {
+	if m.claimFresh {
+		return 0
+	}
+	return w.Born
+}
+
 // placeGang starts all tasks of s together, or none.
 func (m *Model) placeGang(c *candidates, s *stage) {
 	for _, t := range s.tasks {
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -42,13 +42,14 @@
 	maxPollGapMs    = 30
 )
 
-// ackWithinMs is the largest age in ms of a worker's last list at which ends are acknowledged. A worker restarts more slowly than
+// sameLifetimeMs is the largest age in ms of a worker's last list at which ends are acknowledged. A worker restarts more slowly than
 // that, so the number does not reach another lifetime, which counts its ends anew.
-const ackWithinMs = 35
+const sameLifetimeMs = 35
 
-// AckWithin is the longest time from a worker's list to a poll that acknowledges ends of the same lifetime. The process that makes the call
-// checks it, too: the answer and the poll may be delayed on the way between this process and the owner.
-const AckWithin = ackWithinMs * time.Millisecond
+// SameLifetimeWithin is the longest time from a worker's list to a call that must not reach another lifetime: a poll that acknowledges ends,
+// or a start that names the lifetime. The process that makes the call checks it, too: the answer and the call may be delayed on the way
+// between this process and the owner.
+const SameLifetimeWithin = sameLifetimeMs * time.Millisecond
 
 // pollWorkers polls the workers that have runs or whose lists have not been read yet.
 func (m *Model) pollWorkers() {
@@ -94,7 +95,7 @@
 	}
 	if w.silentSince != 0 || h.ForgetUpTo == w.confirmedAck {
 		h.ForgetUpTo = 0 // if the worker has restarted unnoticed, it must not forget the ended runs of its new lifetime.
-	} else if m.now-w.lifetimeSeenAt > ackWithinMs {
+	} else if m.now-w.lifetimeSeenAt > sameLifetimeMs {
 		h.ForgetUpTo, h.WaitMs, w.ackWithheld = 0, 0, true
 	} else {
 		w.sentAck = h.ForgetUpTo
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -180,7 +180,7 @@
 	w.ended, w.goneState, w.trial = false, "", nil
 	w.Born, w.sentAck, w.confirmedAck, w.lastEnd, w.unsavedEnds = born, 0, 0, 0, nil
 	w.clockMs, w.clockAt, w.leaseUntil = 0, m.now, max(m.cfg.LeaseMs, workerLeaseMs)
-	w.lifetimeSeenAt, w.formerUntil, w.partlyRead = 0, 0, false
+	w.lifetimeSeenAt, w.formerUntil, w.synced, w.partlyRead = 0, 0, false, false
 	w.failuresInRow, w.failedJobs, w.quarantinedUntil, w.quarantineMs, w.slowdown, w.speed, w.slow = 0, nil, 0, 0, 1, speed.Meter{}, false
 	w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = 0, true, m.now
 }
--- a/node/owner/carry.go
+++ b/node/owner/carry.go
@@ -149,9 +149,9 @@
 			Worker: o.GetWorker(), Addr: o.GetAddr(), Task: t, Run: int(o.GetRun()), Fence: o.GetFence(),
 		})
 	} else {
-		r, a.ClockMs, err = c.workers.Start(c.ctx, batch.StartCmd{
+		r, a.ClockMs, err = c.startRun(c.ctx, batch.StartCmd{
 			Worker: o.GetWorker(), Addr: o.GetAddr(), Task: t, Run: int(o.GetRun()), Spec: o.GetSpec(), UntilMs: o.GetUntil(),
-			Fence: o.GetFence(), Checkpoint: o.GetSaved(), Ticket: o.GetTicket(),
+			Fence: o.GetFence(), Checkpoint: o.GetSaved(), Ticket: o.GetTicket(), Born: o.GetBorn(),
 		})
 	}
 	count(c.stats, c.log, "carried_order", begin, err)
--- a/node/owner/helper.go
+++ b/node/owner/helper.go
@@ -209,7 +209,7 @@
 	case batch.StartCmd:
 		return &desk.Order{
 			Worker: k.Worker, Addr: k.Addr, Fence: k.Fence, Task: k.Task.String(), Run: int64(k.Run), Until: k.UntilMs,
-			Spec: k.Spec, Saved: k.Checkpoint, Ticket: k.Ticket,
+			Spec: k.Spec, Saved: k.Checkpoint, Ticket: k.Ticket, Born: k.Born,
 		}
 	}
 	panic(fmt.Sprintf("owner: %T cannot be sent through a helper", c)) // a bug in perform.
--- a/node/owner/perform.go
+++ b/node/owner/perform.go
@@ -94,7 +94,7 @@
 		o.count("hold", begin, err)
 		t.send(ctx, g)
 	case batch.StartCmd:
-		r, clock, err := o.workers.Start(ctx, k)
+		r, clock, err := o.startRun(ctx, k)
 		o.count("start", begin, err)
 		t.send(ctx, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: clock, Sent: sent})
 	case batch.StopCmd:
