fleet/batch: a late answer does not set the clock of a newer lifetime

Nobody has seen it.

What callers would see: a worker starts again under its ID while the answer to a start or stop is on its way, and falls silent later.

Cause: answers to starts and stops carry the worker's clock but not its lifetime, and set the clock of whichever lifetime the owner knew. leaseUntil was computed from it with the next poll and never falls.

Change: such an answer sets the clock only if the call was sent after the lifetime was known.

TestLateAnswerLeavesClockOfNewLifetime failed before. The fakes of the tests did not say when a call was sent; they do now, as the callers of the model do.

--- a/fleet/batch/answers.go
+++ b/fleet/batch/answers.go
@@ -13,9 +13,7 @@
 	if r == nil || r.worker != w {
 		return
 	}
-	if g.ClockMs > 0 {
-		m.setClock(w, g.ClockMs)
-	}
+	m.setClockOf(w, g.ClockMs, g.Sent)
 	switch g.Result {
 	case OK:
 		m.startConfirmed(r)
@@ -59,7 +57,7 @@
 	}
 }
 
-// startRefused handles a start that was sent at sent and certainly did nothing.
+// startRefused handles a start, sent at sent, that certainly did nothing.
 func (m *Model) startRefused(r *run, why Result, sent int64) {
 	w, t := r.worker, r.task
 	m.log("start refused", t.stage.job.ID, "task", t.name().String(), "run", r.number, "worker", w.ID, "why", int(why))
@@ -99,9 +97,7 @@
 	if g.Result != OK {
 		return
 	}
-	if g.ClockMs > 0 {
-		m.setClock(w, g.ClockMs)
-	}
+	m.setClockOf(w, g.ClockMs, g.Sent)
 	w.shortPoll = true
 	if t == nil {
 		return
--- a/fleet/batch/fakeowner_test.go
+++ b/fleet/batch/fakeowner_test.go
@@ -59,7 +59,7 @@
 }
 
 func (a *fakeOwner) perform(c batch.Cmd) {
-	w := a.w
+	w, sent := a.w, a.w.now
 	switch k := c.(type) {
 	case batch.DeposedCmd:
 		a.alive = false
@@ -75,17 +75,17 @@
 		}
 		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
 			if k.Born != 0 && k.Born != f.Born() {
-				return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: batch.WrongWorker, Sent: w.now}
+				return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: batch.WrongWorker, Sent: sent}
 			}
-			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock()}
+			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock(), Sent: sent}
 		}, func(r batch.Result) batch.Msg {
-			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r}
+			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent}
 		})
 	case batch.StopCmd:
 		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
-			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Stop(k), ClockMs: f.Clock()}
+			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Stop(k), ClockMs: f.Clock(), Sent: sent}
 		}, func(r batch.Result) batch.Msg {
-			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r}
+			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent}
 		})
 	case batch.ListMachinesCmd:
 		a.deliver(5, batch.MachinesMsg{Sent: w.now, List: w.fleet.list()})
--- a/fleet/batch/harness_test.go
+++ b/fleet/batch/harness_test.go
@@ -92,10 +92,10 @@
 				b.replies = append(b.replies, k)
 			case batch.StartCmd:
 				b.starts = append(b.starts, k)
-				b.Update(b.now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now, Result: b.result})
+				b.Update(b.now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now, Sent: b.now, Result: b.result})
 			case batch.StopCmd:
 				b.stops = append(b.stops, k)
-				b.Update(b.now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now})
+				b.Update(b.now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: b.now, Sent: b.now})
 			case batch.PollCmd:
 				if b.polled != nil {
 					b.Update(b.now, b.polled(k))
--- a/fleet/batch/lifetime_test.go
+++ b/fleet/batch/lifetime_test.go
@@ -199,3 +199,24 @@
 	t.Run("certain claim", func(t *testing.T) { is.New(t).Equal(born(true), int64(0)) })
 	t.Run("uncertain claim", func(t *testing.T) { is.New(t).Equal(born(false), int64(500)) })
 }
+
+// Each lifetime has a clock of its own. The answer to a call to the former lifetime must not set the clock of the new one: its lease would
+// seem to last for as long as the former lifetime did, and its tasks would not start elsewhere when it falls silent.
+func TestLateAnswerLeavesClockOfNewLifetime(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: fourTaskJob()})
+	l.advance(500)
+	sent := l.now
+	l.advance(100)
+	l.restart("w1")
+	l.advance(1_000)
+	starts := len(l.starts)
+	is.True(starts > 4)
+	l.Update(l.now, batch.StoppedMsg{Worker: "w1", Task: l.starts[0].Task, Run: 1, ClockMs: 3_600_000, Sent: sent})
+	l.advance(10)
+	l.silent["w1"] = true
+	l.list("w2")
+	l.advance(7_000)
+	is.True(len(l.starts) > starts)
+}
--- a/fleet/batch/lists_test.go
+++ b/fleet/batch/lists_test.go
@@ -145,13 +145,13 @@
 		if w.loseAnswers {
 			return
 		}
-		w.m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
+		w.m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now, Sent: now})
 	case batch.StopCmd:
 		w.stops = append(w.stops, k)
 		if w.stopping {
 			w.running[k.Worker] = slices.DeleteFunc(w.running[k.Worker], func(r batch.ActiveRun) bool { return r.Task == k.Task })
 		}
-		w.m.Update(now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
+		w.m.Update(now, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now, Sent: now})
 	case batch.ListMachinesCmd:
 		w.m.Update(now, batch.MachinesMsg{Sent: now, List: w.machines()})
 	case batch.UpkeepCmd:
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -238,8 +238,8 @@
 	}
 }
 
-// noteUnnamedWorkers records which workers that have stopped answering are on no machine of the list, which was requested after that
-// and after their lifetimes began. A lifetime counts as silent from its start if the one before it was silent.
+// noteUnnamedWorkers records which workers that have stopped answering are on no machine of the list, which was requested after that.
+// The silence may have begun in the lifetime before.
 func (m *Model) noteUnnamedWorkers(g MachinesMsg) {
 	named := make(map[string]bool, len(g.List))
 	for _, x := range g.List {
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// setClockOf is setClock for the answer to a call that was sent at sent. The answer does not tell the lifetime, and each has a clock of its own.
+func (m *Model) setClockOf(w *worker, clock, sent int64) {
+	if sent >= w.lifetimeKnownAt {
+		m.setClock(w, clock)
+	}
+}
+
 // requestedLeaseMs returns the length of the lease to ask for.
 func (m *Model) requestedLeaseMs() int64 {
 	if m.cfg.LeaseMs > 0 {
--- a/fleet/batch/poll_test.go
+++ b/fleet/batch/poll_test.go
@@ -33,7 +33,7 @@
 				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
 			case batch.StartCmd:
 				ended = []batch.EndedRun{{Number: 1, Task: k.Task, Run: k.Run, Reason: batch.EndDone}}
-				m.Update(now, batch.StartedMsg{Worker: "w", Task: k.Task, Run: k.Run, ClockMs: now})
+				m.Update(now, batch.StartedMsg{Worker: "w", Task: k.Task, Run: k.Run, ClockMs: now, Sent: now})
 			case batch.PollCmd:
 				if k.ForgetUpTo == 1 && silentUntil == 0 {
 					silentUntil = now + 700
@@ -106,7 +106,7 @@
 				} else {
 					running = []batch.ActiveRun{{Task: k.Task, Run: k.Run}}
 				}
-				m.Update(now, batch.StartedMsg{Worker: "w", Task: k.Task, Run: k.Run, ClockMs: now})
+				m.Update(now, batch.StartedMsg{Worker: "w", Task: k.Task, Run: k.Run, ClockMs: now, Sent: now})
 			case batch.PollCmd:
 				if k.ForgetUpTo > 0 {
 					sent, ended = append(sent, k.ForgetUpTo), []batch.EndedRun{}
@@ -142,7 +142,7 @@
 				writes, doneAt = append(writes, k), append(doneAt, now+writeMs)
 			case batch.StartCmd:
 				ended = []batch.EndedRun{{Number: 1, Task: k.Task, Run: k.Run, Reason: batch.EndDone}}
-				w.m.Update(now, batch.StartedMsg{Worker: "w", Task: k.Task, Run: k.Run, ClockMs: now})
+				w.m.Update(now, batch.StartedMsg{Worker: "w", Task: k.Task, Run: k.Run, ClockMs: now, Sent: now})
 			case batch.PollCmd:
 				if k.ForgetUpTo > 0 {
 					acked++
--- a/fleet/batch/takeover_test.go
+++ b/fleet/batch/takeover_test.go
@@ -188,7 +188,7 @@
 				} else {
 					second, again = k.Worker, now
 				}
-				m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
+				m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now, Sent: now})
 			}
 		}
 	}
@@ -402,7 +402,7 @@
 				m.Update(now, batch.CommittedMsg{ID: k.ID, Rev: now})
 			case batch.StartCmd:
 				starts = append(starts, k)
-				m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now})
+				m.Update(now, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, ClockMs: now, Sent: now})
 			case batch.PollCmd:
 				if k.Worker != lost {
 					m.Update(now, batch.PolledMsg{Worker: k.Worker, Sent: now, ClockMs: now, Born: 500, Running: activeRuns(starts, k.Worker)})
