fleet/batch: a list of machines does not end a lifetime that has answered

What callers saw in the simulation: TWICE. A worker restarts without its owner's knowledge, for 50 ms, while the list of machines is on its way, and carries out a start. The list, made while the worker was down, drops that run.

Cause: compared the list with the time at which the owner learned of the lifetime, but the owner may not know yet of the one that answers it.

Change: a list does not count for a worker that has answered since the list was requested. An end that a list has shown is taken back when the worker answers a start, so that polls decide. The simulated workers check the fence of a poll when it arrives and not when they answer it, as the platform's may.

--- a/fakes/worker/worker.go
+++ b/fakes/worker/worker.go
@@ -245,10 +245,8 @@
 
 // Hold extends the lease, removes the ends that the caller acknowledges, and returns the active runs and the remaining ends.
 func (w *Worker) Hold(c batch.PollCmd) batch.PolledMsg {
-	g := batch.PolledMsg{Worker: w.id, Born: w.bornMs, ClockMs: w.Clock()}
 	if w.fenced(c.Fence) {
-		g.Result = batch.Fenced
-		return g
+		return batch.PolledMsg{Worker: w.id, Born: w.bornMs, ClockMs: w.Clock(), Result: batch.Fenced}
 	}
 	w.extendLease(c.UntilMs)
 	for _, e := range w.ended {
@@ -258,6 +256,12 @@
 	}
 	w.ackedEnd = max(w.ackedEnd, c.ForgetUpTo)
 	w.ended = slices.DeleteFunc(w.ended, func(e batch.EndedRun) bool { return e.Number <= w.ackedEnd })
+	return w.Lists()
+}
+
+// Lists returns the active runs and the ended runs, as the answer to a call that the worker took earlier.
+func (w *Worker) Lists() batch.PolledMsg {
+	g := batch.PolledMsg{Worker: w.id, Born: w.bornMs, ClockMs: w.Clock()}
 	for _, r := range w.runs {
 		g.Running = append(g.Running, batch.ActiveRun{Task: r.Task, Run: r.Number, Percent: w.percentDone(r)})
 	}
--- a/fleet/batch/answers.go
+++ b/fleet/batch/answers.go
@@ -13,9 +13,10 @@
 	if r == nil || r.worker != w {
 		return
 	}
-	m.setClockOf(w, g.ClockMs, g.Sent)
+	m.noteAnswer(w, g.Result, g.ClockMs, g.Sent)
 	switch g.Result {
 	case OK:
+		m.revive(w)
 		m.startConfirmed(r)
 	case NoAnswer:
 		m.startUnanswered(r)
@@ -38,6 +39,17 @@
 	}
 }
 
+// revive takes it back that the list of machines has shown the end of w's lifetime, because w has carried out a start: the next lifetime may
+// have done so. Polls show which one it is.
+func (m *Model) revive(w *worker) {
+	if !w.ended || w.machineTaken {
+		return
+	}
+	m.log("worker regained", "", "worker", w.ID, "silentMs", w.silentMs(m.now))
+	w.ended, w.dead, w.goneState, w.nextPollAt, w.shortPoll = false, false, "", 0, true
+	m.pool(w.Service).dirty = true
+}
+
 // startUnanswered handles a start whose outcome is unknown. A short task is stopped, so that the start is never carried out late. A lasting
 // task may serve by now: it is kept until its worker's list shows that it runs, or that its start has expired.
 func (m *Model) startUnanswered(r *run) {
@@ -97,7 +109,7 @@
 	if g.Result != OK {
 		return
 	}
-	m.setClockOf(w, g.ClockMs, g.Sent)
+	m.noteAnswer(w, g.Result, g.ClockMs, g.Sent)
 	w.shortPoll = true
 	if t == nil {
 		return
--- a/fleet/batch/chaos_test.go
+++ b/fleet/batch/chaos_test.go
@@ -6,6 +6,9 @@
 	"testing"
 )
 
+// lateLists are restarts of workers while lists of machines are on their way.
+var lateLists = faults{crash: 6, restart: 20, slowList: 500}
+
 // Seeds that failed once are kept as regression cases.
 var regressions = []struct {
 	seed   uint64
@@ -13,6 +16,8 @@
 	cause  string
 }{
 	{4, faults{depose: 2, crash: 4, restart: 2, cut: 6, late: 10, lost: 10}, "an owner without the store started tasks at a restarted worker, which had forgotten its successor's fence"},
+	{13, lateLists, "a late list of machines dropped a run that a worker had started after it had restarted unnoticed"},
+	{249, lateLists, "a run whose start was on its way when a late list of machines ended its worker was dropped once the start was answered"},
 	{157, faults{crash: 6, restart: 6, fail: 20}, "a run listed at 97 percent 70 ms before a crash was taken for a loss, but had ended before the crash"},
 }
 
@@ -71,6 +76,7 @@
 		{"late and lost orders", faults{late: 40, lost: 40}},
 		{"crashes", faults{crash: 6, restart: 6, fail: 20}},
 		{"cuts", faults{cut: 10, lost: 5}},
+		{"late lists of machines", lateLists},
 		{"store", faults{storeDown: 2, storeLost: 100}},
 		{"owners", faults{depose: 2}},
 		{"owners and workers", faults{depose: 2, crash: 4, restart: 2, cut: 6, late: 10, lost: 10}},
--- a/fleet/batch/fakeowner_test.go
+++ b/fleet/batch/fakeowner_test.go
@@ -88,7 +88,11 @@
 			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent}
 		})
 	case batch.ListMachinesCmd:
-		a.deliver(5, batch.MachinesMsg{Sent: w.now, List: w.fleet.list()})
+		delay := int64(5)
+		if w.chance(w.faults.slowList) {
+			delay += w.rnd.Int64N(1_000)
+		}
+		a.deliver(delay, batch.MachinesMsg{Sent: w.now, List: w.fleet.list()})
 	case batch.MoveCmd:
 		a.orderMachine(k.Machine, 0, func(m *fakeMachine) batch.OrderResult { return w.fleet.move(a, m, k.Pool) })
 	case batch.UpkeepCmd:
@@ -123,7 +127,7 @@
 		case a.unreachable[k.Worker] || f.PoweredOff() || f.LifetimeStart() != born:
 			a.deliver(pollTimeoutMs, batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: batch.NoAnswer})
 		case w.now >= until || f.HasUnackedEnds(k.ForgetUpTo):
-			g := f.Hold(batch.PollCmd{Fence: k.Fence, ForgetUpTo: k.ForgetUpTo})
+			g := f.Lists() // the fence counts when the poll arrives, not when it is answered.
 			g.Sent = sent
 			a.deliver(1, g)
 		default:
--- a/fleet/batch/lifetime_test.go
+++ b/fleet/batch/lifetime_test.go
@@ -130,6 +130,55 @@
 		l.advance(100)
 		is.Equal(l.Workers(), 2)
 	})
+	t.Run("list of machines, and a start that the new lifetime has answered", func(t *testing.T) {
+		is := is.New(t)
+		l := newLifetimes("w1")
+		l.machines(l.now, []string{"w1"})
+		l.advance(10)
+		sent := l.now
+		l.restartUnseen("w1")
+		l.silent["w1"] = true // answers to polls are lost, so that the owner does not learn of the restart.
+		l.advance(10)
+		l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: fourTaskJob()})
+		l.advance(50)
+		is.Equal(l.startsAt("w1"), 4)
+		l.list("w2")
+		l.machines(sent, nil, "w1")
+		l.silent["w1"] = false
+		l.advance(1_000)
+		is.Equal(len(l.starts), 4)
+		is.Equal(l.Workers(), 2)
+	})
+	t.Run("list of machines while starts at the new lifetime are on their way", func(t *testing.T) {
+		is := is.New(t)
+		l := newLifetimes("w1")
+		l.machines(l.now, []string{"w1"})
+		l.advance(10)
+		sent := l.now
+		l.restartUnseen("w1")
+		l.advance(10)
+		l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: fourTaskJob()})
+		for range 3 {
+			for _, c := range l.Commands(l.now) {
+				switch k := c.(type) {
+				case batch.CommitCmd:
+					l.commit(k)
+				case batch.StartCmd:
+					l.starts = append(l.starts, k)
+				}
+			}
+			l.now += 10
+		}
+		is.Equal(l.startsAt("w1"), 4)
+		l.list("w2")
+		l.machines(sent, nil, "w1")
+		for _, s := range l.starts {
+			l.Update(l.now, batch.StartedMsg{Worker: s.Worker, Task: s.Task, Run: s.Run, ClockMs: l.now, Sent: l.now - 10})
+		}
+		l.advance(1_000)
+		is.Equal(len(l.starts), 4)
+		is.Equal(l.Workers(), 2)
+	})
 	t.Run("another worker at the former address", func(t *testing.T) {
 		l, n := play(func(l *lifetimes, sent int64) {
 			l.Update(l.now, batch.PolledMsg{Worker: "w1", Sent: sent, Result: batch.WrongWorker})
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -229,7 +229,7 @@
 // or has another worker. The list was requested at sent.
 func (m *Model) noteGoneWorker(k *machine, x Machine, sent int64) {
 	w := m.workerOf(k)
-	if w == nil || w.dead || w.lifetimeKnownAt >= sent || x.Worker == w.ID || x.State == MachineUp && x.Worker == "" {
+	if w == nil || w.dead || w.heardSince(sent) || x.Worker == w.ID || x.State == MachineUp && x.Worker == "" {
 		return
 	}
 	w.goneState = x.State
@@ -238,6 +238,10 @@
 	}
 }
 
+// heardSince reports whether w has become known or has answered since the given time. A list of machines that was requested then does not
+// tell whether what runs at w is gone: it may show w between two lifetimes.
+func (w *worker) heardSince(sent int64) bool { return w.lifetimeKnownAt >= sent || w.heardAt > sent }
+
 // noteUnnamedWorkers records which workers that have stopped answering are on no machine of the list, which was requested after that.
 // The silence may have begun in the lifetime before.
 func (m *Model) noteUnnamedWorkers(g MachinesMsg) {
@@ -246,7 +250,7 @@
 		named[x.Worker] = true
 	}
 	for _, w := range m.workerList {
-		if w.silentSince != 0 && max(w.silentSince, w.lifetimeKnownAt) < g.Sent && !named[w.ID] && w.goneState == "" && !w.machineTaken {
+		if w.silentSince != 0 && w.silentSince < g.Sent && !w.heardSince(g.Sent) && !named[w.ID] && w.goneState == "" && !w.machineTaken {
 			w.goneState = MachineDown
 		}
 	}
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -26,11 +26,14 @@
 	}
 }
 
-// setClockOf is setClock for the answer to a call that was sent at sent. The answer does not tell the lifetime, and each has a clock of its own.
-func (m *Model) setClockOf(w *worker, clock, sent int64) {
-	if sent >= w.lifetimeKnownAt {
-		m.setClock(w, clock)
+// noteAnswer records that w has answered a start or stop that was sent at sent. The answer does not tell the lifetime, and each has a clock
+// of its own.
+func (m *Model) noteAnswer(w *worker, why Result, clock, sent int64) {
+	if why == NoAnswer || why == NotSent || why == WrongWorker || sent < w.lifetimeKnownAt {
+		return
 	}
+	w.heardAt = m.now
+	m.setClock(w, clock)
 }
 
 // requestedLeaseMs returns the length of the lease to ask for.
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -64,6 +64,7 @@
 	drag                                                                int  // a worker's runs take three to five times as long for some seconds.
 	shrink                                                              int  // a worker's capacity shrinks for some seconds.
 	lookAhead                                                           bool // the owners' setting.
+	slowList                                                            int  // of the lists of machines: they arrive up to a second late.
 }
 
 type event struct {
