fleet/batch: log the lease and the lifetime of lost runs

Change: 'run lapsed', 'run lost' and 'run missing' carry the lifetime (born), the one that the start was meant for, the estimated clock and the end of the lease; 'worker restarted' names both lifetimes and the former clock.

Result: fields only; no decision changes.

--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -305,7 +305,8 @@
 // from a worker that was lost for another cause.
 func (m *Model) logLost(event string, r *run) {
 	m.log(event, r.task.stage.job.ID, "task", r.task.name().String(), "run", r.number, "worker", r.worker.ID, "ageMs", m.now-r.startSentAt,
-		"confirmed", r.confirmedAt > 0, "beside", len(r.worker.runs)-1, "silentMs", r.worker.silentMs(m.now))
+		"confirmed", r.confirmedAt > 0, "beside", len(r.worker.runs)-1, "silentMs", r.worker.silentMs(m.now),
+		"born", r.worker.Born, "startBorn", r.workerBorn, "clockMs", m.workerClock(r.worker), "leaseUntilMs", r.worker.leaseUntil)
 }
 
 // silentMs returns for how long the worker has not answered; 0 while it answers.
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -174,7 +174,7 @@
 // restart begins a new lifetime under the same ID and resets its counters. Runs are kept until the next list shows
 // which are gone, since a start may already have reached the new lifetime.
 func (m *Model) restart(w *worker, born int64) {
-	m.log("worker restarted", "", "worker", w.ID, "runs", len(w.runs))
+	m.log("worker restarted", "", "worker", w.ID, "runs", len(w.runs), "born", born, "formerBorn", w.Born, "formerClockMs", m.workerClock(w))
 	if !w.ended {
 		m.markCrashed(w, "restarted")
 	}
