fleet/batch, node/owner: answers carry the fencing number of their command

Cause: an owner is to call the lifetimes of a worker with different fencing numbers, so an answer must tell which one its command carried.

Nothing reads it yet.

Result: no decision changes.

--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -73,6 +73,8 @@
 	ListFull bool // the worker lists more ended runs than the answer holds.
 
 	AckWithheld bool // the worker was not told which ended runs it may forget, because it may have restarted.
+
+	Fence int64 // of the command; 0 stands for the worker's present one.
 }
 
 // ActiveRun is a run that is in progress at a worker.
@@ -132,6 +134,7 @@
 	Result  Result
 	ClockMs int64
 	Sent    int64
+	Fence   int64 // of the command; 0 stands for the worker's present one.
 }
 
 // StoppedMsg is the answer to a StopCmd.
@@ -142,6 +145,7 @@
 	Result  Result
 	ClockMs int64
 	Sent    int64
+	Fence   int64 // of the command; 0 stands for the worker's present one.
 }
 
 // CommittedMsg is the answer to a CommitCmd.
--- a/node/owner/helper.go
+++ b/node/owner/helper.go
@@ -313,11 +313,13 @@
 	r := batch.Result(a.GetResult())
 	switch k := o.cmd.(type) {
 	case batch.PollCmd:
-		return decodeHeld(a, k.Worker, o.sentMs)
+		g := decodeHeld(a, k.Worker, o.sentMs)
+		g.Fence = k.Fence
+		return g
 	case batch.StopCmd:
-		return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: a.GetClockMs(), Sent: o.sentMs}
+		return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: a.GetClockMs(), Sent: o.sentMs, Fence: k.Fence}
 	case batch.StartCmd:
-		return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: a.GetClockMs(), Sent: o.sentMs}
+		return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: a.GetClockMs(), Sent: o.sentMs, Fence: k.Fence}
 	}
 	panic(fmt.Sprintf("owner: %T was sent through a helper", o.cmd)) // a bug in enqueue.
 }
--- a/node/owner/perform.go
+++ b/node/owner/perform.go
@@ -90,17 +90,17 @@
 	switch k := c.(type) {
 	case batch.PollCmd:
 		g, err := o.poll(ctx, k)
-		g.Sent = sent
+		g.Sent, g.Fence = sent, k.Fence
 		o.count("hold", begin, err)
 		t.send(ctx, g)
 	case batch.StartCmd:
 		r, clock, err := o.startRun(ctx, k)
 		o.count("start", begin, err)
-		t.send(ctx, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: clock, Sent: sent})
+		t.send(ctx, batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: clock, Sent: sent, Fence: k.Fence})
 	case batch.StopCmd:
 		r, clock, err := o.workers.Stop(ctx, k)
 		o.count("stop", begin, err)
-		t.send(ctx, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: clock, Sent: sent})
+		t.send(ctx, batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, ClockMs: clock, Sent: sent, Fence: k.Fence})
 	case batch.PaceCmd:
 		r, _, err := o.workers.Pace(ctx, k)
 		o.count("pace", begin, err)
