fleet/batch: each lifetime of a worker has a fencing number of its own

Workers started again under their IDs and were cut off soon after; their tasks were started elsewhere while they ran on, and again after they had ended.

Cause: a new lifetime carries out calls that were meant for the one before. The end of a lease is a time on the former clock there, so the worker grants its longest lease from the moment at which the call arrives. The owner believed in the end that it had asked for, or in the longest lease counted from the birth. An acknowledgement that came so made the lifetime forget ends that no owner had seen.

Change: starts, extended leases and acknowledgements go only to a lifetime that has answered a poll with a fencing number above those of all such calls before its birth. It refuses these from then on, and its lease ends at the latest after the longest time from that answer. The numbers are revisions of the owner's writes under its claim, hence below the claim of any successor; own/lifetimes is written if nothing else is. A worker that falls silent gets a new number at once. An answer whose clock lies behind the known one shows a later lifetime. A refusal for the owner's own newer number does not depose it. Runs that a former lifetime has listed are dropped when the next one is known.

--- a/fleet/batch/answers.go
+++ b/fleet/batch/answers.go
@@ -21,6 +21,10 @@
 	case NoAnswer:
 		m.startUnanswered(r)
 	case Fenced:
+		if w.isOwnFence(g.Fence) {
+			m.startRefused(r, g.Result, g.Sent)
+			return
+		}
 		m.emit(DeposedCmd{Reason: "worker " + w.ID + " has seen a newer fence"})
 	default:
 		m.startRefused(r, g.Result, g.Sent)
@@ -98,6 +102,9 @@
 	if w == nil {
 		return
 	}
+	if g.Result == Fenced && w.isOwnFence(g.Fence) {
+		return // it is sent again.
+	}
 	if g.Result == Fenced {
 		m.emit(DeposedCmd{Reason: "worker " + w.ID + " has seen a newer fence"})
 		return
--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -24,6 +24,8 @@
 	parts      [][]write // of transactions that the store rejected, which are sent apart.
 	setAside   []asideWrite
 	aside      asideRecord
+	lifetimes  lifetimesRecord
+	lastRev    int64          // revision of the last write.
 	unanswered map[string]int // by key: how often a large record that was sent alone was not answered.
 }
 
@@ -33,7 +35,7 @@
 }
 
 func (c *commits) waiting() bool {
-	return len(c.accepts)+len(c.dirty)+len(c.dirtyWaves)+len(c.parts) > 0 || c.orders.waiting() || c.aside.waiting()
+	return len(c.accepts)+len(c.dirty)+len(c.dirtyWaves)+len(c.parts) > 0 || c.orders.waiting() || c.aside.waiting() || c.lifetimes.waiting()
 }
 
 func (c *commits) addAccept(j *job) { c.accepts = append(c.accepts, j) }
@@ -102,6 +104,7 @@
 		m.addOrders(f)
 		m.addWave(f)
 		m.addAside(f)
+		m.addLifetimes(f)
 		m.addAccepts(f)
 		m.addDirty(f)
 	}
@@ -136,6 +139,12 @@
 	}
 }
 
+func (m *Model) addLifetimes(f *transaction) {
+	if m.commits.lifetimes.waiting() {
+		m.add(f, write{kind: writeLifetimes})
+	}
+}
+
 func (m *Model) addAccepts(f *transaction) {
 	c := &m.commits
 	n := 0
@@ -235,7 +244,7 @@
 		c.addProgress(w.job)
 	case writeWave:
 		c.dirtyWaves[w.wave.Number] = w.wave
-	case writeOrders, writeAside: // they wait while a newer version is planned than stored.
+	case writeOrders, writeAside, writeLifetimes: // they wait while a newer version is planned than stored.
 	}
 }
 
@@ -264,10 +273,13 @@
 			m.sendStoredOrders()
 		case writeAside:
 			m.commits.aside.stored = w.version
+		case writeLifetimes:
+			m.commits.lifetimes.stored = w.version
 		}
 	}
+	m.commits.lastRev = max(m.commits.lastRev, rev)
 	for _, w := range m.workers {
-		if len(w.unsavedEnds) > 0 {
+		if len(w.unsavedEnds) > 0 || !w.fenced && w.silentSince == 0 {
 			w.nextPollAt = 0
 		}
 	}
--- /dev/null
+++ b/fleet/batch/lifetime.go
@@ -0,0 +1,152 @@
+package batch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Lifetimes of workers. A worker that starts again under its ID begins a new lifetime: its clock, its lease, its fence and the numbers of
+// its ended runs start anew. The platform's calls name the ID alone, and a call without an answer may be carried out seconds later, so a
+// new lifetime may carry out what was meant for the one before. There, a lease lasts for the longest time that the worker grants, as its
+// end was a time on the former clock.
+//
+// Calls of which this matters are starts, extended leases and acknowledgements of ended runs. They go only to a lifetime that is fenced: it
+// has answered a poll whose fencing number is higher than those of all such calls that were meant for its predecessors, and refuses these
+// from then on. The numbers are revisions of this owner's writes. Each of them is higher than those before, and lower than that of any
+// successor's claim, as the writes are conditional on the own one.
+
+// lateCallMs is the longest time after which a worker may carry out a call that it has not answered.
+const lateCallMs = 12_000
+
+// longestLeaseMs returns the longest lease that a worker grants, by its own clock.
+func (m *Model) longestLeaseMs() int64 { return max(m.cfg.LeaseMs, workerLeaseMs) }
+
+// lastsAtMost returns the steady time by which ms on any worker's clock have passed.
+func lastsAtMost(ms int64) int64 { return int64(math.Ceil(float64(ms)/minClockRate)) + expirySlackMs }
+
+// raiseFence gives w a new fencing number, if there is one that no call has carried which must not reach another lifetime.
+func (m *Model) raiseFence(w *worker) {
+	if m.commits.lastRev > w.usedFence {
+		w.fence = max(w.fence, m.commits.lastRev)
+	}
+}
+
+// isOwnFence reports whether a call with this fencing number was refused because of a newer one of this owner.
+func (w *worker) isOwnFence(fence int64) bool { return cmp.Or(fence, w.fence) < w.fence }
+
+// leaveLifetime prepares w for the calls to its next lifetime.
+func (m *Model) leaveLifetime(w *worker) {
+	w.fenced, w.synced, w.partlyRead = false, false, false
+	w.formerFence = max(w.formerFence, w.usedFence)
+	w.leaseUntil = w.clockMs + lateCallMs + m.longestLeaseMs()
+	m.commits.lifetimes.planned++
+}
+
+// noteFenced records that the present lifetime of w has answered a poll with the given fencing number, at clock on its own clock. From then
+// on, only this owner's later calls extend its lease.
+func (m *Model) noteFenced(w *worker, fence, clock int64) {
+	if w.fenced || fence <= w.formerFence {
+		return
+	}
+	w.fenced = true
+	lease := m.requestedLeaseMs()
+	if w.formerFence > 0 || m.mayHoldFormerLease(clock) {
+		lease = m.longestLeaseMs()
+	}
+	w.leaseUntil = clock + lease
+}
+
+// mayHoldFormerLease reports whether a lifetime with the given clock may hold a lease by a former owner's call to an earlier lifetime.
+func (m *Model) mayHoldFormerLease(clock int64) bool {
+	expires := lateCallMs + m.longestLeaseMs()
+	return clock < expires && m.blindUntil > 0 && m.now < m.blindUntil+expires
+}
+
+// answersFromLaterLifetime reports whether the answer to a call that was sent at sent, with the given reading of the worker's clock, comes
+// from a later lifetime than the known one.
+func (w *worker) answersFromLaterLifetime(clock, sent int64) bool {
+	const slackMs = 20 // of two readings that overtake each other.
+	since := float64(sent - w.clockAt)
+	if since > 0 {
+		since *= minClockRate
+	}
+	return clock > 0 && w.clockAt > 0 && clock+slackMs < w.clockMs+int64(since)
+}
+
+// suspectRestart begins an unknown lifetime of w, whose clock an answer has shown. The next poll tells which one it is.
+func (m *Model) suspectRestart(w *worker, clock int64) {
+	m.log("worker restart suspected", "", "worker", w.ID, "runs", len(w.runs), "clockMs", clock, "formerClockMs", m.workerClock(w))
+	w.clockMs, w.clockAt, w.lifetimeKnownAt, w.suspectedAt = clock, m.now, m.now, m.now
+	w.polling, w.nextPollAt, w.shortPoll = false, 0, true
+	m.leaveLifetime(w)
+}
+
+// formerWorker is what must be known of a worker that was forgotten, if its ID comes back.
+type formerWorker struct {
+	usedFence   int64
+	forgottenAt int64
+}
+
+// rememberFence keeps the fencing number of a worker that is forgotten, and drops those of which no call can come any more.
+func (m *Model) rememberFence(w *worker) {
+	for id, f := range m.formerWorkers {
+		if m.now-f.forgottenAt > lateCallMs {
+			delete(m.formerWorkers, id)
+		}
+	}
+	if n := max(w.usedFence, w.formerFence); n > 0 {
+		m.formerWorkers[w.ID] = formerWorker{usedFence: n, forgottenAt: m.now}
+	}
+}
+
+// recallFence prepares a worker that was forgotten, and whose entry has come again, for what may still be on its way to it.
+func (m *Model) recallFence(w *worker) {
+	if f, ok := m.formerWorkers[w.ID]; ok {
+		w.usedFence = f.usedFence
+		m.leaveLifetime(w)
+		delete(m.formerWorkers, w.ID)
+	}
+}
+
+// LifetimesKey is the key of the count of lifetimes for which an owner has needed a new fencing number. Its writes yield these numbers when
+// nothing else is written.
+const LifetimesKey = "own/lifetimes"
+
+// StoredLifetimes is the number of new lifetimes that an owner has learned of.
+type StoredLifetimes struct {
+	Fence int64 `json:"fence"` // of the term.
+	Count int   `json:"count"`
+}
+
+// lifetimesRecord holds the versions of the stored count, which are the counts.
+type lifetimesRecord struct {
+	planned, stored int
+	writing         bool
+}
+
+func (c *lifetimesRecord) waiting() bool { return !c.writing && c.planned > c.stored }
+
+// lifetimesRow returns the row that stores the count, and its version.
+func (m *Model) lifetimesRow() (Row, int) {
+	n := m.commits.lifetimes.planned
+	return Row{Key: LifetimesKey, Value: encode(StoredLifetimes{Fence: m.cfg.Fence, Count: n})}, n
+}
+
+// dropFormerRuns drops the runs that the former lifetime of w has listed, as they have ended with it. A start that was only answered may
+// have reached the next lifetime.
+func (m *Model) dropFormerRuns(w *worker) {
+	if !m.knowsEnds(w) {
+		return
+	}
+	for _, r := range slices.Clone(w.runs) {
+		switch {
+		case r.listedAt == 0:
+		case r.crash != nil:
+			m.dropCrashed(r)
+		default:
+			m.logLost("run lost", r)
+			m.dropRun(r)
+		}
+	}
+}
--- a/fleet/batch/pace.go
+++ b/fleet/batch/pace.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		r.pace = next
-		m.emit(PaceCmd{Worker: w.ID, Addr: w.Addr, Task: r.task.name(), Run: r.number, Percent: next, Fence: m.cfg.Fence})
+		m.emit(PaceCmd{Worker: w.ID, Addr: w.Addr, Task: r.task.name(), Run: r.number, Percent: next, Fence: w.fence})
 	}
 }
 
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -318,6 +318,7 @@
 	r.listedClock = m.workerClock(w)
 	r.startExpiresAt = r.listedClock + startExpiryMs
 	w.leaseUntil = max(w.leaseUntil, r.startExpiresAt)
+	w.usedFence = max(w.usedFence, w.fence)
 	if j := t.stage.job; !j.started {
 		m.log("job started", j.ID, "queue", j.Queue, "waitMs", m.now-j.submittedAt, "leftMs", j.dueAt-m.now, "worker", w.ID)
 	}
@@ -331,7 +332,7 @@
 	}
 	m.emit(StartCmd{
 		Worker: w.ID, Addr: w.Addr, Task: t.name(), Run: n, Spec: t.stage.job.Spec, UntilMs: r.startExpiresAt,
-		Fence: m.cfg.Fence, Checkpoint: t.checkpoint, Ticket: t.stage.ticket(w, m.now), Born: m.onlyLifetime(w),
+		Fence: w.fence, Checkpoint: t.checkpoint, Ticket: t.stage.ticket(w, m.now), Born: m.onlyLifetime(w),
 	})
 }
 
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -1,7 +1,7 @@
 package batch
 
 import (
-	"math"
+	"cmp"
 	"slices"
 	"time"
 )
@@ -17,7 +17,7 @@
 
 // expiresBy returns the steady time by which the worker's clock has certainly passed until.
 func (w *worker) expiresBy(until int64) int64 {
-	return w.clockAt + int64(math.Ceil(float64(max(until-w.clockMs, 0))/minClockRate)) + expirySlackMs
+	return w.clockAt + lastsAtMost(max(until-w.clockMs, 0))
 }
 
 func (m *Model) setClock(w *worker, clock int64) {
@@ -33,6 +33,10 @@
 		return
 	}
 	w.heardAt = m.now
+	if w.answersFromLaterLifetime(clock, sent) {
+		m.suspectRestart(w, clock)
+		return
+	}
 	m.setClock(w, clock)
 }
 
@@ -87,8 +91,12 @@
 }
 
 func (m *Model) poll(w *worker) {
-	h := PollCmd{Worker: w.ID, Addr: w.Addr, ForgetUpTo: w.forgettableEnd(), Born: w.Born, WaitMs: maxPollWaitMs, Fence: m.cfg.Fence}
-	if w.clockAt > 0 && w.silentSince == 0 && (len(w.runs) > 0 || !w.synced) { // the lease of a worker that does not answer must expire.
+	h := PollCmd{Worker: w.ID, Addr: w.Addr, ForgetUpTo: w.forgettableEnd(), Born: w.Born, WaitMs: maxPollWaitMs}
+	if !w.fenced && w.fence <= w.formerFence {
+		m.raiseFence(w)
+	}
+	h.Fence = w.fence
+	if w.fenced && w.silentSince == 0 && (len(w.runs) > 0 || !w.synced) { // the lease of a worker that does not answer must expire.
 		h.UntilMs = m.workerClock(w) + m.requestedLeaseMs()
 		w.leaseUntil = max(w.leaseUntil, h.UntilMs)
 		if m.mayRunFormer(w) {
@@ -103,13 +111,16 @@
 	default:
 		h.WaitMs = m.pollWaitMs(w)
 	}
-	if w.silentSince != 0 || h.ForgetUpTo == w.confirmedAck {
+	if w.silentSince != 0 || !w.fenced || h.ForgetUpTo == w.confirmedAck {
 		h.ForgetUpTo = 0 // if the worker has restarted unnoticed, it must not forget the ended runs of its new lifetime.
 	} else if m.now-w.lifetimeSeenAt > sameLifetimeMs {
 		h.ForgetUpTo, h.WaitMs, w.ackWithheld = 0, 0, true
 	} else {
 		w.sentAck = h.ForgetUpTo
 	}
+	if h.UntilMs > 0 || h.ForgetUpTo > 0 {
+		w.usedFence = max(w.usedFence, w.fence)
+	}
 	w.shortPoll = false
 	w.polling, w.pollSentAt = true, m.now
 	m.emit(h)
@@ -209,10 +220,17 @@
 	if w == nil {
 		return
 	}
+	if g.Result == NoAnswer && g.Sent < w.pollSentAt {
+		return // a later poll is pending.
+	}
 	w.polling = false
 	switch g.Result {
 	case OK:
 	case Fenced:
+		if w.isOwnFence(g.Fence) {
+			w.nextPollAt = 0
+			return
+		}
 		m.emit(DeposedCmd{Reason: "worker " + w.ID + " has seen a newer fence"})
 		return
 	case WrongWorker:
@@ -226,13 +244,14 @@
 		m.restart(w, g.Born) // while it still counts as silent, which dates the crash.
 	}
 	m.markReachable(w)
-	if g.Born != 0 && g.Born < w.Born {
+	if g.Born != 0 && g.Born < w.Born || g.Sent < w.suspectedAt {
 		return // an answer of the former lifetime.
 	}
 	if g.Born != 0 {
 		w.Born = g.Born
 	}
 	m.setClock(w, g.ClockMs)
+	m.noteFenced(w, cmp.Or(g.Fence, w.fence), g.ClockMs)
 	if w.formerPollsEnd == 0 {
 		w.formerPollsEnd = g.ClockMs + formerPollMs // the worker refuses new polls of former owners from now on.
 	}
@@ -244,6 +263,13 @@
 	first := !w.synced
 	m.applyEnded(w, g, first)
 	m.applyRunning(w, g, first)
+	if !w.fenced {
+		w.nextPollAt = 0
+		if m.commits.lastRev <= w.formerFence {
+			w.nextPollAt = m.now + unsavedPollMs // there is no newer fencing number yet.
+		}
+		return
+	}
 	if first {
 		w.synced, w.partlyRead = !g.ListFull, g.ListFull
 		m.pool(w.Service).dirty = true
@@ -291,6 +317,7 @@
 func (m *Model) markUnreachable(w *worker, why Result) {
 	if w.silentSince == 0 {
 		w.silentSince = m.now
+		m.raiseFence(w)
 		m.log("worker lost", "", "worker", w.ID, "addr", w.Addr, "runs", len(w.runs), "leaseMs", w.expiresBy(w.leaseUntil)-m.now, "why", int(why))
 	}
 	w.sentAck = w.confirmedAck // the number is sent again once the worker answers.
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -469,7 +469,7 @@
 		r.stopAckedAt = 0
 	}
 	r.stopSentAt = m.now
-	m.emit(StopCmd{Worker: r.worker.ID, Addr: r.worker.Addr, Task: r.task.name(), Run: r.number, Fence: m.cfg.Fence})
+	m.emit(StopCmd{Worker: r.worker.ID, Addr: r.worker.Addr, Task: r.task.name(), Run: r.number, Fence: r.worker.fence})
 }
 
 // logLastingStop logs the first stop of a lasting run, with what the owner knows of the rest of its step.
@@ -494,5 +494,5 @@
 // stopUnknown stops a run that belongs to no known task.
 func (m *Model) stopUnknown(w *worker, n TaskName, run int) {
 	m.log("unknown run stopped", n.Job, "task", n.String(), "run", run, "worker", w.ID, "taskKnown", m.task(n) != nil)
-	m.emit(StopCmd{Worker: w.ID, Addr: w.Addr, Task: n, Run: run, Fence: m.cfg.Fence})
+	m.emit(StopCmd{Worker: w.ID, Addr: w.Addr, Task: n, Run: run, Fence: w.fence})
 }
--- a/fleet/batch/txn.go
+++ b/fleet/batch/txn.go
@@ -11,6 +11,7 @@
 	writeWave
 	writeOrders
 	writeAside
+	writeLifetimes
 )
 
 // write stores one record. Its rows are set when it is added to a transaction.
@@ -54,6 +55,8 @@
 		return w.wave.row().Key
 	case writeAside:
 		return AsideKey
+	case writeLifetimes:
+		return LifetimesKey
 	}
 	return OrdersKey
 }
@@ -73,6 +76,9 @@
 	case writeAside:
 		r, v := m.asideRow()
 		w.rows, w.version = []Row{r}, v
+	case writeLifetimes:
+		r, v := m.lifetimesRow()
+		w.rows, w.version = []Row{r}, v
 	}
 	return w
 }
@@ -138,6 +144,8 @@
 		c.orders.writing = writing
 	case writeAside:
 		c.aside.writing = writing
+	case writeLifetimes:
+		c.lifetimes.writing = writing
 	case writeAccept: // the queue holds it only once.
 	}
 }
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -32,6 +32,12 @@
 	strays            []strayRun // those of them whose tasks are known, if their jobs have teams.
 	runsOfUnknownJobs int        // those of them whose jobs are not known.
 
+	fence       int64 // fencing number of the calls to it.
+	usedFence   int64 // highest one in a start, an extended lease or an acknowledgement; 0 before.
+	formerFence int64 // highest one in such a call that was meant for a former lifetime; 0 if there was none.
+	fenced      bool  // it refuses what was meant for its former lifetimes.
+	suspectedAt int64 // when an answer has shown a lifetime that is not known; 0 if none has.
+
 	clockMs        int64 // lower bound of the worker's clock at clockAt.
 	clockAt        int64
 	leaseUntil     int64 // latest lease end or start expiry sent to the worker, on its clock.
@@ -109,7 +115,7 @@
 func (m *Model) setWorker(e WorkerEntry) {
 	w := m.workers[e.ID]
 	if w == nil {
-		w = &worker{slowdown: 1, WorkerEntry: WorkerEntry{ID: e.ID}, lastUsedAt: m.now, lifetimeKnownAt: m.now}
+		w = &worker{slowdown: 1, WorkerEntry: WorkerEntry{ID: e.ID}, lastUsedAt: m.now, lifetimeKnownAt: m.now, fence: max(m.cfg.Fence, m.commits.lastRev)}
 		m.workers[e.ID] = w
 		m.workerList = append(m.workerList, w)
 		slices.SortFunc(m.workerList, byID)
@@ -132,6 +138,7 @@
 	}
 	if (e.Born == 0 || e.Born == w.Born) && w.clockAt == 0 {
 		w.clockMs, w.clockAt = e.ClockMs, m.now
+		m.recallFence(w)
 	}
 	m.joinPool(w)
 }
@@ -166,24 +173,27 @@
 // forget removes a worker that is not listed and runs nothing.
 func (m *Model) forget(w *worker) {
 	w.setStrays(nil, 0)
+	m.rememberFence(w)
 	m.leavePool(w)
 	delete(m.workers, w.ID)
 	m.workerList = slices.DeleteFunc(m.workerList, func(o *worker) bool { return o == w })
 }
 
-// restart begins a new lifetime under the same ID and resets its counters. Runs are kept until the next list shows
-// which are gone, since a start may already have reached the new lifetime.
+// restart begins a new lifetime under the same ID and resets its counters. Runs that the former one has not listed are kept until the new
+// one has listed its own, since their starts may reach it.
 func (m *Model) restart(w *worker, born int64) {
 	m.log("worker restarted", "", "worker", w.ID, "runs", len(w.runs), "born", born, "formerBorn", w.Born, "formerClockMs", m.workerClock(w))
 	if !w.ended {
 		m.markCrashed(w, "restarted")
 	}
-	w.ended, w.goneState, w.trial = false, "", nil
+	m.dropFormerRuns(w)
+	w.ended, w.goneState, w.trial, w.suspectedAt = false, "", nil, 0
 	w.Born, w.sentAck, w.confirmedAck, w.lastEnd, w.unsavedEnds = born, 0, 0, 0, nil
-	w.clockMs, w.clockAt, w.leaseUntil = 0, m.now, max(m.cfg.LeaseMs, workerLeaseMs)
-	w.lifetimeSeenAt, w.formerUntil, w.formerPollsEnd, w.synced, w.partlyRead = 0, 0, 0, false, false
+	w.clockMs, w.clockAt = 0, m.now
+	m.leaveLifetime(w)
+	w.lifetimeSeenAt, w.formerUntil, w.formerPollsEnd = 0, 0, 0
 	w.failuresInRow, w.failedJobs, w.quarantinedUntil, w.quarantineMs, w.slowdown, w.speed, w.slow = 0, nil, 0, 0, 1, speed.Meter{}, false
-	w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = 0, true, m.now
+	w.polling, w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = false, 0, true, m.now // a pending poll was meant for the former lifetime.
 }
 
 // runsCopy returns a copy of the worker's runs, for loops that change them.
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -278,7 +278,7 @@
 			m, err = t.o.readRecords(ctx)
 		}
 		if err == nil {
-			m.BlindMs, m.FormerFence = former.orderLifetime().Milliseconds(), former.Fence
+			m.BlindMs, m.FormerFence, m.Rev = former.orderLifetime().Milliseconds(), former.Fence, t.recordRev.Load()
 			t.send(ctx, m)
 			return t.probeFormers(ctx, former)
 		}
