node/owner: a successor waits for the longest lease of a worker

Cause: a successor waited for 5.5 s, the lease that an owner asks for. A call that was meant for a former lifetime of the worker extends it by up to the platform's longest time, 10 s on Picketline.

Change: the wait, with or without a former owner that may still give orders, is longer by what the longest lease exceeds the requested one on the slowest clock (Config.LeaseExcessMs). The records of terms keep their times.

Result: TestSuccessorWaitsForLongestLease fails without the change (both cases) and passes with it.

--- a/fleet/batch/lifetime.go
+++ b/fleet/batch/lifetime.go
@@ -20,7 +20,15 @@
 const lateCallMs = 12_000
 
 // longestLeaseMs returns the longest lease that a worker grants, by its own clock.
-func (m *Model) longestLeaseMs() int64 { return max(m.cfg.LeaseMs, workerLeaseMs) }
+func (m *Model) longestLeaseMs() int64 { return m.cfg.longestLeaseMs() }
+
+func (c Config) longestLeaseMs() int64 { return max(c.LeaseMs, workerLeaseMs) }
+
+// LeaseExcessMs returns by how many milliseconds a worker's lease may outlast what an owner asks for, on the slowest clock, because a call
+// to a former lifetime has extended it.
+func (c Config) LeaseExcessMs() int64 {
+	return lastsAtMost(c.longestLeaseMs()) - lastsAtMost(workerLeaseMs)
+}
 
 // lastsAtMost returns the steady time by which ms on any worker's clock have passed.
 func lastsAtMost(ms int64) int64 { return int64(math.Ceil(float64(ms)/minClockRate)) + expirySlackMs }
--- a/node/owner/former.go
+++ b/node/owner/former.go
@@ -225,7 +225,8 @@
 		cancel()
 		if err == nil && (r.GetHolder() != f.Holder || r.GetFence() != f.Fence) {
 			t.o.log.Info().Str("peer", addr).Int64("former", f.Fence).Bool("sameProcess", r.GetHolder() == f.Holder).Msg("former owner is gone")
-			t.send(ctx, batch.BlindMsg{ForMs: t.formers.end(f.Fence, time.Now()).Milliseconds()})
+			d := t.formers.end(f.Fence, time.Now())
+			t.send(ctx, batch.BlindMsg{ForMs: d.Milliseconds() + t.o.settings.Model.LeaseExcessMs()})
 			if last {
 				t.send(ctx, batch.OrdersMsg{Orders: batch.Orders{AgeMs: r.GetOrderedMs(), SpanMs: r.GetSpanMs()}})
 			}
--- a/node/owner/former_test.go
+++ b/node/owner/former_test.go
@@ -146,3 +146,33 @@
 	stop()
 	is.NoErr(g.Wait())
 }
+
+// A call to a former lifetime of a worker may have extended the lease for longer than its owner asked for. What runs there must not start
+// elsewhere before that lease has expired.
+func TestSuccessorWaitsForLongestLease(t *testing.T) {
+	const longestMs, slowestMs = 10_000, 10_204 // by the worker's clock, and on the slowest one.
+	x := context.Background()
+	play := func(t *testing.T, leave bool) int64 {
+		t.Helper()
+		is := is.New(t)
+		s := terms{t, keyval.NewMemory()}
+		a, _ := s.begin("127.0.0.1:1/1")
+		if leave {
+			a.recordHandover(x)
+		}
+		b, _ := s.begin("b/1")
+		b.o.settings.Model.LeaseMs = longestMs
+		b.o.peers = desk.NewClient()
+		c, stop := context.WithCancel(x)
+		g := errgroup.Group{}
+		g.Go(func() error { return b.loadRecords(c) })
+		m := (<-b.msgs).(batch.LoadedMsg)
+		stop()
+		is.NoErr(g.Wait())
+		return m.BlindMs
+	}
+	t.Run("after an owner that left in order", func(t *testing.T) { is.New(t).True(play(t, true) >= slowestMs) })
+	t.Run("after an owner that may still give orders", func(t *testing.T) {
+		is.New(t).True(play(t, false) >= slowestMs+(ClaimGracePeriod+ClaimTTL).Milliseconds())
+	})
+}
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -278,7 +278,10 @@
 			m, err = t.o.readRecords(ctx)
 		}
 		if err == nil {
-			m.BlindMs, m.FormerFence, m.Rev = former.orderLifetime().Milliseconds(), former.Fence, t.recordRev.Load()
+			m.FormerFence, m.Rev = former.Fence, t.recordRev.Load()
+			if d := former.orderLifetime(); d > 0 {
+				m.BlindMs = d.Milliseconds() + t.o.settings.Model.LeaseExcessMs()
+			}
 			t.send(ctx, m)
 			return t.probeFormers(ctx, former)
 		}
