fleet/batch: the task of a start without an answer waits for the next lifetime

Cause: when a lifetime ended or its lease expired, all of its runs were dropped. One whose start had not been answered may still begin, in the next lifetime, and then holds the longest lease. A stop that the former lifetime had acknowledged, or a list of the new one under the old fencing number, proves nothing about it.

Change: such a run keeps its task until a list under a newer fencing number than the start's lacks it, until another worker has the machine or the address, for 5 s if the machine is down (a longer wait counts as losing the task), and else until a run that began 12 s after the start was sent has lapsed. A successor waits in the same way for an unread lifetime that is so young that the former owner may not have fenced it.

Result: TestUnansweredStartOutlivesItsLifetime failed on after 5.2 and 0.4 s, TestSuccessorWaitsForLateCallsToUnreadLifetime after 6.3 s; both pass. What remains: a start that a living lifetime was told to stop, and that the next one carries out before its first answer.

--- a/fleet/batch/lifetime.go
+++ b/fleet/batch/lifetime.go
@@ -16,8 +16,12 @@
 // from then on. The numbers are revisions of this owner's writes. Each of them is higher than those before, and lower than that of any
 // successor's claim, as the writes are conditional on the own one.
 
-// lateCallMs is the longest time after which a worker may carry out a call that it has not answered.
-const lateCallMs = 12_000
+// Limits of calls without an answer.
+const (
+	lateCallMs     = 12_000 // the longest time after which a worker may carry out such a call.
+	fencedWithinMs = 5_000  // an owner that reaches a new lifetime and the store has fenced it within this time.
+	maxReserveMs   = 5_000  // for which the task of such a start waits while the worker's machine is down. A longer wait counts as losing it.
+)
 
 // longestLeaseMs returns the longest lease that a worker grants, by its own clock.
 func (m *Model) longestLeaseMs() int64 { return m.cfg.longestLeaseMs() }
@@ -90,6 +94,26 @@
 	m.leaveLifetime(w)
 }
 
+// mayStartLate reports whether a start without an answer may still be carried out, or its run may go on, at a worker that does not answer.
+// It cannot if another worker has the machine or the address.
+func (m *Model) mayStartLate(r *run) bool {
+	w := r.worker
+	switch {
+	case r.confirmedAt > 0, w.machineTaken, w.goneState == MachineUp, w.dead && w.goneState == "":
+		return false
+	case w.goneState != "":
+		return m.soleOwnerUntil < r.startSentAt+maxReserveMs
+	}
+	return m.soleOwnerUntil < r.startSentAt+lateCallMs+lastsAtMost(m.longestLeaseMs())
+}
+
+// mayGetFormerCalls reports whether a former owner's start may still reach the lifetime of w, which has not been read, and go on there: it
+// is so young that the former owner may not have fenced it.
+func (m *Model) mayGetFormerCalls(w *worker) bool {
+	young := w.Born > m.cfg.UnixMs-maxClockSkewMs-fencedWithinMs
+	return young && m.blindUntil > 0 && m.soleOwnerUntil < m.blindUntil+lateCallMs
+}
+
 // formerWorker is what must be known of a worker that was forgotten, if its ID comes back.
 type formerWorker struct {
 	usedFence   int64
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -204,7 +204,7 @@
 	if w.synced || w.dead && m.claimFresh {
 		return false
 	}
-	return m.blind() || w.partlyRead && w.silentSince == 0 || w.formerUntil > 0 && m.soleOwnerUntil < w.expiresBy(w.formerUntil)
+	return m.blind() || m.mayGetFormerCalls(w) || w.partlyRead && w.silentSince == 0 || w.formerUntil > 0 && m.soleOwnerUntil < w.expiresBy(w.formerUntil)
 }
 
 // usable reports whether w may be given tasks at all, apart from their room.
@@ -318,7 +318,7 @@
 	r.listedClock = m.workerClock(w)
 	r.startExpiresAt = r.listedClock + startExpiryMs
 	w.leaseUntil = max(w.leaseUntil, r.startExpiresAt)
-	w.usedFence = max(w.usedFence, w.fence)
+	r.fence, w.usedFence = w.fence, max(w.usedFence, w.fence)
 	if j := t.stage.job; !j.started {
 		m.log("job started", j.ID, "queue", j.Queue, "waitMs", m.now-j.submittedAt, "leftMs", j.dueAt-m.now, "worker", w.ID)
 	}
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -177,6 +177,9 @@
 func (m *Model) retire(w *worker) bool {
 	if w.silentSince != 0 && m.leaseExpired(w) {
 		for _, r := range w.runsCopy() {
+			if m.mayStartLate(r) {
+				continue
+			}
 			m.logLost("run lapsed", r)
 			m.keepLostRun(r)
 			m.dropRun(r)
@@ -193,8 +196,8 @@
 	return false
 }
 
-// dropDeadRuns drops the runs of a worker whose lifetime has ended. A start without an answer is kept until it has one: it may still
-// reach the next lifetime. Without a certain claim nothing is dropped: another owner may have ended the lifetime, and moved its tasks.
+// dropDeadRuns drops the runs of a worker whose lifetime has ended. A start without an answer is kept while it may still reach the next
+// lifetime. Without a certain claim nothing is dropped: another owner may have ended the lifetime, and moved its tasks.
 func (m *Model) dropDeadRuns(w *worker) {
 	if !m.knowsEnds(w) {
 		return
@@ -202,7 +205,7 @@
 	w.setStrays(nil, 0)
 	for _, r := range w.runsCopy() {
 		switch {
-		case r.state == starting && w.ended:
+		case r.state == starting && w.ended, m.mayStartLate(r):
 		case r.crash != nil:
 			m.dropCrashed(r)
 		default:
--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -8,6 +8,65 @@
 	"burdockreach.dev/fleet/batch"
 )
 
+// lateMs is how long a worker may hold up a call that it does not answer.
+const lateMs = 12_000
+
+// stepUnanswered lets ms milliseconds pass in which workers answer neither starts nor stops. The other calls are answered as usual.
+func (l *lifetimes) stepUnanswered(ms int64) {
+	l.result = batch.NoAnswer
+	l.advance(ms)
+	l.result = batch.OK
+}
+
+// oneTaskJob returns a job of one long task.
+func oneTaskJob() batch.Job {
+	j := fourTaskJob()
+	j.Steps[0].Count, j.Steps[0].EstimateMs = 1, 60_000
+	return j
+}
+
+// A worker may hold up a start that it does not answer, and its next lifetime may carry it out after the former one's end is known.
+func TestUnansweredStartOutlivesItsLifetime(t *testing.T) {
+	play := func(t *testing.T, end func(*lifetimes), waitMs int64) {
+		t.Helper()
+		is := is.New(t)
+		l := newLifetimes("w1")
+		l.machines(l.now, []string{"w1"})
+		l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: oneTaskJob()})
+		l.silent["w1"] = true
+		sent := l.now
+		l.stepUnanswered(100)
+		is.Equal(l.startsAt("w1"), 1)
+		l.advance(1_000)
+		l.list("w2")
+		end(l)
+		l.advance(sent + waitMs - l.now)
+		is.Equal(l.startsAt("w2"), 0)
+	}
+	t.Run("lease of a silent worker", func(t *testing.T) {
+		play(t, func(*lifetimes) {}, lateMs+6_000) // a lease that the next lifetime counts from the arrival.
+	})
+	t.Run("list of machines", func(t *testing.T) {
+		play(t, func(l *lifetimes) { l.machines(l.now, []string{"w2"}, "w1") }, 5_000)
+	})
+}
+
+// A former owner's start that is held up may reach the next lifetime of its worker, which the successor cannot read, and run there for the
+// longest lease.
+func TestSuccessorWaitsForLateCallsToUnreadLifetime(t *testing.T) {
+	is := is.New(t)
+	j := oneTaskJob()
+	l := &lifetimes{harness: newUnreadHarness("w1", "w2"), born: map[string]int64{}, first: map[string]int{}, silent: map[string]bool{"w1": true}, polls: map[string]int{}}
+	l.polled = l.answer
+	l.Update(l.now, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}}})
+	l.Update(l.now, batch.LoadedMsg{BlindMs: 5_500, FormerFence: 8, Jobs: []batch.StoredJob{{Job: j, SubmittedMs: 1_000_000}}})
+	l.born["w1"] = 1_000_500 // it started again after the takeover.
+	l.list("w1")
+	l.machines(l.now, []string{"w1", "w2"})
+	l.advance(lateMs + 5_000)
+	is.Equal(len(l.starts), 0)
+}
+
 // A start that an unknown new lifetime answers tells that lifetime's clock. The lease of the former one must not seem to last for as long as
 // the former clock has run.
 func TestAnswerOfNextLifetimeLeavesLeaseBounded(t *testing.T) {
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -118,6 +118,7 @@
 	startSentAt    int64 // when the start was sent.
 	confirmedAt    int64 // when the start was answered or the run was first listed; 0 before.
 	startExpiresAt int64 // time on the worker's clock after which it does not carry out the start.
+	fence          int64 // fencing number of the start, if this owner sent it.
 	workerBorn     int64 // start time of the worker's lifetime to whose clock startExpiresAt refers.
 	stopAckedAt    int64 // when the stop was answered; 0 before.
 	stopSentAt     int64 // when the last stop was sent.
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -318,11 +318,15 @@
 
 // checkMissing handles a run that a worker's list does not name.
 func (m *Model) checkMissing(r *run, g PolledMsg) {
+	w, fence := r.worker, cmp.Or(g.Fence, r.worker.fence)
+	unanswered := r.state != starting && r.confirmedAt == 0
 	switch {
-	case r.workerBorn != r.worker.Born && !m.knowsEnds(r.worker):
+	case r.workerBorn != w.Born && !m.knowsEnds(w):
+	case unanswered && r.workerBorn != w.Born && fence <= r.fence: // the start may still reach this lifetime.
 	case r.state == running && r.confirmedAt > 0 && g.Sent > r.confirmedAt,
 		r.state == stopping && r.stopAckedAt > 0 && g.Sent > r.stopAckedAt,
-		r.state != starting && r.confirmedAt == 0 && g.ClockMs > r.startExpiresAt && r.worker.Born == r.workerBorn:
+		unanswered && g.ClockMs > r.startExpiresAt && w.Born == r.workerBorn,
+		unanswered && fence > r.fence: // the worker refuses the start.
 		if r.crash != nil {
 			m.dropCrashed(r)
 			return
