fleet/batch: an unlisted lifetime that may run something is called

Cause: a new lifetime counts as not read, and a worker that is not read and not listed was only called while a former owner's tasks may run there. A worker that started again and whose entry was missing kept its runs for ever, neither called nor silent.

Change: it is called as long as it has runs.

--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -83,7 +83,7 @@
 		if w.synced && !w.watched(m.now) && len(w.runs)+w.unknownRuns+len(w.unsavedEnds) == 0 && w.silentSince == 0 && w.lastEnd == w.sentAck {
 			continue
 		}
-		if !w.synced && !w.listed && !m.mayRunFormer(w) {
+		if !w.synced && !w.listed && len(w.runs) == 0 && !m.mayRunFormer(w) {
 			continue
 		}
 		m.poll(w)
--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -118,3 +118,22 @@
 func answerStop(l *lifetimes, clock, sent int64) {
 	l.Update(l.now, batch.StoppedMsg{Worker: "w1", Task: l.starts[0].Task, Run: 9, ClockMs: clock, Sent: sent})
 }
+
+// A worker that starts again while its entry is missing must be called until what runs there is known, or its tasks would wait for ever.
+func TestUnlistedLifetimeIsCalled(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.restartUnseen("w1")
+	l.polled = func(k batch.PollCmd) batch.PolledMsg {
+		l.Update(l.now, batch.WorkersMsg{Gone: []string{"w1"}})
+		return l.answer(k)
+	}
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: fourTaskJob()})
+	l.advance(1_000)
+	is.Equal(l.startsAt("w1"), 4)
+	l.polled = l.answer
+	l.silent["w1"] = true
+	l.Update(l.now, batch.WorkersMsg{Set: []batch.WorkerEntry{{ID: "w2", Service: "s", Addr: "w2", Room: batch.Size{CPU: 4000, MemMB: 8000}, ClockMs: 5, Born: 1}}})
+	l.advance(30_000)
+	is.Equal(l.startsAt("w2"), 4)
+}
