fleet/batch: a lifetime is not used by its predecessor's entry

What callers may see: ROUTE or LIMIT.

Cause: a poll may show a new lifetime before its entry has come. It was given tasks by the entry of the former one, although a new lifetime may be of a different kind and size at the same address.

Change: a worker is used once its entry describes the present lifetime.

Result: TestLifetimeWithoutEntryIsNotUsed failed on (four tasks of 1,000 at a worker of 1,000) and passes.

--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -212,6 +212,8 @@
 	switch {
 	case !w.listed, w.dead, !w.synced, w.silentSince != 0, w.Draining, w.cordoned, m.now < w.noStartsBefore, m.now < w.quarantinedUntil:
 		return false
+	case w.entryBorn != 0 && w.entryBorn < w.Born:
+		return false // the present lifetime may be of another kind and size than the entry says.
 	case w.trialOpen(m.now), w.unknownRuns > 0 && !m.services[w.Service].Guards:
 		return false
 	case !m.claimFresh && w.lifetimeKnownAt > m.soleOwnerUntil:
--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -137,3 +137,20 @@
 	l.advance(30_000)
 	is.Equal(l.startsAt("w2"), 4)
 }
+
+// A new lifetime may be of another kind and size. Its predecessor's entry must not decide what it is given.
+func TestLifetimeWithoutEntryIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: fourTaskJob()})
+	l.advance(300)
+	is.Equal(l.startsAt("w1"), 4)
+	l.restartUnseen("w1")
+	l.advance(1_000) // a poll shows the new lifetime.
+	is.Equal(l.startsAt("w1"), 4)
+	l.Update(l.now, batch.WorkersMsg{Set: []batch.WorkerEntry{
+		{ID: "w1", Service: "s", Addr: "w1", Room: batch.Size{CPU: 1000, MemMB: 8000}, ClockMs: 5, Born: l.born["w1"]},
+	}})
+	l.advance(1_000)
+	is.Equal(l.startsAt("w1"), 5)
+}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -19,9 +19,10 @@
 type worker struct {
 	WorkerEntry
 	rack         string
-	listed       bool // the list has an entry for it.
-	dead         bool // the lifetime has certainly ended.
-	machineTaken bool // its machine was moved or maintained, which ends the worker.
+	listed       bool  // the list has an entry for it.
+	entryBorn    int64 // start of the lifetime that the entry describes, Unix ms; 0 if unknown.
+	dead         bool  // the lifetime has certainly ended.
+	machineTaken bool  // its machine was moved or maintained, which ends the worker.
 
 	runs             []*run // in the order of their starts.
 	used             Size
@@ -131,7 +132,7 @@
 	}
 	born := w.Born
 	w.WorkerEntry, w.listed, w.dead = e, !w.machineTaken, w.machineTaken || w.ended
-	w.Born = max(born, e.Born)
+	w.entryBorn, w.Born = e.Born, max(born, e.Born)
 	w.rack = ""
 	if len(e.Labels) > rackLabelIndex {
 		w.rack = e.Labels[rackLabelIndex]
