fleet/batch: a worker that is back under its ID after an upkeep is used

What operators may see: a machine that is up and listed, and runs nothing.

Cause: an order to a machine ends its worker's lifetime, and the mark of that outlived the lifetime. A worker that started again under its ID before its former entry had lapsed was never used.

Change: a new lifetime clears the mark.

--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -154,3 +154,37 @@
 	l.advance(1_000)
 	is.Equal(l.startsAt("w1"), 5)
 }
+
+// A worker whose machine was maintained, and that starts again under its ID, must be used: only its former lifetime has ended.
+func TestWorkerIsUsedAfterUpkeepUnderItsID(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.machines(l.now, []string{"w1"})
+	l.Update(l.now, batch.WaveMsg{Number: 1, Machines: []string{"m-w1"}, DurationMs: 30_000, MaxDown: 1})
+	ordered := 0
+	for range 1_000 {
+		l.Update(l.now, batch.ClaimMsg{Fresh: true, RenewedAt: l.now})
+		for _, c := range l.Commands(l.now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				l.commit(k)
+			case batch.PollCmd:
+				l.Update(l.now, l.polled(k))
+			case batch.ListMachinesCmd:
+				l.machines(l.now, []string{"w1"})
+			case batch.UpkeepCmd:
+				if ordered == 0 {
+					ordered++
+					l.Update(l.now, batch.OrderDoneMsg{Machine: k.Machine, Wave: k.Wave})
+					l.restart("w1")
+				}
+			}
+		}
+		l.now += 10
+	}
+	is.Equal(ordered, 1)
+	is.Equal(l.Workers(), 1)
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: fourTaskJob()})
+	l.advance(1_000)
+	is.Equal(l.startsAt("w1"), 4)
+}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -188,7 +188,7 @@
 		m.markCrashed(w, "restarted")
 	}
 	m.dropFormerRuns(w)
-	w.ended, w.goneState, w.trial, w.suspectedAt = false, "", nil, 0
+	w.ended, w.machineTaken, w.goneState, w.trial, w.suspectedAt = false, false, "", nil, 0
 	w.Born, w.sentAck, w.confirmedAck, w.lastEnd, w.unsavedEnds = born, 0, 0, 0, nil
 	w.clockMs, w.clockAt = 0, m.now
 	m.leaveLifetime(w)
