node/owner: a start that another lifetime would get counts as not sent

Cause: a start that names a lifetime and meets another one under the same ID was reported like one that met another worker at the address. The owner then took the worker for replaced: it did not use it until its next entry, and counted starts without an answer there as impossible.

Change: it counts as not sent, so that the worker is polled.

--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -118,7 +118,7 @@
 	NoAnswer           // it may have been carried out, or may still be.
 	NotSent            // the worker was not reached.
 	Unhealthy          // the worker did nothing because it is unhealthy or overloaded.
-	WrongWorker        // another worker, or another lifetime of this one, answered at the address.
+	WrongWorker        // another worker answered at the address.
 	Fenced             // the worker has seen a newer owner.
 	StaleRun           // the worker had a run of the task with a higher number.
 	Expired            // the command arrived after its expiry time.
--- a/node/owner/lifetime.go
+++ b/node/owner/lifetime.go
@@ -85,7 +85,7 @@
 		return batch.NotSent, err
 	case g.Result == batch.OK && g.Born != k.Born:
 		c.stats.Add("starts_withheld", 1)
-		return batch.WrongWorker, nil
+		return batch.NotSent, nil // the worker is there, and the next poll tells its lifetime.
 	}
 	return g.Result, err
 }
