fleet/batch: a late answer to an order ends no new lifetime

What callers may see: TWICE, LOST.

Cause: the acknowledgement of an upkeep or a move marked the worker as ended, even if it had started again under its ID since the order was sent. The new lifetime was neither polled nor used, and its runs were dropped.

Change: the mark is for a lifetime that was known when the order was sent.

Result: TestLateOrderAnswerEndsNoNewLifetime fails without the change and passes.

--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -436,7 +436,7 @@
 	switch g.Result {
 	case OrderOK:
 		k.ackedAt = m.now
-		if w := m.workers[k.oldWorkerID]; w != nil && !k.maybeRepeated {
+		if w := m.workers[k.oldWorkerID]; w != nil && !k.maybeRepeated && w.lifetimeKnownAt <= k.orderedAt {
 			w.dead, w.machineTaken = true, true
 			m.pool(w.Service).dirty = true
 		}
--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -188,3 +188,33 @@
 	l.advance(1_000)
 	is.Equal(l.startsAt("w1"), 4)
 }
+
+// An acknowledged order to a machine ends the worker that was there when the order was sent, not a lifetime that has begun since.
+func TestLateOrderAnswerEndsNoNewLifetime(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.machines(l.now, []string{"w1"})
+	l.Update(l.now, batch.WaveMsg{Number: 1, Machines: []string{"m-w1"}, DurationMs: 30_000, MaxDown: 1})
+	var ordered *batch.UpkeepCmd
+	for i := 0; i < 1_000 && ordered == nil; i++ {
+		l.Update(l.now, batch.ClaimMsg{Fresh: true, RenewedAt: l.now})
+		for _, c := range l.Commands(l.now) {
+			switch k := c.(type) {
+			case batch.CommitCmd:
+				l.commit(k)
+			case batch.PollCmd:
+				l.Update(l.now, l.polled(k))
+			case batch.ListMachinesCmd:
+				l.machines(l.now, []string{"w1"})
+			case batch.UpkeepCmd:
+				ordered = &k
+			}
+		}
+		l.now += 10
+	}
+	is.True(ordered != nil)
+	l.restart("w1")
+	l.advance(200)
+	l.Update(l.now, batch.OrderDoneMsg{Machine: ordered.Machine, Wave: ordered.Wave})
+	is.Equal(l.Workers(), 1)
+}
