fleet/batch: a restart leaves one poll pending

Cause: a new lifetime is polled at once, although a poll of the former one may be pending. Its answer was taken for that of the new poll, so that two series of polls went on. Answers with a lower born than the known one were followed by the next poll without a pause. A forgotten worker's fencing number was dropped while a lease by a late call might last.

--- a/fleet/batch/lifetime.go
+++ b/fleet/batch/lifetime.go
@@ -90,10 +90,19 @@
 func (m *Model) suspectRestart(w *worker, clock int64) {
 	m.log("worker restart suspected", "", "worker", w.ID, "runs", len(w.runs), "clockMs", clock, "formerClockMs", m.workerClock(w))
 	w.clockMs, w.clockAt, w.lifetimeKnownAt, w.suspectedAt = clock, m.now, m.now, m.now
-	w.polling, w.nextPollAt, w.shortPoll = false, 0, true
+	w.abandonPoll()
+	w.nextPollAt, w.shortPoll = 0, true
 	m.leaveLifetime(w)
 }
 
+// abandonPoll lets a poll be sent to the next lifetime of w although one to the former lifetime has not been answered.
+func (w *worker) abandonPoll() {
+	if w.polling {
+		w.polling = false
+		w.abandonedPolls++
+	}
+}
+
 // mayStartLate reports whether a start without an answer may still be carried out, or its run may go on, at a worker that does not answer.
 // It cannot if another worker has the machine or the address.
 func (m *Model) mayStartLate(r *run) bool {
@@ -120,10 +129,10 @@
 	forgottenAt int64
 }
 
-// rememberFence keeps the fencing number of a worker that is forgotten, and drops those of which no call can come any more.
+// rememberFence keeps the fencing number of a worker that is forgotten, and drops those of which no call can come, nor a lease by one last.
 func (m *Model) rememberFence(w *worker) {
 	for id, f := range m.formerWorkers {
-		if m.now-f.forgottenAt > lateCallMs {
+		if m.now-f.forgottenAt > lateCallMs+lastsAtMost(m.longestLeaseMs()) {
 			delete(m.formerWorkers, id)
 		}
 	}
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -223,10 +223,14 @@
 	if w == nil {
 		return
 	}
-	if g.Result == NoAnswer && g.Sent < w.pollSentAt {
-		return // a later poll is pending.
+	if w.abandonedPolls > 0 && g.Sent < w.pollSentAt {
+		w.abandonedPolls--
+		if g.Born <= w.Born {
+			return // a later poll is pending.
+		}
+	} else {
+		w.polling = false
 	}
-	w.polling = false
 	switch g.Result {
 	case OK:
 	case Fenced:
@@ -248,6 +252,7 @@
 	}
 	m.markReachable(w)
 	if g.Born != 0 && g.Born < w.Born || g.Sent < w.suspectedAt {
+		w.nextPollAt = max(w.nextPollAt, m.now+pollRetryMs)
 		return // an answer of the former lifetime.
 	}
 	if g.Born != 0 {
--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -218,3 +218,28 @@
 	l.Update(l.now, batch.OrderDoneMsg{Machine: ordered.Machine, Wave: ordered.Wave})
 	is.Equal(l.Workers(), 1)
 }
+
+// A poll that is pending when its worker starts again is followed by another at once. Its answer must not begin a second series of polls.
+func TestRestartKeepsOnePollPending(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: fourTaskJob()})
+	l.advance(300)
+	var pending []batch.PolledMsg
+	l.polled = func(k batch.PollCmd) batch.PolledMsg {
+		pending = append(pending, batch.PolledMsg{Worker: k.Worker, Sent: l.now, Fence: k.Fence})
+		return batch.PolledMsg{Worker: "unknown"}
+	}
+	l.advance(3_000)
+	is.Equal(len(pending), 1)
+	l.restart("w1")
+	l.advance(10)
+	is.Equal(len(pending), 2)
+	for _, g := range pending {
+		a := l.answer(batch.PollCmd{Worker: "w1"})
+		a.Sent, a.Fence = g.Sent, g.Fence
+		l.Update(l.now, a)
+		l.advance(10)
+	}
+	is.Equal(len(pending), 3)
+}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -51,6 +51,7 @@
 	unsavedEnds    []unsavedEnd
 
 	polling        bool
+	abandonedPolls int   // polls of former lifetimes that are not answered yet.
 	pollSentAt     int64 // when the pending poll was sent.
 	nextPollAt     int64 // when the next poll is due.
 	noPollBefore   int64 // no poll before: ends that follow each other closely are read together.
@@ -194,7 +195,8 @@
 	m.leaveLifetime(w)
 	w.lifetimeSeenAt, w.formerUntil, w.formerPollsEnd = 0, 0, 0
 	w.failuresInRow, w.failedJobs, w.quarantinedUntil, w.quarantineMs, w.slowdown, w.speed, w.slow = 0, nil, 0, 0, 1, speed.Meter{}, false
-	w.polling, w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = false, 0, true, m.now // a pending poll was meant for the former lifetime.
+	w.abandonPoll()
+	w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = 0, true, m.now
 }
 
 // runsCopy returns a copy of the worker's runs, for loops that change them.
