fleet/batch: a worker whose machine is up again is called before its entry comes

Cause: after a list of machines had shown a worker's end, only its next entry began another lifetime. A task that was reserved for an unanswered start was given up after 5 s, although the worker was up again under its ID.

Change: a list that shows the machine up with the same worker begins an unknown lifetime, which is polled.

Result: the case 'machine that is up again' of TestUnansweredStartOutlivesItsLifetime fails without the change and passes.

--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -200,6 +200,7 @@
 			k = &machine{}
 			d.machines[x.Name] = k
 		}
+		m.noteWorkerBack(x)
 		m.noteGoneWorker(k, x, g.Sent)
 		if k.Machine.Name != "" && (k.State != x.State || k.Worker != x.Worker) && k.orderedAt == 0 {
 			m.log("machine changed", "", "machine", x.Name, "pool", x.Pool, "state", string(x.State), "before", string(k.State), "worker", x.Worker, "workerBefore", k.Worker)
@@ -225,6 +226,17 @@
 	m.countMachines()
 }
 
+// noteWorkerBack has a worker called whose lifetime had ended, if the new entry x of the list shows it again: it is in a new lifetime, also
+// if its entry has not come yet.
+func (m *Model) noteWorkerBack(x Machine) {
+	w := m.workers[x.Worker]
+	if w == nil || !w.ended || w.machineTaken || x.State != MachineUp {
+		return
+	}
+	w.ended, w.dead, w.goneState = false, false, ""
+	m.suspectRestart(w, 0)
+}
+
 // noteGoneWorker records that the machine's worker has ended, if the new entry x of the list shows it: the machine is not up any more,
 // or has another worker. The list was requested at sent.
 func (m *Model) noteGoneWorker(k *machine, x Machine, sent int64) {
--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -49,6 +49,13 @@
 	t.Run("list of machines", func(t *testing.T) {
 		play(t, func(l *lifetimes) { l.machines(l.now, []string{"w2"}, "w1") }, 5_000)
 	})
+	t.Run("machine that is up again", func(t *testing.T) {
+		play(t, func(l *lifetimes) {
+			l.machines(l.now, []string{"w2"}, "w1")
+			l.advance(1_000)
+			l.machines(l.now, []string{"w1", "w2"})
+		}, lateMs+6_000)
+	})
 }
 
 // A former owner's start that is held up may reach the next lifetime of its worker, which the successor cannot read, and run there for the
