fleet/batch: the clock of a new lifetime does not tell its age

Cause: the clock of a lifetime was expected to begin at 0. The platform's clocks begin anywhere; a lifetime's first list showed 207,093 ms. What a lease by a former clock lasts was kept on the new clock, too, and a clock that jumps ahead did not show another lifetime.

Change: the time by which such a lease has expired is kept on the owner's steady clock. A lifetime counts as young by its born, with the skew of the machines' clocks, or if that is not known. An answer whose clock is 5 s ahead shows another lifetime, too.

--- a/fleet/batch/lifetime.go
+++ b/fleet/batch/lifetime.go
@@ -51,39 +51,51 @@
 func (m *Model) leaveLifetime(w *worker) {
 	w.fenced, w.synced, w.partlyRead = false, false, false
 	w.formerFence = max(w.formerFence, w.usedFence)
-	w.leaseUntil = w.clockMs + lateCallMs + m.longestLeaseMs()
+	w.leaseUntil, w.lifetimeSeenAt = 0, 0
+	w.oldLeaseEnd = m.now + lateCallMs + lastsAtMost(m.longestLeaseMs())
 	m.commits.lifetimes.planned++
 }
 
-// noteFenced records that the present lifetime of w has answered a poll with the given fencing number, at clock on its own clock. From then
-// on, only this owner's later calls extend its lease.
-func (m *Model) noteFenced(w *worker, fence, clock int64) {
+// noteFenced records that the present lifetime of w has answered a poll with the given fencing number. From then on, only this owner's
+// later calls extend its lease.
+func (m *Model) noteFenced(w *worker, fence int64) {
 	if w.fenced || fence <= w.formerFence {
 		return
 	}
 	w.fenced = true
 	lease := m.requestedLeaseMs()
-	if w.formerFence > 0 || m.mayHoldFormerLease(clock) {
+	if w.formerFence > 0 || m.mayHoldFormerLease(w) {
 		lease = m.longestLeaseMs()
 	}
-	w.leaseUntil = clock + lease
+	w.oldLeaseEnd = m.now + lastsAtMost(lease)
 }
 
-// mayHoldFormerLease reports whether a lifetime with the given clock may hold a lease by a former owner's call to an earlier lifetime.
-func (m *Model) mayHoldFormerLease(clock int64) bool {
-	expires := lateCallMs + m.longestLeaseMs()
-	return clock < expires && m.blindUntil > 0 && m.now < m.blindUntil+expires
+// mayHoldFormerLease reports whether a former owner's call to an earlier lifetime may have extended the lease of w's present one, which
+// began shortly before this owner's term or later. The clocks of lifetimes do not tell their age: they begin anywhere.
+func (m *Model) mayHoldFormerLease(w *worker) bool {
+	expires := lateCallMs + lastsAtMost(m.longestLeaseMs())
+	young := w.Born == 0 || w.Born > m.cfg.UnixMs-maxClockSkewMs-expires
+	return young && m.blindUntil > 0 && m.now < m.blindUntil+expires
 }
 
+// Differences of two readings of a worker's clock that another lifetime does not explain, in ms.
+const (
+	clockBehindMs    = 20    // readings that overtake each other.
+	clockDriftPerSec = 2     // both clocks are off.
+	clockAheadMs     = 5_000 // a reading may have been on its way for as long as a poll.
+)
+
 // answersFromLaterLifetime reports whether the answer to a call that was sent at sent, with the given reading of the worker's clock, comes
 // from a later lifetime than the known one.
-func (w *worker) answersFromLaterLifetime(clock, sent int64) bool {
-	const slackMs = 20 // of two readings that overtake each other.
-	since := float64(sent - w.clockAt)
+func (m *Model) answersFromLaterLifetime(w *worker, clock, sent int64) bool {
+	if clock == 0 || w.clockAt == 0 {
+		return false
+	}
+	since := sent - w.clockAt
 	if since > 0 {
-		since *= minClockRate
+		since = int64(float64(since)*minClockRate) - since*clockDriftPerSec/1000
 	}
-	return clock > 0 && w.clockAt > 0 && clock+slackMs < w.clockMs+int64(since)
+	return clock+clockBehindMs < w.clockMs+since || w.lifetimeSeenAt > 0 && clock > m.workerClock(w)+clockAheadMs
 }
 
 // suspectRestart begins an unknown lifetime of w, whose clock an answer has shown. The next poll tells which one it is.
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -33,7 +33,7 @@
 		return
 	}
 	w.heardAt = m.now
-	if w.answersFromLaterLifetime(clock, sent) {
+	if m.answersFromLaterLifetime(w, clock, sent) {
 		m.suspectRestart(w, clock)
 		return
 	}
@@ -170,7 +170,10 @@
 }
 
 // leaseExpired reports whether the worker's lease has expired, and no other owner can have extended it before.
-func (m *Model) leaseExpired(w *worker) bool { return m.soleOwnerUntil >= w.expiresBy(w.leaseUntil) }
+func (m *Model) leaseExpired(w *worker) bool { return m.soleOwnerUntil >= w.leaseEnd() }
+
+// leaseEnd returns the steady time by which the lease of w has certainly expired.
+func (w *worker) leaseEnd() int64 { return max(w.expiresBy(w.leaseUntil), w.oldLeaseEnd) }
 
 // retire drops the runs of a worker whose lease has certainly expired or whose lifetime is over, and forgets workers
 // that are gone.
@@ -259,7 +262,7 @@
 		w.Born = g.Born
 	}
 	m.setClock(w, g.ClockMs)
-	m.noteFenced(w, cmp.Or(g.Fence, w.fence), g.ClockMs)
+	m.noteFenced(w, cmp.Or(g.Fence, w.fence))
 	if w.formerPollsEnd == 0 {
 		w.formerPollsEnd = g.ClockMs + formerPollMs // the worker refuses new polls of former owners from now on.
 	}
@@ -326,7 +329,7 @@
 	if w.silentSince == 0 {
 		w.silentSince = m.now
 		m.raiseFence(w)
-		m.log("worker lost", "", "worker", w.ID, "addr", w.Addr, "runs", len(w.runs), "leaseMs", w.expiresBy(w.leaseUntil)-m.now, "why", int(why))
+		m.log("worker lost", "", "worker", w.ID, "addr", w.Addr, "runs", len(w.runs), "leaseMs", w.leaseEnd()-m.now, "why", int(why))
 	}
 	w.sentAck = w.confirmedAck // the number is sent again once the worker answers.
 	w.nextPollAt = m.now + pollRetryMs
@@ -341,7 +344,7 @@
 func (m *Model) logLost(event string, r *run) {
 	m.log(event, r.task.stage.job.ID, "task", r.task.name().String(), "run", r.number, "worker", r.worker.ID, "ageMs", m.now-r.startSentAt,
 		"confirmed", r.confirmedAt > 0, "beside", len(r.worker.runs)-1, "silentMs", r.worker.silentMs(m.now),
-		"born", r.worker.Born, "startBorn", r.workerBorn, "clockMs", m.workerClock(r.worker), "leaseUntilMs", r.worker.leaseUntil)
+		"born", r.worker.Born, "startBorn", r.workerBorn, "clockMs", m.workerClock(r.worker), "leaseMs", r.worker.leaseEnd()-m.now)
 }
 
 // silentMs returns for how long the worker has not answered; 0 while it answers.
--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -250,3 +250,79 @@
 	}
 	is.Equal(len(pending), 3)
 }
+
+// A call that a new lifetime takes before the owner knows of it asks for a lease on the former clock, far ahead, and gets the longest one.
+// What the owner starts there must not start elsewhere before that lease has expired, wherever the lifetime's clock began.
+func TestLeaseByFormerClockOutlastsCut(t *testing.T) {
+	const longestMs, ageMs, formerClock = 10_000, 3_000, 600_000
+	const formerBorn, born = 400_000, 997_000
+	play := func(t *testing.T, successor bool, clockStart int64) {
+		t.Helper()
+		is := is.New(t)
+		l := newUnreadHarness()
+		l.Model = batch.New(batch.Config{Fence: 9, Now: l.now, UnixMs: 1_000_000, LeaseMs: longestMs, OrderGapMs: 3500})
+		e := batch.WorkerEntry{ID: "w1", Service: "s", Addr: "w1", Room: batch.Size{CPU: 4000, MemMB: 8000}, ClockMs: formerClock, Born: formerBorn}
+		l.Update(l.now, batch.ServicesMsg{Services: []batch.Service{{Name: "s"}}})
+		l.Update(l.now, batch.WorkersMsg{All: true, Set: []batch.WorkerEntry{e}})
+		restarted, cut, leaseEnd, begin := successor, false, int64(0), l.now
+		clock := func() int64 { return clockStart + l.now - begin + ageMs }
+		extend := func(until int64) { leaseEnd = max(leaseEnd, l.now+min(until-clock(), longestMs)) }
+		l.polled = func(k batch.PollCmd) batch.PolledMsg {
+			g := batch.PolledMsg{Worker: k.Worker, Sent: l.now, Fence: k.Fence, ClockMs: l.now, Born: 1}
+			switch {
+			case k.Worker != "w1":
+			case cut:
+				g.Result = batch.NoAnswer
+			case !restarted:
+				g.ClockMs, g.Born = formerClock+l.now-begin, formerBorn
+			default:
+				extend(k.UntilMs)
+				g.ClockMs, g.Born = clock(), born
+				for _, s := range l.starts {
+					if s.Worker == "w1" {
+						g.Running = append(g.Running, batch.ActiveRun{Task: s.Task, Run: s.Run, Percent: 1})
+					}
+				}
+			}
+			return g
+		}
+		showEntry := func() {
+			e.Born, e.ClockMs = born, clock()
+			l.Update(l.now, batch.WorkersMsg{Set: []batch.WorkerEntry{e}})
+		}
+		former := batch.LoadedMsg{}
+		if successor {
+			former = batch.LoadedMsg{BlindMs: 5_500, FormerFence: 8}
+		}
+		l.Update(l.now, former)
+		l.advance(500)
+		restarted = true
+		if successor {
+			showEntry()
+		}
+		l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: oneTaskJob()})
+		for i := 0; len(l.starts) == 0 && i < 500; i++ {
+			l.advance(10)
+		}
+		is.Equal(len(l.starts), 1)
+		extend(l.starts[0].UntilMs)
+		if !successor {
+			showEntry()
+		}
+		l.advance(50)
+		cut = true
+		l.Update(l.now, batch.WorkersMsg{Set: []batch.WorkerEntry{{ID: "w2", Service: "s", Addr: "w2", Room: e.Room, ClockMs: 5, Born: 1}}})
+		for i := 0; len(l.starts) == 1 && i < 5_000; i++ {
+			l.advance(10)
+		}
+		is.Equal(len(l.starts), 2)
+		is.True(l.now >= leaseEnd)
+	}
+	for _, c := range []struct {
+		name      string
+		successor bool
+	}{{"poll of a successor that knows the former entry", true}, {"start before the restart is known", false}} {
+		t.Run(c.name, func(t *testing.T) { play(t, c.successor, 0) })
+		t.Run(c.name+", clock ahead", func(t *testing.T) { play(t, c.successor, 207_093) })
+	}
+}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -41,7 +41,8 @@
 
 	clockMs        int64 // lower bound of the worker's clock at clockAt.
 	clockAt        int64
-	leaseUntil     int64 // latest lease end or start expiry sent to the worker, on its clock.
+	leaseUntil     int64 // latest lease end or start expiry sent to this lifetime, on its clock.
+	oldLeaseEnd    int64 // steady time by which a lease has expired that calls have extended before this lifetime was fenced.
 	formerUntil    int64 // latest lease end sent while it may have run what a former owner started, on its clock; 0 if there is none.
 	sentAck        int64 // the highest ended run that the worker was told it may forget.
 	confirmedAck   int64 // the highest ended run that it has certainly forgotten.
@@ -51,7 +52,7 @@
 	unsavedEnds    []unsavedEnd
 
 	polling        bool
-	abandonedPolls int   // polls of former lifetimes that are not answered yet.
+	abandonedPolls int   // polls that were given up, or meant for former lifetimes, and are not answered yet.
 	pollSentAt     int64 // when the pending poll was sent.
 	nextPollAt     int64 // when the next poll is due.
 	noPollBefore   int64 // no poll before: ends that follow each other closely are read together.
@@ -193,7 +194,7 @@
 	w.Born, w.sentAck, w.confirmedAck, w.lastEnd, w.unsavedEnds = born, 0, 0, 0, nil
 	w.clockMs, w.clockAt = 0, m.now
 	m.leaveLifetime(w)
-	w.lifetimeSeenAt, w.formerUntil, w.formerPollsEnd = 0, 0, 0
+	w.formerUntil, w.formerPollsEnd = 0, 0
 	w.failuresInRow, w.failedJobs, w.quarantinedUntil, w.quarantineMs, w.slowdown, w.speed, w.slow = 0, nil, 0, 0, 1, speed.Meter{}, false
 	w.abandonPoll()
 	w.nextPollAt, w.shortPoll, w.lifetimeKnownAt = 0, true, m.now
