--- a/fleet/batch/lifetime.go
+++ b/fleet/batch/lifetime.go
@@ -20,7 +20,7 @@
 const (
 	lateCallMs     = 12_000 // the longest time after which a worker may carry out such a call.
 	fencedWithinMs = 5_000  // an owner that reaches a new lifetime and the store has fenced it within this time.
-	maxReserveMs   = 5_000  // for which the task of such a start waits while the worker's machine is down. A longer wait counts as losing it.
+	maxReserveMs   = 5_000  // for which the task of such a start waits once the worker's machine is down. A longer wait counts as losing it.
 )
 
 // longestLeaseMs returns the longest lease that a worker grants, by its own clock.
@@ -116,14 +116,14 @@
 }
 
 // mayStartLate reports whether a start without an answer may still be carried out, or its run may go on, at a worker that does not answer.
-// It cannot if another worker has the machine or the address.
+// It cannot if another worker has the machine or the address, and does no harm if the task may have copies.
 func (m *Model) mayStartLate(r *run) bool {
 	w := r.worker
 	switch {
-	case r.confirmedAt > 0, w.machineTaken, w.goneState == MachineUp, w.dead && w.goneState == "":
+	case r.confirmedAt > 0, r.task.stage.Copies, w.machineTaken, w.goneState == MachineUp, w.dead && w.goneState == "":
 		return false
 	case w.goneState != "":
-		return m.soleOwnerUntil < r.startSentAt+maxReserveMs
+		return m.soleOwnerUntil < min(w.endedAt+maxReserveMs, r.startSentAt+lateCallMs)
 	}
 	return m.soleOwnerUntil < r.startSentAt+lateCallMs+lastsAtMost(m.longestLeaseMs())
 }
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -280,8 +280,9 @@
 		}
 		if !w.Draining && (w.goneState == MachineDown || w.goneState == MachineUp) {
 			m.markCrashed(w, "machine "+string(w.goneState))
+			w.crashCounted = true
 		}
-		w.dead, w.ended = true, true
+		w.dead, w.ended, w.endedAt = true, true, m.now
 		m.pool(w.Service).dirty = true
 	}
 }
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -227,7 +227,7 @@
 	switch {
 	case s.Label != "" && !slices.Contains(w.Labels, s.Label):
 		return false
-	case s.PerWorker > 0 && s.runsOn(w) >= s.PerWorker:
+	case s.PerWorker > 0 && (s.runsOn(w) >= s.PerWorker || w.unknownRuns > 0):
 		return false
 	}
 	return m.hasTicket(w, s) && w.unansweredStarts < maxUnansweredStarts
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -153,7 +153,7 @@
 		return
 	}
 	m.log("look overdue", "", "worker", w.ID, "addr", w.Addr, "runs", len(w.runs), "sinceMs", m.now-w.pollSentAt)
-	w.polling = false
+	w.abandonPoll()
 	m.markUnreachable(w, NoAnswer)
 }
 
@@ -228,7 +228,7 @@
 	}
 	if w.abandonedPolls > 0 && g.Sent < w.pollSentAt {
 		w.abandonedPolls--
-		if g.Born <= w.Born {
+		if g.Result != Fenced && g.Born <= w.Born {
 			return // a later poll is pending.
 		}
 	} else {
--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -326,3 +326,163 @@
 		t.Run(c.name+", clock ahead", func(t *testing.T) { play(t, c.successor, 207_093) })
 	}
 }
+
+// A task that waits for an unanswered start keeps waiting for some seconds after its worker's machine has gone down: the machine may come back.
+func TestReservationOutlastsLateCrash(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.machines(l.now, []string{"w1"})
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: oneTaskJob()})
+	l.silent["w1"] = true
+	sent := l.now
+	l.stepUnanswered(100)
+	is.Equal(l.startsAt("w1"), 1)
+	l.list("w2")
+	l.advance(6_000)
+	is.Equal(l.startsAt("w2"), 0)
+	l.machines(l.now, []string{"w2"}, "w1") // it has crashed now, and will be back in 0.6 s.
+	down := l.now
+	for l.now < sent+12_000 && len(l.starts) == 1 {
+		l.advance(20)
+	}
+	is.True(l.now-down >= 3_000)
+}
+
+// A task that may have copies does not wait for its unanswered start: a second run does no harm.
+func TestCopiesDoNotWaitForUnansweredStart(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.machines(l.now, []string{"w1"})
+	j := oneTaskJob()
+	j.Steps[0].Copies = true
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: j})
+	l.silent["w1"] = true
+	sent := l.now
+	l.stepUnanswered(100)
+	l.list("w2")
+	for l.now < sent+30_000 && l.startsAt("w2") == 0 {
+		l.advance(50)
+	}
+	is.True(l.now-sent < 7_000)
+}
+
+// A run that a call for the former lifetime has started counts against the number of a step's tasks at one worker.
+func TestUnknownRunCountsForPerWorker(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.Update(l.now, batch.ServicesMsg{Services: []batch.Service{{Name: "s", Guards: true}}})
+	j := oneTaskJob()
+	j.Steps[0].Count, j.Steps[0].PerWorker = 2, 1
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: j})
+	l.advance(300)
+	is.Equal(len(l.starts), 1)
+	l.list("w2")
+	l.advance(300)
+	is.Equal(l.startsAt("w2"), 1)
+	other := l.starts[1].Task
+	l.restart("w1")
+	inner := l.polled
+	l.polled = func(k batch.PollCmd) batch.PolledMsg {
+		g := inner(k)
+		if k.Worker == "w1" {
+			g.Running = append(g.Running, batch.ActiveRun{Task: other, Run: 7, Percent: 1})
+		}
+		return g
+	}
+	n := l.startsAt("w1")
+	l.advance(300)
+	is.Equal(l.startsAt("w1"), n)
+}
+
+// One crash must not count twice because the machine's list and the worker's next lifetime both show it: innocent tasks would be given up.
+func TestCrashCountsOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLifetimes("w1")
+	l.machines(l.now, []string{"w1"})
+	l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: oneTaskJob()})
+	l.silent["w1"] = true
+	l.stepUnanswered(100)
+	l.advance(500)
+	l.machines(l.now, []string{"w2"}, "w1")
+	l.advance(500)
+	l.silent["w1"] = false
+	l.born["w1"], l.polls["w1"], l.first["w1"] = l.now, 0, 1
+	l.machines(l.now, []string{"w1"})
+	l.advance(500)
+	n := 0
+	for _, x := range l.logs {
+		if x.Event == "worker crashed" {
+			n++
+		}
+	}
+	is.Equal(n, 1)
+}
+
+// The answer to a poll that was given up must neither end the wait for the pending one nor count as silence.
+func TestLateAnswerToOverduePoll(t *testing.T) {
+	play := func(t *testing.T, late batch.Result) {
+		t.Helper()
+		l := newLifetimes("w1")
+		l.Update(l.now, batch.SubmitMsg{Ref: 1, Job: oneTaskJob()})
+		l.advance(500)
+		type flight struct {
+			at, sent int64
+			k        batch.PollCmd
+		}
+		var q []flight
+		lost := 0
+		step := func(ms int64, hold bool) (polls, most int) {
+			for end := l.now + ms; l.now < end; l.now += 10 {
+				l.Update(l.now, batch.ClaimMsg{Fresh: true, RenewedAt: l.now})
+				var rest []flight
+				for _, f := range q {
+					if f.at <= l.now && !hold {
+						g := l.answer(f.k)
+						g.Sent, g.Fence = f.sent, f.k.Fence
+						l.Update(l.now, g)
+					} else {
+						rest = append(rest, f)
+					}
+				}
+				q = rest
+				for _, c := range l.Commands(l.now) {
+					switch k := c.(type) {
+					case batch.CommitCmd:
+						l.commit(k)
+					case batch.PollCmd:
+						polls++
+						q = append(q, flight{l.now + max(k.WaitMs, 10), l.now, k})
+					case batch.LogCmd:
+						if k.Event == "worker lost" {
+							lost++
+						}
+					}
+				}
+				most = max(most, len(q))
+			}
+			return polls, most
+		}
+		step(3_000, false)
+		for len(q) == 0 {
+			step(10, false)
+		}
+		first := q[0]
+		step(3_950-(l.now-first.sent)+100, true) // the first poll is overdue, and another one is sent.
+		q = q[1:]
+		step(500, false)
+		lost = 0
+		step(1_000, false)
+		for len(q) == 0 {
+			step(10, false)
+		}
+		g := l.answer(first.k)
+		g.Sent, g.Fence, g.Result = first.sent, first.k.Fence, late
+		l.Update(l.now, g)
+		_, n := step(20_000, false)
+		if n > 1 || lost > 0 {
+			t.Errorf("late answer disturbs the pending poll")
+		}
+	}
+	t.Run("OK", func(t *testing.T) { play(t, batch.OK) })
+	t.Run("no answer", func(t *testing.T) { play(t, batch.NoAnswer) })
+}
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -81,6 +81,8 @@
 	trial        *run  // run of a suspected task that is tried apart from other tasks; nil if there is none.
 	lostRuns     []*lostRun
 	ended        bool // the list of machines has shown that the lifetime is over.
+	endedAt      int64
+	crashCounted bool // the end of the lifetime counts as a crash already.
 
 	view workerView // of its runs' expected ends.
 
@@ -186,11 +188,12 @@
 // one has listed its own, since their starts may reach it.
 func (m *Model) restart(w *worker, born int64) {
 	m.log("worker restarted", "", "worker", w.ID, "runs", len(w.runs), "born", born, "formerBorn", w.Born, "formerClockMs", m.workerClock(w))
-	if !w.ended {
+	if !w.ended && !w.crashCounted {
 		m.markCrashed(w, "restarted")
 	}
 	m.dropFormerRuns(w)
 	w.ended, w.machineTaken, w.goneState, w.trial, w.suspectedAt = false, false, "", nil, 0
+	w.crashCounted = false
 	w.Born, w.sentAck, w.confirmedAck, w.lastEnd, w.unsavedEnds = born, 0, 0, 0, nil
 	w.clockMs, w.clockAt = 0, m.now
 	m.leaveLifetime(w)
