fakes/worker: check starts before an end is acknowledged

A task that is started again after it is done breaks the promise also if the end is acknowledged only after that start. The checker looked at starts after the acknowledgement alone.

It now also checks, when an end is acknowledged, that no run of the task has begun after that end.

--- a/fakes/worker/checker.go
+++ b/fakes/worker/checker.go
@@ -146,9 +146,26 @@
 	return &l[i]
 }
 
-func (j *Checker) endAcked(_ *Worker, e batch.EndedRun) {
-	if n := e.Task.String(); e.Reason == batch.EndDone {
-		j.ackedDoneMs[n] = cmp.Or(j.ackedDoneMs[n], j.nowMs())
+// endAcked checks that no run of a task has begun after the end that is acknowledged, unless the task may have copies.
+func (j *Checker) endAcked(w *Worker, e batch.EndedRun) {
+	if e.Reason != batch.EndDone {
+		return
+	}
+	n := e.Task.String()
+	j.ackedDoneMs[n] = cmp.Or(j.ackedDoneMs[n], j.nowMs())
+	l, k, endMs := j.runs[n], j.jobs[e.Task.Job], Never
+	for _, s := range l {
+		if s.Run == e.Run && s.Worker == w.id && s.Reason == batch.EndDone {
+			endMs = s.EndMs // the last one, since a former lifetime may have ended a run with this number.
+		}
+	}
+	if k == nil || k.Job.Steps[e.Task.Step].Copies {
+		return
+	}
+	for _, s := range l {
+		if s.StartMs > endMs {
+			j.AddViolation("TWICE: %s run %d began at %s after run %d had ended at %s, whose end is acknowledged now", n, s.Run, s.Worker, e.Run, w.id)
+		}
 	}
 }
 
