fakes/worker, fleet/batch: simulated leases of up to 10 s

No test could show a worker that grants more than its owner believes.

The longest lease is a property of the worker. The simulation uses 10 s, in workers and owners, and a new owner waits for the longest lease on the slowest clock.

--- a/fakes/worker/worker.go
+++ b/fakes/worker/worker.go
@@ -7,7 +7,7 @@
 	"burdockreach.dev/fleet/batch"
 )
 
-// MaxLeaseMs is the longest lease that a worker grants, in milliseconds.
+// MaxLeaseMs is the longest lease that a worker grants unless SetMaxLease changes it, in milliseconds.
 const MaxLeaseMs = 6000
 
 // Never is a time, or a duration, in milliseconds that no test reaches: for a run that does not end by itself, or a power loss
@@ -74,6 +74,7 @@
 	previousBornMs int64 // bornMs of the previous lifetime.
 	offUntilMs     int64 // the worker is without power until this time.
 
+	maxLeaseMs   int64 // longest lease that it grants.
 	fence        int64 // newest fencing token received.
 	leaseUntilMs int64 // end of the lease, on the worker's clock.
 	runs         []*Run
@@ -94,7 +95,9 @@
 // New returns a worker whose lifetime begins at now, in milliseconds of the simulation's clock. Its own clock advances by clockRate
 // milliseconds per millisecond of the simulation's.
 func New(id string, capacity batch.Size, clockRate float64, now int64, h Hooks) *Worker {
-	return &Worker{id: id, capacity: capacity, clockRate: clockRate, hooks: h, nowMs: now, bornMs: now, highestRun: map[string]int{}, slowness: 1}
+	return &Worker{
+		id: id, capacity: capacity, clockRate: clockRate, hooks: h, nowMs: now, bornMs: now, maxLeaseMs: MaxLeaseMs, highestRun: map[string]int{}, slowness: 1,
+	}
 }
 
 // ID returns the worker's id.
@@ -109,6 +112,9 @@
 	w.capacity = s
 }
 
+// SetMaxLease sets the longest lease that the worker grants, in milliseconds.
+func (w *Worker) SetMaxLease(ms int64) { w.maxLeaseMs = ms }
+
 // SetUnguarded makes the worker start tasks that do not fit.
 func (w *Worker) SetUnguarded() { w.unguarded = true }
 
@@ -235,9 +241,9 @@
 	return false
 }
 
-// extendLease extends the lease to until, but at most to MaxLeaseMs from now. It never shortens the lease.
+// extendLease extends the lease to until, but at most to maxLeaseMs from now. It never shortens the lease.
 func (w *Worker) extendLease(until int64) {
-	w.leaseUntilMs = max(w.leaseUntilMs, min(until, w.Clock()+MaxLeaseMs))
+	w.leaseUntilMs = max(w.leaseUntilMs, min(until, w.Clock()+w.maxLeaseMs))
 }
 
 // HasUnackedEnds reports whether a run has ended that the caller has not acknowledged.
--- a/fleet/batch/machines_test.go
+++ b/fleet/batch/machines_test.go
@@ -60,6 +60,7 @@
 		h = w.teams.hooks(h)
 	}
 	m.worker = worker.New(fmt.Sprintf("w%02d", p.workerCount), m.room, 0.98+0.02*w.rnd.Float64(), w.now, h)
+	m.worker.SetMaxLease(maxLeaseMs)
 	p.workerCount++
 	if p.pool == nil {
 		p.pool = map[string]string{}
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -77,8 +77,19 @@
 	stepMs         = 10
 	defaultStoreMs = 4
 	crashOutageMs  = 3_200 // of a worker that a task has crashed.
+
+	minStrayMs, maxStrayMs = 100, 12_000 // times for which a call that reaches a later lifetime is held up.
+)
+
+// Leases of the simulated workers, in ms.
+const (
+	maxLeaseMs     = 10_000                  // the longest, on the worker's clock.
+	slowestLeaseMs = maxLeaseMs*100/98 + 300 // the longest on the slowest clock, and a margin.
 )
 
+// claimLossMs is the time after the last renewal of its claim in which an owner without the store stops.
+const claimLossMs = 8_000
+
 func newSimulation(t testing.TB, seed uint64, workers int, f faults) *simulation {
 	w := &simulation{
 		t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), rows: map[string]batch.Row{}, rev: 10, now: 1000,
@@ -121,7 +132,7 @@
 	w.claimCount++
 	a := &fakeOwner{w: w, fence: w.rev, alive: true, unreachable: map[string]bool{}}
 	a.m = batch.New(batch.Config{
-		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: 6000, OrderGapMs: w.dutyGap, OrdersPerSec: w.ordersPerSec,
+		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: maxLeaseMs, OrderGapMs: w.dutyGap, OrdersPerSec: w.ordersPerSec,
 		LookAhead: w.faults.lookAhead, WorkerSpeed: w.faults.speeds,
 	})
 	w.owners = append(w.owners, a)
@@ -134,7 +145,7 @@
 	}
 	if g := w.deadOwner; g != nil {
 		a.m.Update(w.now, batch.OrdersMsg{Orders: g.m.Orders(g.diedAt).Aged(w.now - g.diedAt)})
-		a.m.Update(w.now, batch.BlindMsg{ForMs: 6_500}) // the longest lease, on a slow clock.
+		a.m.Update(w.now, batch.BlindMsg{ForMs: slowestLeaseMs})
 	}
 	w.deadOwner = nil
 	for _, x := range w.fleet.waves {
@@ -158,16 +169,15 @@
 func (w *simulation) records() batch.LoadedMsg {
 	m := batch.LoadedMsg{}
 	if w.claimCount > 1 {
-		m.BlindMs = 14_000
+		m.BlindMs = claimLossMs + slowestLeaseMs
 		m.FormerFence = w.formerFence
 	}
-	if r, ok := w.rows[batch.OrdersKey]; ok {
-		w.must(json.Unmarshal(r.Value, &m.Orders))
-		m.Orders.Rev = r.Rev
-	}
 	for _, k := range worker.Sorted(w.rows) {
 		r := w.rows[k]
 		switch {
+		case k == batch.OrdersKey:
+			w.must(json.Unmarshal(r.Value, &m.Orders))
+			m.Orders.Rev = r.Rev
 		case strings.HasPrefix(k, batch.JobPrefix):
 			var s batch.StoredJob
 			w.must(json.Unmarshal(r.Value, &s))
