fleet/batch: simulate calls that reach a later lifetime

A worker that is back under its old ID takes calls that were meant for its former lifetime. The simulation lost a call that was held up as soon as its worker restarted, and every call to a worker without power.

A start that names its lifetime is checked when it is sent, as in node/owner, since the worker cannot check it. New mixes of TestChaos play many restarts and cuts with strays of polls, of starts and stops, and of both.

One correction of the simulation: a long poll whose answer counted as lost was answered all the same, a second time.

--- a/fleet/batch/chaos_test.go
+++ b/fleet/batch/chaos_test.go
@@ -67,10 +67,11 @@
 }
 
 func TestChaos(t *testing.T) {
-	for _, c := range []struct {
+	type mix struct {
 		name string
 		f    faults
-	}{
+	}
+	l := []mix{
 		{"calm", faults{}},
 		{"failing tasks", faults{fail: 200}},
 		{"late and lost orders", faults{late: 40, lost: 40}},
@@ -86,7 +87,20 @@
 		{"teams", faults{teams: true, copies: true, slow: 30, lapse: 300, depose: 2, crash: 3, restart: 2, cut: 6, late: 10, lost: 10, storeLost: 20}},
 		{"slow workers", faults{speeds: true, drag: 10, copies: true, depose: 1, crash: 2, late: 10, fail: 20}},
 		{"all", faults{copies: true, slow: 30, lapse: 300, depose: 2, crash: 3, restart: 3, cut: 6, late: 15, lost: 15, storeDown: 1, storeLost: 40, fail: 30}},
+	}
+	for _, c := range []mix{
+		{"recut", faults{restart: 20, cut: 60, late: 60, lost: 20, slow: 30}},
+		{"recut with owners", faults{restart: 20, cut: 60, late: 60, lost: 20, depose: 4}},
+		{"long recut", faults{restart: 2, cut: 10, late: 100, lost: 20, slow: 100, long: true}},
+		{"long recut with owners", faults{restart: 2, cut: 10, late: 100, lost: 20, slow: 100, long: true, depose: 2}},
 	} {
+		polls, orders := c, c
+		polls.name, polls.f.strayPolls = c.name+", polls", 1000
+		orders.name, orders.f.strayOrders = c.name+", starts and stops", 1000
+		c.f.strayPolls, c.f.strayOrders = 1000, 1000
+		l = append(l, polls, orders, c)
+	}
+	for _, c := range l {
 		t.Run(c.name, func(t *testing.T) {
 			for s := uint64(1); s <= *chaosSeeds; s++ {
 				runChaos(t, s, c.f)
--- a/fleet/batch/fakeowner_test.go
+++ b/fleet/batch/fakeowner_test.go
@@ -32,7 +32,7 @@
 	if fresh {
 		a.renewedAt = w.now
 	}
-	if w.now-a.renewedAt > 8000 || (w.claimRev != a.fence && !a.cutOff) {
+	if w.now-a.renewedAt > claimLossMs || (w.claimRev != a.fence && !a.cutOff) {
 		a.alive = false
 		return
 	}
@@ -73,20 +73,17 @@
 		if w.teams != nil {
 			w.teams.startSent(k)
 		}
-		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
-			if k.Born != 0 && k.Born != f.Born() {
-				return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: batch.WrongWorker, Sent: sent}
-			}
+		a.call(workerCall{cmd: k, worker: k.Worker, born: k.Born, timeout: callTimeoutMs, do: func(f *worker.Worker) batch.Msg {
 			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock(), Sent: sent}
-		}, func(r batch.Result) batch.Msg {
+		}, fail: func(r batch.Result) batch.Msg {
 			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent}
-		})
+		}})
 	case batch.StopCmd:
-		a.callWorker(k.Worker, func(f *worker.Worker) batch.Msg {
+		a.call(workerCall{cmd: k, worker: k.Worker, timeout: callTimeoutMs, do: func(f *worker.Worker) batch.Msg {
 			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Stop(k), ClockMs: f.Clock(), Sent: sent}
-		}, func(r batch.Result) batch.Msg {
+		}, fail: func(r batch.Result) batch.Msg {
 			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent}
-		})
+		}})
 	case batch.ListMachinesCmd:
 		delay := int64(5)
 		if w.chance(w.faults.slowList) {
@@ -106,15 +103,17 @@
 func (a *fakeOwner) poll(k batch.PollCmd) {
 	w, sent := a.w, a.w.now
 	fail := func(r batch.Result) batch.Msg { return batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: r} }
-	a.callWithin(pollTimeoutMs+k.WaitMs, k.Worker, func(f *worker.Worker) batch.Msg {
+	a.call(workerCall{cmd: k, worker: k.Worker, timeout: pollTimeoutMs + k.WaitMs, fail: fail, do: func(f *worker.Worker) batch.Msg {
 		g := f.Hold(k)
 		g.Sent = sent
-		if k.WaitMs == 0 || g.Result != batch.OK || len(g.Ended) > 0 {
-			return g
+		return g
+	}, answer: func(f *worker.Worker, m batch.Msg) {
+		if g := m.(batch.PolledMsg); k.WaitMs == 0 || g.Result != batch.OK || len(g.Ended) > 0 {
+			a.deliver(1, g)
+			return
 		}
 		a.waitPoll(f, k, sent, w.now+k.WaitMs)
-		return nil
-	}, fail)
+	}})
 }
 
 // waitPoll answers a poll once a run has ended or the time is until.
@@ -142,44 +141,72 @@
 	pollTimeoutMs = 350
 )
 
-// callWorker carries out a command at a worker. The command may be late, and its answer may be lost.
-func (a *fakeOwner) callWorker(id string, do func(*worker.Worker) batch.Msg, fail func(batch.Result) batch.Msg) {
-	a.callWithin(callTimeoutMs, id, do, fail)
+// workerCall is one call to a worker.
+type workerCall struct {
+	cmd     batch.Cmd
+	worker  string
+	born    int64 // start of the only lifetime to which it is sent; 0 for any. The worker does not check it.
+	timeout int64 // after which it counts as unanswered.
+	do      func(*worker.Worker) batch.Msg
+	answer  func(*worker.Worker, batch.Msg) // answers it, if that may take some time; nil otherwise.
+	fail    func(batch.Result) batch.Msg
 }
 
-// callWithin is callWorker with the time after which the call counts as unanswered.
-func (a *fakeOwner) callWithin(timeout int64, id string, do func(*worker.Worker) batch.Msg, fail func(batch.Result) batch.Msg) {
-	w := a.w
-	f := w.worker(id)
-	switch {
-	case f == nil: // its machine was moved by another owner.
-		a.deliver(timeout, fail(batch.NoAnswer))
-	case f.RefusesConnections() && !a.unreachable[id]:
-		a.deliver(1, fail(batch.NotSent))
-	case a.unreachable[id] || f.PoweredOff():
-		a.deliver(timeout, fail(batch.NoAnswer))
+// call makes a call to a worker. It may be carried out late, and its answer may be lost.
+func (a *fakeOwner) call(c workerCall) {
+	w, f := a.w, a.w.worker(c.worker)
+	if f == nil { // its machine was moved by another owner.
+		a.deliver(c.timeout, c.fail(batch.NoAnswer))
+		return
+	}
+	do := func() batch.Msg { return c.do(f) }
+	if c.born != 0 && c.born != f.Born() {
+		do = func() batch.Msg { return c.fail(batch.WrongWorker) }
+	}
+	runLate := func() {
+		if !f.PoweredOff() {
+			w.judge.RunLate(func() { do() })
+		}
+	}
+	switch cut := a.unreachable[c.worker]; {
+	case w.holds != nil && w.holds(c.cmd):
+		w.held = append(w.held, runLate)
+		a.deliver(c.timeout, c.fail(batch.NoAnswer))
+	case f.RefusesConnections() && !cut:
+		a.deliver(1, c.fail(batch.NotSent))
+	case cut || f.PoweredOff():
+		if !cut && c.born == 0 && w.isStray(c.cmd) && w.chance(w.faults.late) {
+			w.schedule(minStrayMs+w.rnd.Int64N(maxStrayMs-minStrayMs), runLate)
+		}
+		a.deliver(c.timeout, c.fail(batch.NoAnswer))
 	case w.chance(w.faults.late):
-		born := f.LifetimeStart() // a command that is held up at a worker is lost when the worker restarts.
-		w.schedule(1000+w.rnd.Int64N(6000), func() {
-			if !f.PoweredOff() && f.LifetimeStart() == born {
-				w.judge.RunLate(func() { do(f) })
-			}
-		})
-		a.deliver(timeout, fail(batch.NoAnswer))
+		if w.isStray(c.cmd) {
+			w.schedule(minStrayMs+w.rnd.Int64N(maxStrayMs-minStrayMs), runLate)
+		} else {
+			born := f.LifetimeStart()
+			w.schedule(1000+w.rnd.Int64N(6000), func() {
+				if f.LifetimeStart() == born {
+					runLate()
+				}
+			})
+		}
+		a.deliver(c.timeout, c.fail(batch.NoAnswer))
 	case w.chance(w.faults.lost):
 		w.schedule(1, func() {
 			if !f.PoweredOff() {
-				do(f)
+				do()
 			}
 		})
-		a.deliver(timeout, fail(batch.NoAnswer))
+		a.deliver(c.timeout, c.fail(batch.NoAnswer))
 	default:
 		w.schedule(1+w.rnd.Int64N(3), func() {
 			if f.PoweredOff() {
-				a.deliver(timeout, fail(batch.NoAnswer))
+				a.deliver(c.timeout, c.fail(batch.NoAnswer))
 				return
 			}
-			if m := do(f); m != nil { // else the answer comes later.
+			if m := do(); c.answer != nil {
+				c.answer(f, m)
+			} else {
 				a.deliver(1, m)
 			}
 		})
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -51,6 +51,8 @@
 	crashAfterMs  func(batch.TaskName) int64 // after which time a task crashes its worker, if not nil; 0 for never.
 	deadOwner     *fakeOwner                 // the last owner that is known to be dead.
 	unlistedUntil map[string]int64           // until when a worker's entry is missing, by worker ID.
+	holds         func(batch.Cmd) bool       // whether a call to a worker is held up until release, if not nil.
+	held          []func()                   // carry out the calls that are held up.
 }
 
 // faults holds the probabilities, in thousandths, of faults of one call and of events in one step.
@@ -65,6 +67,8 @@
 	shrink                                                              int  // a worker's capacity shrinks for some seconds.
 	lookAhead                                                           bool // the owners' setting.
 	slowList                                                            int  // of the lists of machines: they arrive up to a second late.
+	long                                                                bool // cuts last up to 15 s, and slow runs thirty times as long as others.
+	strayPolls, strayOrders                                             int  // of the late polls, and of the late starts and stops: they reach whichever lifetime is there.
 }
 
 type event struct {
@@ -226,6 +230,23 @@
 	}
 }
 
+// release lets the calls that are held up reach their workers.
+func (w *simulation) release() {
+	l := w.held
+	w.held = nil
+	for _, do := range l {
+		do()
+	}
+}
+
+// isStray reports whether a late call reaches whichever lifetime of the worker is there when it arrives.
+func (w *simulation) isStray(c batch.Cmd) bool {
+	if _, ok := c.(batch.PollCmd); ok {
+		return w.chance(w.faults.strayPolls)
+	}
+	return w.chance(w.faults.strayOrders)
+}
+
 // injectFaults causes the faults of one step.
 func (w *simulation) injectFaults() {
 	f := w.faults
@@ -250,6 +271,9 @@
 		a := w.owners[w.rnd.IntN(len(w.owners))]
 		a.unreachable[k.ID()] = true
 		d := 500 + w.rnd.Int64N(7000)
+		if f.long {
+			d *= 2
+		}
 		w.schedule(d, func() { delete(a.unreachable, k.ID()) })
 		if w.chance(f.lapse) {
 			w.unlistedUntil[k.ID()] = w.now + d
@@ -361,6 +385,9 @@
 	p := worker.Plan{RunMs: s.EstimateMs/2 + w.rnd.Int64N(s.EstimateMs), Reason: batch.EndDone, Size: s.Size}
 	if w.chance(w.faults.slow) {
 		p.RunMs *= 5
+		if w.faults.long {
+			p.RunMs *= 6
+		}
 	}
 	if s.Lasting {
 		p.RunMs = worker.Never
