fleet/batch: test that an owner's own fencing numbers do not end its term

An answer names the number of its command. A worker that refuses a call under a number that the same owner has replaced must not make that owner give up.

--- a/fleet/batch/fakeowner_test.go
+++ b/fleet/batch/fakeowner_test.go
@@ -74,15 +74,15 @@
 			w.teams.startSent(k)
 		}
 		a.call(workerCall{cmd: k, worker: k.Worker, born: k.Born, timeout: callTimeoutMs, do: func(f *worker.Worker) batch.Msg {
-			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock(), Sent: sent}
+			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Start(k, w.runPlan(k.Task)), ClockMs: f.Clock(), Sent: sent, Fence: k.Fence}
 		}, fail: func(r batch.Result) batch.Msg {
-			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent}
+			return batch.StartedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent, Fence: k.Fence}
 		}})
 	case batch.StopCmd:
 		a.call(workerCall{cmd: k, worker: k.Worker, timeout: callTimeoutMs, do: func(f *worker.Worker) batch.Msg {
-			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Stop(k), ClockMs: f.Clock(), Sent: sent}
+			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: f.Stop(k), ClockMs: f.Clock(), Sent: sent, Fence: k.Fence}
 		}, fail: func(r batch.Result) batch.Msg {
-			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent}
+			return batch.StoppedMsg{Worker: k.Worker, Task: k.Task, Run: k.Run, Result: r, Sent: sent, Fence: k.Fence}
 		}})
 	case batch.ListMachinesCmd:
 		delay := int64(5)
@@ -102,10 +102,12 @@
 // poll polls a worker. The worker delays its answer until a run ends, by k.WaitMs at most.
 func (a *fakeOwner) poll(k batch.PollCmd) {
 	w, sent := a.w, a.w.now
-	fail := func(r batch.Result) batch.Msg { return batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: r} }
+	fail := func(r batch.Result) batch.Msg {
+		return batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: r, Fence: k.Fence}
+	}
 	a.call(workerCall{cmd: k, worker: k.Worker, timeout: pollTimeoutMs + k.WaitMs, fail: fail, do: func(f *worker.Worker) batch.Msg {
 		g := f.Hold(k)
-		g.Sent = sent
+		g.Sent, g.Fence = sent, k.Fence
 		return g
 	}, answer: func(f *worker.Worker, m batch.Msg) {
 		if g := m.(batch.PolledMsg); k.WaitMs == 0 || g.Result != batch.OK || len(g.Ended) > 0 {
@@ -122,12 +124,12 @@
 	w.schedule(stepMs, func() {
 		switch {
 		case f.RefusesConnections() && !a.unreachable[k.Worker]:
-			a.deliver(1, batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: batch.NoAnswer})
+			a.deliver(1, batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: batch.NoAnswer, Fence: k.Fence})
 		case a.unreachable[k.Worker] || f.PoweredOff() || f.LifetimeStart() != born:
-			a.deliver(pollTimeoutMs, batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: batch.NoAnswer})
+			a.deliver(pollTimeoutMs, batch.PolledMsg{Worker: k.Worker, Sent: sent, Result: batch.NoAnswer, Fence: k.Fence})
 		case w.now >= until || f.HasUnackedEnds(k.ForgetUpTo):
 			g := f.Lists() // the fence counts when the poll arrives, not when it is answered.
-			g.Sent = sent
+			g.Sent, g.Fence = sent, k.Fence
 			a.deliver(1, g)
 		default:
 			a.waitPoll(f, k, sent, until)
