--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -204,7 +204,7 @@
 	if w.synced || w.dead && m.claimFresh {
 		return false
 	}
-	return m.blind() || w.partlyRead && w.silentSince == 0 || w.formerUntil > 0 && m.soleOwnerUntil < w.expiresBy(w.formerUntil)
+	return m.blind() || m.mayGetFormerCalls(w) || w.partlyRead && w.silentSince == 0 || w.formerUntil > 0 && m.soleOwnerUntil < w.expiresBy(w.formerUntil)
 }
 
 // usable reports whether w may be given tasks at all, apart from their room.
@@ -212,6 +212,8 @@
 	switch {
 	case !w.listed, w.dead, !w.synced, w.silentSince != 0, w.Draining, w.cordoned, m.now < w.noStartsBefore, m.now < w.quarantinedUntil:
 		return false
+	case w.entryBorn != 0 && w.entryBorn < w.Born:
+		return false // the present lifetime may be of another kind and size than the entry says.
 	case w.trialOpen(m.now), w.unknownRuns > 0 && !m.services[w.Service].Guards:
 		return false
 	case !m.claimFresh && w.lifetimeKnownAt > m.soleOwnerUntil:
@@ -318,6 +320,7 @@
 	r.listedClock = m.workerClock(w)
 	r.startExpiresAt = r.listedClock + startExpiryMs
 	w.leaseUntil = max(w.leaseUntil, r.startExpiresAt)
+	r.fence, w.usedFence = w.fence, max(w.usedFence, w.fence)
 	if j := t.stage.job; !j.started {
 		m.log("job started", j.ID, "queue", j.Queue, "waitMs", m.now-j.submittedAt, "leftMs", j.dueAt-m.now, "worker", w.ID)
 	}
@@ -331,7 +334,7 @@
 	}
 	m.emit(StartCmd{
 		Worker: w.ID, Addr: w.Addr, Task: t.name(), Run: n, Spec: t.stage.job.Spec, UntilMs: r.startExpiresAt,
-		Fence: m.cfg.Fence, Checkpoint: t.checkpoint, Ticket: t.stage.ticket(w, m.now), Born: m.onlyLifetime(w),
+		Fence: w.fence, Checkpoint: t.checkpoint, Ticket: t.stage.ticket(w, m.now), Born: m.onlyLifetime(w),
 	})
 }
 
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -118,6 +118,7 @@
 	startSentAt    int64 // when the start was sent.
 	confirmedAt    int64 // when the start was answered or the run was first listed; 0 before.
 	startExpiresAt int64 // time on the worker's clock after which it does not carry out the start.
+	fence          int64 // fencing number of the start, if this owner sent it.
 	workerBorn     int64 // start time of the worker's lifetime to whose clock startExpiresAt refers.
 	stopAckedAt    int64 // when the stop was answered; 0 before.
 	stopSentAt     int64 // when the last stop was sent.
@@ -469,7 +470,7 @@
 		r.stopAckedAt = 0
 	}
 	r.stopSentAt = m.now
-	m.emit(StopCmd{Worker: r.worker.ID, Addr: r.worker.Addr, Task: r.task.name(), Run: r.number, Fence: m.cfg.Fence})
+	m.emit(StopCmd{Worker: r.worker.ID, Addr: r.worker.Addr, Task: r.task.name(), Run: r.number, Fence: r.worker.fence})
 }
 
 // logLastingStop logs the first stop of a lasting run, with what the owner knows of the rest of its step.
@@ -494,5 +495,5 @@
 // stopUnknown stops a run that belongs to no known task.
 func (m *Model) stopUnknown(w *worker, n TaskName, run int) {
 	m.log("unknown run stopped", n.Job, "task", n.String(), "run", run, "worker", w.ID, "taskKnown", m.task(n) != nil)
-	m.emit(StopCmd{Worker: w.ID, Addr: w.Addr, Task: n, Run: run, Fence: m.cfg.Fence})
+	m.emit(StopCmd{Worker: w.ID, Addr: w.Addr, Task: n, Run: run, Fence: w.fence})
 }
