--- a/fleet/batch/stray_test.go
+++ b/fleet/batch/stray_test.go
@@ -184,6 +184,23 @@
 	})
 }
 
+// Guards against a second run by a start that the worker has stopped before, and that its next lifetime carries out before it is read.
+func TestStrayStartReachesUnreadLifetime(t *testing.T) {
+	p := newStrayPlay(t)
+	p.submitTask(60_000)
+	p.holdNext(isStart)
+	p.wait("held start", p.isHeld)
+	p.addWorker()
+	p.run(p.now+4_000, nil) // the worker answers the stop, and lists no run.
+	p.cutFirst(true)
+	p.first.Crash(50)
+	p.run(p.now+2_000, nil)
+	p.release()
+	p.run(p.now+5_000, nil)
+	p.report()
+	is.New(t).Equal(len(p.active()), 1)
+}
+
 // Guards against another run of a task that is done, because an acknowledgement that was meant for the former lifetime made the worker
 // forget the end.
 func TestStrayAckForgetsNoUnseenEnd(t *testing.T) {
