--- a/fleet/batch/stray_test.go
+++ b/fleet/batch/stray_test.go
@@ -227,7 +227,7 @@
 // Guards against an owner that gives up its term because a worker refuses a call under a number that the owner itself has replaced.
 func TestOwnFenceEndsNoTerm(t *testing.T) {
 	// play holds up a start, lets the worker start again and the owner call it, and delivers an answer from then.
-	play := func(t *testing.T, answer func(worker string, start batch.StartCmd, newest int64) batch.Msg) *strayPlay {
+	play := func(t *testing.T, answer func(worker string, start batch.StartCmd, newest, sent int64) batch.Msg) *strayPlay {
 		p := newStrayPlay(t)
 		p.submitTask(60_000)
 		var start batch.StartCmd
@@ -245,35 +245,35 @@
 		p.wait("held start", p.isHeld)
 		p.first.Crash(50)
 		p.run(p.now+callTimeoutMs-100, nil)
-		p.owners[0].m.Update(p.now, answer(p.first.ID(), start, newest))
+		p.owners[0].m.Update(p.now, answer(p.first.ID(), start, newest, p.now-stepMs))
 		p.run(p.now+2_000, nil)
 		return p
 	}
-	goesOn := func(t *testing.T, answer func(worker string, start batch.StartCmd) batch.Msg) {
+	goesOn := func(t *testing.T, answer func(worker string, start batch.StartCmd, sent int64) batch.Msg) {
 		t.Helper()
-		p := play(t, func(w string, k batch.StartCmd, _ int64) batch.Msg { return answer(w, k) })
+		p := play(t, func(w string, k batch.StartCmd, _, sent int64) batch.Msg { return answer(w, k, sent) })
 		p.report()
 		is.New(t).Equal(len(p.owners), 1)
 		is.New(t).Equal(p.active(), []string{"w00"})
 	}
 	t.Run("poll", func(t *testing.T) {
-		goesOn(t, func(w string, k batch.StartCmd) batch.Msg {
-			return batch.PolledMsg{Worker: w, Result: batch.Fenced, Fence: k.Fence}
+		goesOn(t, func(w string, k batch.StartCmd, sent int64) batch.Msg {
+			return batch.PolledMsg{Worker: w, Result: batch.Fenced, Fence: k.Fence, Sent: sent}
 		})
 	})
 	t.Run("start", func(t *testing.T) {
-		goesOn(t, func(w string, k batch.StartCmd) batch.Msg {
-			return batch.StartedMsg{Worker: w, Task: k.Task, Run: k.Run, Result: batch.Fenced, Fence: k.Fence}
+		goesOn(t, func(w string, k batch.StartCmd, sent int64) batch.Msg {
+			return batch.StartedMsg{Worker: w, Task: k.Task, Run: k.Run, Result: batch.Fenced, Fence: k.Fence, Sent: sent}
 		})
 	})
 	t.Run("stop", func(t *testing.T) {
-		goesOn(t, func(w string, k batch.StartCmd) batch.Msg {
-			return batch.StoppedMsg{Worker: w, Task: k.Task, Run: k.Run, Result: batch.Fenced, Fence: k.Fence}
+		goesOn(t, func(w string, k batch.StartCmd, sent int64) batch.Msg {
+			return batch.StoppedMsg{Worker: w, Task: k.Task, Run: k.Run, Result: batch.Fenced, Fence: k.Fence, Sent: sent}
 		})
 	})
 	t.Run("a poll under the newest number ends it", func(t *testing.T) {
-		p := play(t, func(w string, _ batch.StartCmd, newest int64) batch.Msg {
-			return batch.PolledMsg{Worker: w, Result: batch.Fenced, Fence: newest}
+		p := play(t, func(w string, _ batch.StartCmd, newest, sent int64) batch.Msg {
+			return batch.PolledMsg{Worker: w, Result: batch.Fenced, Fence: newest, Sent: sent}
 		})
 		is.New(t).Equal(len(p.owners), 0)
 	})
