fakes/proxy: delays what clients send, and isolates a server

Tests need a network that delivers a request seconds after its caller has given up, to whatever answers at the address by then, and one that cuts a server off without closing connections. Delay holds back single reads from clients; Isolate stalls open and new connections until Rejoin.

--- a/fakes/proxy/proxy.go
+++ b/fakes/proxy/proxy.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -15,7 +16,8 @@
 // Proxy forwards TCP connections to one address. It is safe for concurrent use.
 type Proxy struct {
 	listenAddr, upstreamAddr, controlAddr string
-	refusing                              atomic.Bool
+	refusing, isolated                    atomic.Bool
+	delay                                 atomic.Pointer[func() time.Duration]
 	ready                                 chan struct{}
 
 	mu        sync.Mutex
@@ -24,13 +26,15 @@
 	stats     Stats
 }
 
-// Stats holds the counters of a proxy. Open is the number of connections that are open now; the others are totals.
+// Stats holds the counters of a proxy. Open is the number of connections that are open now; the others are totals. Delayed
+// counts the reads from clients that were held back.
 type Stats struct {
 	Open     int `json:"open"`
 	Accepted int `json:"taken"`
 	Refused  int `json:"refused"`
 	Cut      int `json:"cut"`
 	Stalled  int `json:"stalled"`
+	Delayed  int `json:"delayed"`
 }
 
 // Option configures a proxy.
@@ -131,9 +135,12 @@
 	if ctx.Err() != nil {
 		p.close()
 	}
+	if c.isolated.Load() {
+		c.stall(p)
+	}
 	var g errgroup.Group
-	g.Go(func() error { p.copy(upstream, client); return nil })
-	g.Go(func() error { p.copy(client, upstream); return nil })
+	g.Go(func() error { p.copy(upstream, client, func() { c.holdBack(ctx) }); return nil })
+	g.Go(func() error { p.copy(client, upstream, func() {}); return nil })
 	_ = g.Wait()
 	p.close()
 	c.mu.Lock()
@@ -141,9 +148,9 @@
 	c.mu.Unlock()
 }
 
-// copy forwards bytes until the connection ends. When the pair is stalled, it discards them, and does not close one side when the
-// other one closes.
-func (p *connPair) copy(to, from net.Conn) {
+// copy forwards bytes until the connection ends, and calls wait before each write. When the pair is stalled, it discards them, and does not
+// close one side when the other one closes.
+func (p *connPair) copy(to, from net.Conn, wait func()) {
 	b := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(b)
@@ -154,6 +161,7 @@
 			continue
 		}
 		if n > 0 {
+			wait()
 			if _, e := to.Write(b[:n]); e != nil {
 				err = e
 			}
@@ -191,9 +199,52 @@
 // Stall stops forwarding on every open connection, and never resumes it there. New connections work.
 func (c *Proxy) Stall() {
 	for _, p := range c.openPairs() {
-		if !p.stalled.Swap(true) {
-			c.updateStats(func(s *Stats) { s.Stalled++ })
-		}
+		c.stall(p)
+	}
+}
+
+func (c *Proxy) stall(p *connPair) {
+	if !p.stalled.Swap(true) {
+		c.updateStats(func(s *Stats) { s.Stalled++ })
+	}
+}
+
+// Isolate stalls every open connection and each new one, until Rejoin is called.
+func (c *Proxy) Isolate() {
+	c.isolated.Store(true)
+	c.Stall()
+}
+
+// Rejoin ends the effect of Isolate and closes the stalled connections.
+func (c *Proxy) Rejoin() {
+	c.isolated.Store(false)
+	c.Cut()
+}
+
+// Delay holds back what clients send, for the time that f returns for each read from a connection. The server receives it even if the client
+// has closed the connection or the proxy is isolated by then. A nil f ends the effect.
+func (c *Proxy) Delay(f func() time.Duration) {
+	if f == nil {
+		c.delay.Store(nil)
+		return
+	}
+	c.delay.Store(&f)
+}
+
+// holdBack waits for the present delay, or until ctx ends.
+func (c *Proxy) holdBack(ctx context.Context) {
+	f := c.delay.Load()
+	if f == nil {
+		return
+	}
+	d := (*f)()
+	if d <= 0 {
+		return
+	}
+	c.updateStats(func(s *Stats) { s.Delayed++ })
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
--- a/fakes/proxy/proxy_test.go
+++ b/fakes/proxy/proxy_test.go
@@ -19,19 +19,29 @@
 // start runs an echo server and a proxy to it until the test ends.
 func start(t *testing.T) (*proxy.Proxy, string) {
 	i := is.New(t)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*ioTimeout)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	i.NoErr(err)
-	c := proxy.New("127.0.0.1:0", l.Addr().String())
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return c.Serve(ctx) })
+	g := &errgroup.Group{}
 	g.Go(func() error { return echo(g, l) })
 	t.Cleanup(func() {
-		cancel()
 		_ = l.Close()
 		i.NoErr(g.Wait())
 		goleak.VerifyNone(t)
 	})
+	return startTo(t, l.Addr().String())
+}
+
+// startTo runs a proxy to addr until the test ends.
+func startTo(t *testing.T, addr string) (*proxy.Proxy, string) {
+	i := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*ioTimeout)
+	c := proxy.New("127.0.0.1:0", addr)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		i.NoErr(g.Wait())
+	})
 	a, err := c.Addr(ctx)
 	i.NoErr(err)
 	return c, a
@@ -101,6 +111,33 @@
 		e, ok := err.(net.Error)
 		i.True(err != nil && (!ok || !e.Timeout()))
 	})
+	t.Run("delayed bytes arrive although the client has left and the proxy is isolated", func(t *testing.T) {
+		i := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		i.NoErr(err)
+		t.Cleanup(func() { _ = l.Close() })
+		c, a := startTo(t, l.Addr().String())
+		c.Delay(func() time.Duration { return 100 * time.Millisecond })
+		_, err = roundTrip(dial(t, a), 50*time.Millisecond)
+		i.True(err != nil)
+		c.Isolate()
+		n, err := l.Accept()
+		i.NoErr(err)
+		_ = n.SetDeadline(time.Now().Add(ioTimeout))
+		s, err := bufio.NewReader(n).ReadString('\n')
+		i.NoErr(err)
+		i.Equal(s, "hello\n")
+		i.Equal(c.Stats().Delayed, 1)
+	})
+	t.Run("an isolated proxy stalls new connections until it rejoins", func(t *testing.T) {
+		i := is.New(t)
+		c, a := start(t)
+		c.Isolate()
+		_, err := roundTrip(dial(t, a), 50*time.Millisecond)
+		i.True(err != nil)
+		c.Rejoin()
+		wantEcho(t, dial(t, a))
+	})
 	t.Run("a proxy that refuses closes new connections until it accepts again", func(t *testing.T) {
 		i := is.New(t)
 		c, a := start(t)
