--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -51,6 +51,8 @@
 	crashAfterMs  func(batch.TaskName) int64 // after which time a task crashes its worker, if not nil; 0 for never.
 	deadOwner     *fakeOwner                 // the last owner that is known to be dead.
 	unlistedUntil map[string]int64           // until when a worker's entry is missing, by worker ID.
+	holds         func(batch.Cmd) bool       // whether a call to a worker is held up until release, if not nil.
+	held          []func()                   // carry out the calls that are held up.
 }
 
 // faults holds the probabilities, in thousandths, of faults of one call and of events in one step.
@@ -65,6 +67,8 @@
 	shrink                                                              int  // a worker's capacity shrinks for some seconds.
 	lookAhead                                                           bool // the owners' setting.
 	slowList                                                            int  // of the lists of machines: they arrive up to a second late.
+	long                                                                bool // cuts last up to 15 s, and slow runs thirty times as long as others.
+	strayPolls, strayOrders                                             int  // of the late polls, and of the late starts and stops: they reach whichever lifetime is there.
 }
 
 type event struct {
@@ -77,8 +81,19 @@
 	stepMs         = 10
 	defaultStoreMs = 4
 	crashOutageMs  = 3_200 // of a worker that a task has crashed.
+
+	minStrayMs, maxStrayMs = 100, 12_000 // times for which a call that reaches a later lifetime is held up.
+)
+
+// Leases of the simulated workers, in ms.
+const (
+	maxLeaseMs     = 10_000                  // the longest, on the worker's clock.
+	slowestLeaseMs = maxLeaseMs*100/98 + 300 // the longest on the slowest clock, and a margin.
 )
 
+// claimLossMs is the time after the last renewal of its claim in which an owner without the store stops.
+const claimLossMs = 8_000
+
 func newSimulation(t testing.TB, seed uint64, workers int, f faults) *simulation {
 	w := &simulation{
 		t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), rows: map[string]batch.Row{}, rev: 10, now: 1000,
@@ -121,7 +136,7 @@
 	w.claimCount++
 	a := &fakeOwner{w: w, fence: w.rev, alive: true, unreachable: map[string]bool{}}
 	a.m = batch.New(batch.Config{
-		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: 6000, OrderGapMs: w.dutyGap, OrdersPerSec: w.ordersPerSec,
+		Fence: a.fence, Now: w.now, UnixMs: w.now, LeaseMs: maxLeaseMs, OrderGapMs: w.dutyGap, OrdersPerSec: w.ordersPerSec,
 		LookAhead: w.faults.lookAhead, WorkerSpeed: w.faults.speeds,
 	})
 	w.owners = append(w.owners, a)
@@ -134,7 +149,7 @@
 	}
 	if g := w.deadOwner; g != nil {
 		a.m.Update(w.now, batch.OrdersMsg{Orders: g.m.Orders(g.diedAt).Aged(w.now - g.diedAt)})
-		a.m.Update(w.now, batch.BlindMsg{ForMs: 6_500}) // the longest lease, on a slow clock.
+		a.m.Update(w.now, batch.BlindMsg{ForMs: slowestLeaseMs})
 	}
 	w.deadOwner = nil
 	for _, x := range w.fleet.waves {
@@ -158,16 +173,15 @@
 func (w *simulation) records() batch.LoadedMsg {
 	m := batch.LoadedMsg{}
 	if w.claimCount > 1 {
-		m.BlindMs = 14_000
+		m.BlindMs = claimLossMs + slowestLeaseMs
 		m.FormerFence = w.formerFence
 	}
-	if r, ok := w.rows[batch.OrdersKey]; ok {
-		w.must(json.Unmarshal(r.Value, &m.Orders))
-		m.Orders.Rev = r.Rev
-	}
 	for _, k := range worker.Sorted(w.rows) {
 		r := w.rows[k]
 		switch {
+		case k == batch.OrdersKey:
+			w.must(json.Unmarshal(r.Value, &m.Orders))
+			m.Orders.Rev = r.Rev
 		case strings.HasPrefix(k, batch.JobPrefix):
 			var s batch.StoredJob
 			w.must(json.Unmarshal(r.Value, &s))
@@ -216,6 +230,23 @@
 	}
 }
 
+// release lets the calls that are held up reach their workers.
+func (w *simulation) release() {
+	l := w.held
+	w.held = nil
+	for _, do := range l {
+		do()
+	}
+}
+
+// isStray reports whether a late call reaches whichever lifetime of the worker is there when it arrives.
+func (w *simulation) isStray(c batch.Cmd) bool {
+	if _, ok := c.(batch.PollCmd); ok {
+		return w.chance(w.faults.strayPolls)
+	}
+	return w.chance(w.faults.strayOrders)
+}
+
 // injectFaults causes the faults of one step.
 func (w *simulation) injectFaults() {
 	f := w.faults
@@ -240,6 +271,9 @@
 		a := w.owners[w.rnd.IntN(len(w.owners))]
 		a.unreachable[k.ID()] = true
 		d := 500 + w.rnd.Int64N(7000)
+		if f.long {
+			d *= 2
+		}
 		w.schedule(d, func() { delete(a.unreachable, k.ID()) })
 		if w.chance(f.lapse) {
 			w.unlistedUntil[k.ID()] = w.now + d
@@ -351,6 +385,9 @@
 	p := worker.Plan{RunMs: s.EstimateMs/2 + w.rnd.Int64N(s.EstimateMs), Reason: batch.EndDone, Size: s.Size}
 	if w.chance(w.faults.slow) {
 		p.RunMs *= 5
+		if w.faults.long {
+			p.RunMs *= 6
+		}
 	}
 	if s.Lasting {
 		p.RunMs = worker.Never
