fakes/infra: late orders reach the next lifetime, and leases last 10 s

A late order is now carried out by the lifetime that is there when it arrives. Workers grant 10 s, and the entries' settings say so. The first lifetimes are a minute old when the platform starts: with a young clock, the end of a lease that was meant for a former lifetime lies near. A long poll extends the lease once, when it arrives, and not again when it is answered.

--- a/fakes/infra/platform.go
+++ b/fakes/infra/platform.go
@@ -28,8 +28,13 @@
 	heartbeatInterval   = 400 * time.Millisecond
 	crashOutageMs       = 1500 // of a worker that a task has crashed.
 	maxMissedHeartbeats = 3    // a worker's entry is removed after so many heartbeat intervals without renewal.
+	// initialAge is the age of the first lifetimes of workers, so that times on their clocks lie far beyond those of the next ones.
+	initialAge = time.Minute
 )
 
+// MaxLease is the longest lease that the workers grant.
+const MaxLease = 10 * time.Second
+
 // Platform is a running simulated platform.
 type Platform struct {
 	start time.Time
@@ -96,7 +101,7 @@
 func New(seed uint64, services map[string]int, capacity batch.Size) (*Platform, error) {
 	c, stop := context.WithCancel(context.Background())
 	g, c := errgroup.WithContext(c)
-	p := &Platform{start: time.Now(), group: g, ctx: c, stop: stop, rnd: rand.New(rand.NewPCG(seed, 11))}
+	p := &Platform{start: time.Now().Add(-initialAge), group: g, ctx: c, stop: stop, rnd: rand.New(rand.NewPCG(seed, 11))}
 	p.capacity, p.checker = capacity, worker.NewChecker(p.now)
 	p.store = &store{Memory: keyval.NewMemory(), rnd: p.randomInt}
 	var err error
@@ -164,6 +169,16 @@
 	p.workers[p.rnd.IntN(len(p.workers))].worker.Crash(d.Milliseconds())
 }
 
+func (p *Platform) workersOf(service string) []*workerServer {
+	var l []*workerServer
+	for _, u := range p.workers {
+		if u.service == service {
+			l = append(l, u)
+		}
+	}
+	return l
+}
+
 // ShrinkWorker halves the CPU of a random worker for d.
 func (p *Platform) ShrinkWorker(d time.Duration) {
 	p.mu.Lock()
@@ -189,10 +204,8 @@
 func (p *Platform) Unguard(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, u := range p.workers {
-		if u.service == service {
-			u.worker.SetUnguarded()
-		}
+	for _, u := range p.workersOf(service) {
+		u.worker.SetUnguarded()
 	}
 }
 
@@ -240,10 +253,12 @@
 func (p *Platform) addWorker(service string, i int, capacity batch.Size) error {
 	id := fmt.Sprintf("%s-%02d", service, i)
 	u := &workerServer{platform: p, service: service}
-	u.worker = worker.New(id, capacity, 0.98+0.02*p.rnd.Float64(), p.now(), p.checker.Hooks())
-	a, err := p.serve(u.hangWhileOff(platform.WorkerHandler(u)))
-	u.addr = a
+	u.worker = worker.New(id, capacity, 0.98+0.02*p.rnd.Float64(), 1, p.checker.Hooks())
+	u.worker.SetMaxLease(MaxLease.Milliseconds())
+	u.worker.Advance(p.now())
 	p.workers = append(p.workers, u)
+	var err error
+	u.addr, err = p.serve(u.hangWhileOff(platform.WorkerHandler(u)))
 	return err
 }
 
@@ -355,8 +370,8 @@
 	return answered, 0
 }
 
-// execute carries out an order by calling do, and reports whether the order is answered. A delayed order is dropped if the worker's
-// lifetime ends first.
+// execute carries out an order by calling do, and reports whether the order is answered. A delayed order is carried out by the lifetime
+// that the worker is in by then, and dropped if the worker has no power.
 func (u *workerServer) execute(do func()) bool {
 	u.platform.mu.Lock()
 	defer u.platform.mu.Unlock()
@@ -365,7 +380,6 @@
 		do()
 		return f == answered
 	}
-	born := u.worker.LifetimeStart()
 	u.platform.group.Go(func() error {
 		select {
 		case <-time.After(d):
@@ -374,7 +388,7 @@
 		}
 		u.platform.mu.Lock()
 		defer u.platform.mu.Unlock()
-		if u.worker.LifetimeStart() == born && !u.worker.PoweredOff() {
+		if !u.worker.PoweredOff() {
 			u.platform.checker.RunLate(do)
 		}
 		return nil
@@ -382,7 +396,7 @@
 	return false
 }
 
-// Hold implements platform.WorkerBackend. It waits up to c.WaitMs for a run to end. If the worker's lifetime ends meanwhile, the poll is
+// Hold implements platform.WorkerBackend. It extends the lease when the call arrives, and waits up to c.WaitMs for a run to end. If the worker's lifetime ends meanwhile, the poll is
 // not answered, and the next lifetime does not get its numbers.
 func (u *workerServer) Hold(ctx context.Context, c batch.PollCmd) batch.PolledMsg {
 	var g batch.PolledMsg
@@ -396,7 +410,7 @@
 		u.platform.mu.Lock()
 		over := u.worker.PoweredOff() || u.worker.LifetimeStart() != born
 		if !over && u.worker.HasUnackedEnds(c.ForgetUpTo) {
-			g = u.worker.Hold(c)
+			g = u.worker.Hold(batch.PollCmd{Fence: c.Fence, ForgetUpTo: c.ForgetUpTo})
 		}
 		u.platform.mu.Unlock()
 		if over {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -141,7 +141,7 @@
 	}
 	b, err := json.Marshal(site.Settings{
 		Name: e.name, DataCentre: "z", CallerAddr: e.callerAddr, ReadyAddr: rig.FreeAddr(s.t), PeerAddr: rig.FreeAddr(s.t), MetricsAddr: rig.FreeAddr(s.t),
-		StoreAddr: store, MachinesAddr: s.platform.MachinesAddr(), LeaseMaxMs: worker.MaxLeaseMs, StatusSecs: 120,
+		StoreAddr: store, MachinesAddr: s.platform.MachinesAddr(), LeaseMaxMs: infra.MaxLease.Milliseconds(), StatusSecs: 120,
 		DutyGapMs: 3000, GraceSecs: 4, Cores: 0.4, MemoryMB: 284, HelperWorkers: 6, LogLevel: "info",
 	})
 	if err != nil {
