--- a/fakes/infra/platform.go
+++ b/fakes/infra/platform.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"burdockreach.dev/fakes/proxy"
 	"burdockreach.dev/fakes/worker"
 	"burdockreach.dev/fleet/batch"
 	"burdockreach.dev/node/board"
@@ -50,6 +51,7 @@
 	rnd          *rand.Rand
 	latePerMille int // orders per thousand that are executed late and not answered.
 	lostPerMille int // orders per thousand that are executed and whose answer is lost.
+	proxied      bool
 
 	storeAddr, machinesAddr string
 }
@@ -60,9 +62,16 @@
 	worker   *worker.Worker
 	service  string
 	addr     string
+	proxy    *proxy.Proxy // nil unless the platform has proxies.
 	lease    keyval.LeaseID
 }
 
+// Option configures a platform.
+type Option func(*Platform)
+
+// WithWorkerProxies puts a proxy in front of each worker, which all its callers go through.
+func WithWorkerProxies() Option { return func(p *Platform) { p.proxied = true } }
+
 // store is an in-memory store that can be made unavailable.
 type store struct {
 	*keyval.Memory
@@ -98,11 +107,14 @@
 
 // New starts a platform with the given number of workers for each service, each with the given capacity. All random draws derive
 // from seed.
-func New(seed uint64, services map[string]int, capacity batch.Size) (*Platform, error) {
+func New(seed uint64, services map[string]int, capacity batch.Size, opts ...Option) (*Platform, error) {
 	c, stop := context.WithCancel(context.Background())
 	g, c := errgroup.WithContext(c)
 	p := &Platform{start: time.Now().Add(-initialAge), group: g, ctx: c, stop: stop, rnd: rand.New(rand.NewPCG(seed, 11))}
 	p.capacity, p.checker = capacity, worker.NewChecker(p.now)
+	for _, o := range opts {
+		o(p)
+	}
 	p.store = &store{Memory: keyval.NewMemory(), rnd: p.randomInt}
 	var err error
 	if p.storeAddr, err = p.serve(p.failWhileDown(platform.StoreHandler(p.store))); err != nil {
@@ -169,6 +181,24 @@
 	p.workers[p.rnd.IntN(len(p.workers))].worker.Crash(d.Milliseconds())
 }
 
+// CrashWorkers cuts the power of the first n workers of a service for d.
+func (p *Platform) CrashWorkers(service string, n int, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.workersOf(service)[:n] {
+		u.worker.Crash(d.Milliseconds())
+	}
+}
+
+// WorkerProxies returns the proxies in front of a service's workers. The platform must have WithWorkerProxies.
+func (p *Platform) WorkerProxies(service string) []*proxy.Proxy {
+	var l []*proxy.Proxy
+	for _, u := range p.workersOf(service) {
+		l = append(l, u.proxy)
+	}
+	return l
+}
+
 func (p *Platform) workersOf(service string) []*workerServer {
 	var l []*workerServer
 	for _, u := range p.workers {
@@ -259,6 +289,12 @@
 	p.workers = append(p.workers, u)
 	var err error
 	u.addr, err = p.serve(u.hangWhileOff(platform.WorkerHandler(u)))
+	if err != nil || !p.proxied {
+		return err
+	}
+	u.proxy = proxy.New("127.0.0.1:0", u.addr)
+	p.group.Go(func() error { return u.proxy.Serve(p.ctx) })
+	u.addr, err = u.proxy.Addr(p.ctx)
 	return err
 }
 
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -86,9 +86,9 @@
 	oldNext      bool // the next start runs the older build.
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, seed uint64, opts ...infra.Option) *soak {
 	t.Helper()
-	p, err := infra.New(seed, map[string]int{"alpha": *soakWorkers, "beta": *soakWorkers}, batch.Size{CPU: 8000, MemMB: 16_000})
+	p, err := infra.New(seed, map[string]int{"alpha": *soakWorkers, "beta": *soakWorkers}, batch.Size{CPU: 8000, MemMB: 16_000}, opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
