--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -86,9 +86,9 @@
 	oldNext      bool // the next start runs the older build.
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, seed uint64, opts ...infra.Option) *soak {
 	t.Helper()
-	p, err := infra.New(seed, map[string]int{"alpha": *soakWorkers, "beta": *soakWorkers}, batch.Size{CPU: 8000, MemMB: 16_000})
+	p, err := infra.New(seed, map[string]int{"alpha": *soakWorkers, "beta": *soakWorkers}, batch.Size{CPU: 8000, MemMB: 16_000}, opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -141,7 +141,7 @@
 	}
 	b, err := json.Marshal(site.Settings{
 		Name: e.name, DataCentre: "z", CallerAddr: e.callerAddr, ReadyAddr: rig.FreeAddr(s.t), PeerAddr: rig.FreeAddr(s.t), MetricsAddr: rig.FreeAddr(s.t),
-		StoreAddr: store, MachinesAddr: s.platform.MachinesAddr(), LeaseMaxMs: worker.MaxLeaseMs, StatusSecs: 120,
+		StoreAddr: store, MachinesAddr: s.platform.MachinesAddr(), LeaseMaxMs: infra.MaxLease.Milliseconds(), StatusSecs: 120,
 		DutyGapMs: 3000, GraceSecs: 4, Cores: 0.4, MemoryMB: 284, HelperWorkers: 6, LogLevel: "info",
 	})
 	if err != nil {
