--- a/fleet/batch/restart_test.go
+++ b/fleet/batch/restart_test.go
@@ -8,8 +8,8 @@
 	"burdockreach.dev/fleet/batch"
 )
 
-// longestDelayMs is how long a worker may hold up a call that it does not answer.
-const longestDelayMs = 12_000
+// lateMs is how long a worker may hold up a call that it does not answer.
+const lateMs = 12_000
 
 // stepUnanswered lets ms milliseconds pass in which workers answer neither starts nor stops. The other calls are answered as usual.
 func (l *lifetimes) stepUnanswered(ms int64) {
@@ -44,7 +44,7 @@
 		is.Equal(l.startsAt("w2"), 0)
 	}
 	t.Run("lease of a silent worker", func(t *testing.T) {
-		play(t, func(*lifetimes) {}, longestDelayMs+6_000) // a lease that the next lifetime counts from the arrival.
+		play(t, func(*lifetimes) {}, lateMs+6_000) // a lease that the next lifetime counts from the arrival.
 	})
 	t.Run("list of machines", func(t *testing.T) {
 		play(t, func(l *lifetimes) { l.machines(l.now, []string{"w2"}, "w1") }, 5_000)
@@ -54,7 +54,7 @@
 			l.machines(l.now, []string{"w2"}, "w1")
 			l.advance(1_000)
 			l.machines(l.now, []string{"w1", "w2"})
-		}, longestDelayMs+6_000)
+		}, lateMs+6_000)
 	})
 }
 
@@ -70,7 +70,7 @@
 	l.born["w1"] = 1_000_500 // it started again after the takeover.
 	l.list("w1")
 	l.machines(l.now, []string{"w1", "w2"})
-	l.advance(longestDelayMs + 5_000)
+	l.advance(lateMs + 5_000)
 	is.Equal(len(l.starts), 0)
 }
 
