--- a/fleet/batch/answers.go
+++ b/fleet/batch/answers.go
@@ -21,7 +21,7 @@
 	case NoAnswer:
 		m.startUnanswered(r)
 	case Fenced:
-		if w.isOwnFence(g.Fence) {
+		if w.isSupersededFence(g.Fence) {
 			m.startRefused(r, g.Result, g.Sent)
 			return
 		}
@@ -54,7 +54,7 @@
 	m.pool(w.Service).dirty = true
 }
 
-// startUnanswered handles a start whose outcome is unknown. A short task is stopped, so that the start is never carried out late. A lasting
+// startUnanswered handles a start whose outcome is unknown. A short task is stopped, so that this lifetime does not carry the start out late. A lasting
 // task may serve by now: it is kept until its worker's list shows that it runs, or that its start has expired.
 func (m *Model) startUnanswered(r *run) {
 	m.log("start unanswered", r.task.stage.job.ID, "task", r.task.name().String(), "run", r.number, "worker", r.worker.ID)
@@ -102,7 +102,7 @@
 	if w == nil {
 		return
 	}
-	if g.Result == Fenced && w.isOwnFence(g.Fence) {
+	if g.Result == Fenced && w.isSupersededFence(g.Fence) {
 		return // it is sent again.
 	}
 	if g.Result == Fenced {
--- a/fleet/batch/lifetime.go
+++ b/fleet/batch/lifetime.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// isOwnFence reports whether a call with this fencing number was refused because of a newer one of this owner.
-func (w *worker) isOwnFence(fence int64) bool { return cmp.Or(fence, w.fence) < w.fence }
+// isSupersededFence reports whether a call with this fencing number, 0 for the present one, was refused because of a newer one of this owner.
+func (w *worker) isSupersededFence(fence int64) bool { return cmp.Or(fence, w.fence) < w.fence }
 
 // leaveLifetime prepares w for the calls to its next lifetime.
 func (m *Model) leaveLifetime(w *worker) {
@@ -68,6 +68,9 @@
 		lease = m.longestLeaseMs()
 	}
 	w.oldLeaseEnd = m.now + lastsAtMost(lease)
+	if w.formerFence > 0 {
+		m.log("lifetime fenced", "", "worker", w.ID, "born", w.Born, "workerFence", fence, "leaseMs", w.oldLeaseEnd-m.now)
+	}
 }
 
 // mayHoldFormerLease reports whether a former owner's call to an earlier lifetime may have extended the lease of w's present one, which
@@ -115,17 +118,25 @@
 	}
 }
 
-// mayStartLate reports whether a start without an answer may still be carried out, or its run may go on, at a worker that does not answer.
+// awaitsLateStart reports whether the task of r waits because its start, which has not been answered, may still be carried out at a worker that
+// does not answer, or go on there.
 // It cannot if another worker has the machine or the address, and does no harm if the task may have copies.
-func (m *Model) mayStartLate(r *run) bool {
+func (m *Model) awaitsLateStart(r *run) bool {
 	w := r.worker
 	switch {
 	case r.confirmedAt > 0, r.task.stage.Copies, w.machineTaken, w.goneState == MachineUp, w.dead && w.goneState == "":
 		return false
-	case w.goneState != "":
-		return m.soleOwnerUntil < min(w.endedAt+maxReserveMs, r.startSentAt+lateCallMs)
 	}
-	return m.soleOwnerUntil < r.startSentAt+lateCallMs+lastsAtMost(m.longestLeaseMs())
+	until := r.startSentAt + lateCallMs + lastsAtMost(m.longestLeaseMs())
+	if w.goneState != "" {
+		until = min(w.endedAt+maxReserveMs, r.startSentAt+lateCallMs)
+	}
+	waits := m.soleOwnerUntil < until
+	if waits && !r.reserved {
+		r.reserved = true
+		m.log("task reserved", r.task.stage.job.ID, "task", r.task.name().String(), "run", r.number, "worker", w.ID, "machine", string(w.goneState), "forMs", until-m.now)
+	}
+	return waits
 }
 
 // mayGetFormerCalls reports whether a former owner's start may still reach the lifetime of w, which has not been read, and go on there: it
@@ -135,35 +146,34 @@
 	return young && m.blindUntil > 0 && m.soleOwnerUntil < m.blindUntil+lateCallMs
 }
 
-// formerWorker is what must be known of a worker that was forgotten, if its ID comes back.
-type formerWorker struct {
+// forgottenWorker is what must be known of a worker that was forgotten, if its ID comes back.
+type forgottenWorker struct {
 	usedFence   int64
 	forgottenAt int64
 }
 
 // rememberFence keeps the fencing number of a worker that is forgotten, and drops those of which no call can come, nor a lease by one last.
 func (m *Model) rememberFence(w *worker) {
-	for id, f := range m.formerWorkers {
+	for id, f := range m.forgottenWorkers {
 		if m.now-f.forgottenAt > lateCallMs+lastsAtMost(m.longestLeaseMs()) {
-			delete(m.formerWorkers, id)
+			delete(m.forgottenWorkers, id)
 		}
 	}
 	if n := max(w.usedFence, w.formerFence); n > 0 {
-		m.formerWorkers[w.ID] = formerWorker{usedFence: n, forgottenAt: m.now}
+		m.forgottenWorkers[w.ID] = forgottenWorker{usedFence: n, forgottenAt: m.now}
 	}
 }
 
 // recallFence prepares a worker that was forgotten, and whose entry has come again, for what may still be on its way to it.
 func (m *Model) recallFence(w *worker) {
-	if f, ok := m.formerWorkers[w.ID]; ok {
+	if f, ok := m.forgottenWorkers[w.ID]; ok {
 		w.usedFence = f.usedFence
 		m.leaveLifetime(w)
-		delete(m.formerWorkers, w.ID)
+		delete(m.forgottenWorkers, w.ID)
 	}
 }
 
-// LifetimesKey is the key of the count of lifetimes for which an owner has needed a new fencing number. Its writes yield these numbers when
-// nothing else is written.
+// LifetimesKey is the key of the count of new lifetimes in a term. Each change of it yields a fencing number, also if nothing else is written.
 const LifetimesKey = "own/lifetimes"
 
 // StoredLifetimes is the number of new lifetimes that an owner has learned of.
@@ -172,7 +182,7 @@
 	Count int   `json:"count"`
 }
 
-// lifetimesRecord holds the versions of the stored count, which are the counts.
+// lifetimesRecord is the count of new lifetimes, as it is known and as it is stored.
 type lifetimesRecord struct {
 	planned, stored int
 	writing         bool
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -79,8 +79,8 @@
 	limitLogs        limitLogs
 	pools            map[string]*pool
 	workers          map[string]*worker
-	workerList       []*worker               // by ID
-	formerWorkers    map[string]formerWorker // by ID
+	workerList       []*worker                  // by ID
+	forgottenWorkers map[string]forgottenWorker // by ID
 	sweptAt          int64
 	purgedAt         int64 // when purge last checked the ended jobs.
 	nextPollAt       int64 // when the next poll of any worker is due.
@@ -117,7 +117,7 @@
 func New(c Config) *Model {
 	m := &Model{
 		cfg: c, now: c.Now, wallOffset: c.UnixMs - c.Now,
-		services: map[string]Service{}, teams: map[string]Team{}, ledger: quota.New(), teamUses: map[string]*teamUse{}, pools: map[string]*pool{}, workers: map[string]*worker{}, formerWorkers: map[string]formerWorker{},
+		services: map[string]Service{}, teams: map[string]Team{}, ledger: quota.New(), teamUses: map[string]*teamUse{}, pools: map[string]*pool{}, workers: map[string]*worker{}, forgottenWorkers: map[string]forgottenWorker{},
 		jobs: map[string]*job{}, estimators: map[string]*estimator{}, demandCounted: map[string]bool{},
 	}
 	if m.cfg.Refusals == nil {
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -57,7 +57,8 @@
 )
 
 // sameLifetimeMs is the largest age in ms of a worker's last list at which ends are acknowledged. A worker restarts more slowly than
-// that, so the number does not reach another lifetime, which counts its ends anew.
+// that, so a number that is not held up on its way does not reach another lifetime, which counts its ends anew. One that is held up is refused
+// by a lifetime that is fenced (see lifetime.go).
 const sameLifetimeMs = 35
 
 // SameLifetimeWithin is the longest time from a worker's list to a call that must not reach another lifetime: a poll that acknowledges ends,
@@ -180,7 +181,7 @@
 func (m *Model) retire(w *worker) bool {
 	if w.silentSince != 0 && m.leaseExpired(w) {
 		for _, r := range w.runsCopy() {
-			if m.mayStartLate(r) {
+			if m.awaitsLateStart(r) {
 				continue
 			}
 			m.logLost("run lapsed", r)
@@ -208,7 +209,7 @@
 	w.setStrays(nil, 0)
 	for _, r := range w.runsCopy() {
 		switch {
-		case r.state == starting && w.ended, m.mayStartLate(r):
+		case r.state == starting && w.ended, m.awaitsLateStart(r):
 		case r.crash != nil:
 			m.dropCrashed(r)
 		default:
@@ -237,7 +238,7 @@
 	switch g.Result {
 	case OK:
 	case Fenced:
-		if w.isOwnFence(g.Fence) {
+		if w.isSupersededFence(g.Fence) {
 			w.nextPollAt = 0
 			return
 		}
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -133,6 +133,7 @@
 	resumed        bool     // it began from a checkpoint.
 	evicted        bool     // this owner stopped it to free the worker or to restart the task elsewhere.
 	ownStart       bool     // this owner started it.
+	reserved       bool     // its task waits, as the start may be carried out late.
 	crash          *lostRun // its worker's lifetime has ended, unless the next one lists it; nil otherwise.
 }
 
