--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -80,9 +80,9 @@
 	lastStartAt  int64 // when it was last sent a start.
 	trial        *run  // run of a suspected task that is tried apart from other tasks; nil if there is none.
 	lostRuns     []*lostRun
-	ended        bool // the list of machines has shown that the lifetime is over.
-	endedAt      int64
-	crashCounted bool // the end of the lifetime counts as a crash already.
+	ended        bool  // the list of machines has shown that the lifetime is over.
+	endedAt      int64 // when the owner learned of that.
+	crashCounted bool  // the end of the lifetime counts as a crash already.
 
 	view workerView // of its runs' expected ends.
 
