--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 }
 
 var cases = map[string]func(*rig) (verdict, error){
+	"lasting-fails": lastingFails,
 	"gang-cut":      gangCut,
 	"flap-lasting":  flapLasting,
 	"flap-job":      flapJob,
--- a/review/standin-3/rig.go
+++ b/review/standin-3/rig.go
@@ -76,7 +76,7 @@
 	}
 	c, stop := context.WithCancel(context.Background())
 	r := &rig{
-		rec: rec, trouble: os.Getenv("TROUBLE") != "0", random: rand.New(rand.NewSource(time.Now().UnixNano())), dir: tmp, store: newStore(),
+		rec: rec, trouble: os.Getenv("TROUBLE") != "0", random: rand.New(&lockedSource{s: rand.NewSource(time.Now().UnixNano())}), dir: tmp, store: newStore(),
 		plans: &plans{m: map[string]taskSpec{}}, ctx: c, stop: stop,
 	}
 	r.log, r.advice = newRunLog(rec), newAdvice(r)
@@ -380,3 +380,13 @@
 	}
 	return b.State
 }
+
+// lockedSource is a source of random numbers that several goroutines may use.
+type lockedSource struct {
+	mu sync.Mutex
+	s  rand.Source
+}
+
+func (l *lockedSource) Int63() int64 { l.mu.Lock(); defer l.mu.Unlock(); return l.s.Int63() }
+
+func (l *lockedSource) Seed(n int64) { l.mu.Lock(); defer l.mu.Unlock(); l.s.Seed(n) }
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -27,6 +27,7 @@
 	lasting    bool
 	gang       int
 	advised    bool
+	failMean   time.Duration // of a lasting task, from its start until it fails; 0 if it does not fail.
 }
 
 // plans holds the steps of the submitted jobs, by ID.STEP.
@@ -337,6 +338,15 @@
 	w.runs = append(w.runs, r)
 	w.rig.log.begin(w, task, number)
 	switch {
+	case p.lasting && p.failMean > 0:
+		r.timer = time.AfterFunc(lastingStartup+time.Duration(w.rig.random.ExpFloat64()*float64(p.failMean)), func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.up {
+				w.end(r, "failed")
+			}
+		})
+		return
 	case p.lasting:
 		return
 	case p.gang > 1:
@@ -414,6 +424,18 @@
 
 func (l *runLog) acked(string, int, string) {}
 
+// isRunning reports whether the task has an active run.
+func (l *runLog) isRunning(task string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k := range l.active {
+		if strings.HasPrefix(k, task+" run ") {
+			return true
+		}
+	}
+	return false
+}
+
 // running returns the number of active runs of the job.
 func (l *runLog) running(id string) int {
 	l.mu.Lock()
