--- a/review/standin-3/rig.go
+++ b/review/standin-3/rig.go
@@ -107,14 +107,16 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddr returns a loopback address with a port that is free.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddr returns a loopback address with a port that is free, below the ports that the system gives to outgoing connections.
+func (r *rig) freeAddr() (string, error) {
+	const first, count, tries = 10_000, 20_000, 100
+	for range tries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+r.random.Int63n(count)))
+		if err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("%w: no free port", errSetup)
 }
 
 func (r *rig) tick() {
@@ -135,7 +137,7 @@
 
 // addWorker starts a worker of a service.
 func (r *rig) addWorker(service string, cpu, memMB int64) (*worker, error) {
-	a, err := freeAddr()
+	a, err := r.freeAddr()
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +205,7 @@
 	e := &entry{name: fmt.Sprintf("front-a-%d", len(r.entries)+1)}
 	metrics := ""
 	for _, p := range []*string{&e.front, &e.ready, &e.peer, &metrics} {
-		a, err := freeAddr()
+		a, err := r.freeAddr()
 		if err != nil {
 			return nil, err
 		}
