Show a start that the next lifetime of its worker carries out

Cause: a list or an acknowledged stop of one lifetime counts as proof that a start is never carried out; the next lifetime knows of neither.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(*rig) (verdict, error){
 	"lasting-fails": lastingFails,
+	"late-start":    lateStartCase,
 	"gang-cut":      gangCut,
 	"flap-lasting":  flapLasting,
 	"flap-job":      flapJob,
--- a/review/standin-3/rig.go
+++ b/review/standin-3/rig.go
@@ -41,6 +41,10 @@
 	adviceAt string
 	gangs    gangs
 
+	holdUp        func(w *worker, s lateStart) bool // tells whether a start is held up; nil if none is.
+	clockStart    func() int64                      // what a worker's clock shows when a lifetime begins.
+	registerAfter time.Duration                     // from the start of a lifetime until the worker writes its entry.
+
 	// cut tells whether calls with this fencing number do not reach a worker, nor their answers the caller. It is set before workers start.
 	cut func(w *worker, fence int64) bool
 }
@@ -80,6 +84,7 @@
 		plans: &plans{m: map[string]taskSpec{}}, ctx: c, stop: stop,
 	}
 	r.log, r.advice = newRunLog(rec), newAdvice(r)
+	r.clockStart = func() int64 { return 1000 + r.random.Int63n(500_000) }
 	rec.add("trouble: %t", r.trouble)
 	if r.storeAt, err = r.serve(r.store); err != nil {
 		return nil, err
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -103,12 +103,18 @@
 	}
 	w.mu.Lock()
 	w.up, w.born, w.since = true, time.Now().UnixMilli(), time.Now()
-	w.clock0 = 1000 + w.rig.random.Int63n(500_000)
+	w.clock0 = 1000
+	if w.rig.clockStart != nil {
+		w.clock0 = w.rig.clockStart()
+	}
 	w.fence, w.lease, w.runs, w.ended, w.lastEnd, w.highest = 0, 0, nil, nil, 0, map[string]int{}
 	w.changed, w.sequence = make(chan struct{}), 0
 	s := &http.Server{Handler: w}
 	w.server = s
-	w.beat()
+	w.lastBeat = time.Now().Add(w.rig.registerAfter - heartbeat)
+	if w.rig.registerAfter == 0 {
+		w.beat()
+	}
 	w.mu.Unlock()
 	w.rig.rec.add("worker %s begins a lifetime", w.id)
 	w.rig.group.Add(1)
@@ -236,6 +242,9 @@
 	if w.rig.cut != nil && w.rig.cut(w, b.Fence) {
 		w.rig.hang(q)
 	}
+	if strings.HasSuffix(q.URL.Path, "/run-start") && w.rig.holdUp != nil && w.rig.holdUp(w, lateStart{b.Task, b.Run, b.Until, b.Fence}) {
+		w.rig.hang(q)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.up {
@@ -332,6 +341,43 @@
 	}
 }
 
+// lateStart is a start that is held up on its way.
+type lateStart struct {
+	task   string
+	number int
+	until  int64
+	fence  int64
+}
+
+// carryOut carries out a start that was held up, as the worker would have done on time. Nobody gets the answer.
+func (w *worker) carryOut(s lateStart) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.rig.plans.of(s.task)
+	cpu, mem := w.used()
+	why := ""
+	switch {
+	case !w.up:
+		why = "down"
+	case s.fence < w.fence:
+		why = "fence"
+	case s.until < w.clock():
+		why = "late"
+	case s.number <= w.highest[s.task]:
+		why = "old"
+	case cpu+p.cpu > w.cpu || mem+p.memMB > w.memMB:
+		why = "room"
+	}
+	if why != "" {
+		w.rig.rec.add("the late start of %s run %d at %s does nothing: %s", s.task, s.number, w.id, why)
+		return
+	}
+	w.rig.rec.add("the late start of %s run %d is carried out at %s", s.task, s.number, w.id)
+	w.fence = s.fence
+	w.lease = max(w.lease, min(s.until, w.clock()+holdMax.Milliseconds()))
+	w.begin(s.task, s.number, p)
+}
+
 func (w *worker) begin(task string, number int, p taskSpec) {
 	r := &run{task: task, number: number, spec: p, started: time.Now(), began: time.Now()}
 	r.timer = time.AfterFunc(time.Hour, func() {})
