--- a/review/standin-3/rig.go
+++ b/review/standin-3/rig.go
@@ -40,6 +40,7 @@
 	machines string
 	adviceAt string
 	gangs    gangs
+	ports    map[int64]bool // given out by freeAddr.
 
 	holdUp        func(w *worker, s lateStart) bool // tells whether a start is held up; nil if none is.
 	clockStart    func() int64                      // what a worker's clock shows when a lifetime begins.
@@ -81,7 +82,7 @@
 	c, stop := context.WithCancel(context.Background())
 	r := &rig{
 		rec: rec, trouble: os.Getenv("TROUBLE") != "0", random: rand.New(&lockedSource{s: rand.NewSource(time.Now().UnixNano())}), dir: tmp, store: newStore(),
-		plans: &plans{m: map[string]taskSpec{}}, ctx: c, stop: stop,
+		plans: &plans{m: map[string]taskSpec{}}, ctx: c, stop: stop, ports: map[int64]bool{},
 	}
 	r.log, r.advice = newRunLog(rec), newAdvice(r)
 	r.clockStart = func() int64 { return 1000 + r.random.Int63n(500_000) }
@@ -116,8 +117,13 @@
 func (r *rig) freeAddr() (string, error) {
 	const first, count, tries = 10_000, 20_000, 100
 	for range tries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+r.random.Int63n(count)))
+		port := first + r.random.Int63n(count)
+		if r.ports[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
+			r.ports[port] = true
 			return l.Addr().String(), l.Close()
 		}
 	}
