--- a/fleet/batch/answers.go
+++ b/fleet/batch/answers.go
@@ -14,6 +14,9 @@
 		return
 	}
 	m.noteAnswer(w, g.Result, g.ClockMs, g.Sent)
+	if g.Result != NoAnswer {
+		m.endLateStart(g.Task, g.Run)
+	}
 	switch g.Result {
 	case OK:
 		m.revive(w)
@@ -61,6 +64,7 @@
 	if r.confirmedAt > 0 {
 		return
 	}
+	m.noteLateStart(r)
 	r.worker.shortPoll = true
 	if r.state == starting {
 		r.setState(unconfirmed)
--- a/fleet/batch/chaos_test.go
+++ b/fleet/batch/chaos_test.go
@@ -125,14 +125,20 @@
 	}
 }
 
-// Guards against a second run by a start that a worker's next lifetime carries out.
-func TestChaosLateStarts(t *testing.T) {
-	var l []mix
-	for _, c := range recuts {
+// withLateStarts returns the mixes twice: with late starts and stops that reach later lifetimes, and with late polls as well.
+func withLateStarts(l []mix) []mix {
+	var r []mix
+	for _, c := range l {
 		orders, all := c, c
 		orders.name, orders.faults.strayOrders = c.name+", late starts and stops", 1000
 		all.name, all.faults.strayOrders, all.faults.strayPolls = c.name+", all late calls", 1000, 1000
-		l = append(l, orders, all)
+		r = append(r, orders, all)
 	}
-	runMixes(t, l)
+	return r
 }
+
+// Guards against a second run by a start that a worker's next lifetime carries out.
+func TestChaosLateStarts(t *testing.T) { runMixes(t, withLateStarts(recuts)) }
+
+// Guards against the same under an owner that stays, which knows all starts that got no answer.
+func TestChaosLateStartsOfOneOwner(t *testing.T) { runMixes(t, withLateStarts(recuts[:1])) }
--- a/fleet/batch/commit.go
+++ b/fleet/batch/commit.go
@@ -25,6 +25,7 @@
 	setAside   []asideWrite
 	aside      asideRecord
 	lifetimes  lifetimesRecord
+	lateStarts lateStarts
 	lastRev    int64          // revision of the last write.
 	unanswered map[string]int // by key: how often a large record that was sent alone was not answered.
 }
@@ -32,10 +33,11 @@
 func (c *commits) start() {
 	c.queued, c.writing, c.inFlight, c.dirtyWaves = map[*job]bool{}, map[*job]bool{}, map[uint64]*transaction{}, map[int]*wave{}
 	c.unanswered, c.byteLimit = map[string]int{}, maxTxnBytes
+	c.lateStarts.byTask = map[TaskName][]lateStart{}
 }
 
 func (c *commits) waiting() bool {
-	return len(c.accepts)+len(c.dirty)+len(c.dirtyWaves)+len(c.parts) > 0 || c.orders.waiting() || c.aside.waiting() || c.lifetimes.waiting()
+	return len(c.accepts)+len(c.dirty)+len(c.dirtyWaves)+len(c.parts) > 0 || c.orders.waiting() || c.aside.waiting() || c.lifetimes.waiting() || c.lateStarts.waiting()
 }
 
 func (c *commits) addAccept(j *job) { c.accepts = append(c.accepts, j) }
@@ -105,6 +107,7 @@
 		m.addWave(f)
 		m.addAside(f)
 		m.addLifetimes(f)
+		m.addLateStarts(f)
 		m.addAccepts(f)
 		m.addDirty(f)
 	}
@@ -145,6 +148,12 @@
 	}
 }
 
+func (m *Model) addLateStarts(f *transaction) {
+	if m.commits.lateStarts.waiting() {
+		m.add(f, write{kind: writeLateStarts})
+	}
+}
+
 func (m *Model) addAccepts(f *transaction) {
 	c := &m.commits
 	n := 0
@@ -244,7 +253,7 @@
 		c.addProgress(w.job)
 	case writeWave:
 		c.dirtyWaves[w.wave.Number] = w.wave
-	case writeOrders, writeAside, writeLifetimes: // they wait while a newer version is planned than stored.
+	case writeOrders, writeAside, writeLifetimes, writeLateStarts: // they wait while a newer version is planned than stored.
 	}
 }
 
@@ -275,11 +284,13 @@
 			m.commits.aside.stored = w.version
 		case writeLifetimes:
 			m.commits.lifetimes.stored = w.version
+		case writeLateStarts:
+			m.commits.lateStarts.stored = w.version
 		}
 	}
 	m.commits.lastRev = max(m.commits.lastRev, rev)
 	for _, w := range m.workers {
-		if len(w.unsavedEnds) > 0 || !w.fenced && w.silentSince == 0 {
+		if len(w.unsavedEnds) > 0 && w.unsavedEnds[0].withheldUntil <= m.now || !w.fenced && w.silentSince == 0 {
 			w.nextPollAt = 0
 		}
 	}
--- /dev/null
+++ b/fleet/batch/latestart_test.go
@@ -0,0 +1,106 @@
+package batch_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"burdockreach.dev/fleet/batch"
+)
+
+// loseStart submits a task that runs for ms milliseconds, and holds its first start up until the worker has acknowledged the stop and the
+// task has started again. Another worker has room for the task.
+func loseStart(t *testing.T, ms int64) *strayPlay {
+	t.Helper()
+	p := newStrayPlay(t)
+	p.submitTask(ms)
+	p.holdNext(isStart)
+	p.wait("held start", p.isHeld)
+	p.addWorker()
+	p.wait("second start", p.begun(1))
+	return p
+}
+
+// loseLifetime lets the first worker restart out of the owner's reach, where the start that is held up arrives.
+func (p *strayPlay) loseLifetime() {
+	p.cutFirst(true)
+	p.first.Crash(50)
+	p.run(p.now+1_000, nil)
+	p.release()
+}
+
+// replaceOwner ends the owner and starts another one.
+func (p *strayPlay) replaceOwner() {
+	p.owners[0].alive = false
+	p.run(p.now+stepMs, nil)
+	p.startOwner()
+}
+
+// Guards against a task that is done and runs again, because its start had got no answer and the worker's next lifetime carries it out.
+func TestLateStartRunsNoFinishedTask(t *testing.T) {
+	play := func(t *testing.T, before func(*strayPlay)) {
+		t.Helper()
+		p := loseStart(t, 500)
+		p.run(p.now+1_500, nil)
+		before(p)
+		p.run(p.now+3_000, nil)
+		p.loseLifetime()
+		p.run(p.now+3_000, nil)
+		p.cutFirst(false)
+		p.run(p.now+3_000, nil)
+		p.report()
+		is.New(t).Equal(p.owners[0].m.State(p.task.Job), batch.StateCompleted)
+	}
+	t.Run("same owner", func(t *testing.T) { play(t, func(*strayPlay) {}) })
+	t.Run("successor", func(t *testing.T) { play(t, (*strayPlay).replaceOwner) })
+}
+
+// Guards against a second run elsewhere, by a successor that does not know that its predecessor's start has got no answer.
+func TestSuccessorKnowsLateStarts(t *testing.T) {
+	p := loseStart(t, 60_000)
+	p.run(p.now+1_000, nil)
+	p.replaceOwner()
+	p.run(p.now+1_000, nil)
+	p.loseLifetime()
+	p.run(p.now+5_000, nil)
+	p.report()
+	is.New(t).Equal(len(p.active()), 1)
+}
+
+// Guards against an acknowledgement that stays withheld, or a task that stays bound, once the start cannot be carried out any more.
+func TestLateStartBindsTaskForLimitedTime(t *testing.T) {
+	t.Run("acknowledgement", func(t *testing.T) {
+		p := loseStart(t, 500)
+		p.waitCall("acknowledgement", isAck)
+	})
+	t.Run("task", func(t *testing.T) {
+		p := loseStart(t, 60_000)
+		p.cutFirst(true)
+		p.wait("start elsewhere", p.begun(2))
+		p.report()
+	})
+}
+
+// Guards against members of a gang that are started elsewhere, or not at all, while their late starts may be carried out.
+func TestLateStartBindsMembersOfGang(t *testing.T) {
+	is := is.New(t)
+	b := newHarness("w1", "w2", "w3")
+	third := batch.WorkerEntry{ID: "w3", Service: "s", Addr: "w3", Room: batch.Size{CPU: 9000, MemMB: 9000}, ClockMs: 5, Born: 1, Draining: true}
+	b.Update(b.now, batch.WorkersMsg{Set: []batch.WorkerEntry{third}})
+	b.polled = func(k batch.PollCmd) batch.PolledMsg {
+		return batch.PolledMsg{Worker: k.Worker, Sent: b.now, ClockMs: b.now, Born: 1}
+	}
+	j := plainJob(1)
+	j.Steps = []batch.Step{{Count: 2, Size: batch.Size{CPU: 3000, MemMB: 500}, EstimateMs: 500, Gang: true}}
+	b.Update(b.now, batch.SubmitMsg{Ref: 1, Job: j})
+	b.result = batch.NoAnswer
+	b.advance(50)
+	b.result = batch.OK
+	third.Draining = false
+	b.Update(b.now, batch.WorkersMsg{Set: []batch.WorkerEntry{third}})
+	b.advance(1_000)
+	is.True(len(b.starts) >= 4)
+	for i := range 2 {
+		is.Equal(b.starts[2+i].Worker, b.starts[i].Worker)
+	}
+}
--- a/fleet/batch/lifetime.go
+++ b/fleet/batch/lifetime.go
@@ -123,14 +123,10 @@
 // It cannot if another worker has the machine or the address, and does no harm if the task may have copies.
 func (m *Model) awaitsLateStart(r *run) bool {
 	w := r.worker
-	switch {
-	case r.confirmedAt > 0, r.task.stage.Copies, w.machineTaken, w.goneState == MachineUp, w.dead && w.goneState == "":
+	if r.confirmedAt > 0 || r.task.stage.Copies {
 		return false
 	}
-	until := r.startSentAt + lateCallMs + lastsAtMost(m.longestLeaseMs())
-	if w.goneState != "" {
-		until = min(w.endedAt+maxReserveMs, r.startSentAt+lateCallMs)
-	}
+	until := m.lateStartEnd(w, r.startSentAt)
 	waits := m.soleOwnerUntil < until
 	if waits && !r.reserved {
 		r.reserved = true
--- a/fleet/batch/machines.go
+++ b/fleet/batch/machines.go
@@ -501,7 +501,7 @@
 }
 
 // empty reports whether w has no runs and no ended runs that wait to be stored.
-func empty(w *worker) bool { return len(w.runs) == 0 && len(w.unsavedEnds) == 0 }
+func empty(w *worker) bool { return len(w.runs) == 0 && !w.hasUnstoredEnds() }
 
 // isVacant reports whether an order to the machine would end no run, as far as the owner and its list of machines know.
 func (m *Model) isVacant(k *machine) bool {
--- a/fleet/batch/model.go
+++ b/fleet/batch/model.go
@@ -202,6 +202,7 @@
 	m.measureTeams()
 	m.logTeams()
 	m.checkRuns()
+	m.planLateStarts()
 	m.evictFromDraining()
 	m.paceWorkers()
 	m.planMachineOrders()
--- a/fleet/batch/msg.go
+++ b/fleet/batch/msg.go
@@ -40,8 +40,9 @@
 	BlindMs int64 // how long a former owner's commands may still be carried out at unreachable workers.
 
 	Orders      StoredOrders // the last that were stored.
-	FormerFence int64        // fence of the former term; 0 if it is not known.
-	Rev         int64        // revision of this owner's last write; 0 if it has made none.
+	LateStarts  StoredLateStarts
+	FormerFence int64 // fence of the former term; 0 if it is not known.
+	Rev         int64 // revision of this owner's last write; 0 if it has made none.
 }
 
 // BlindMsg shortens the time in which a former owner's commands may still be carried out.
--- a/fleet/batch/place.go
+++ b/fleet/batch/place.go
@@ -58,6 +58,10 @@
 			if !m.teamAllows(s) {
 				break // the others follow once the team has room.
 			}
+			if w, bound := m.boundTo(t); bound {
+				m.placeBound(c, t, w)
+				continue
+			}
 			if t.suspected() && m.placeSuspect(c, t) {
 				continue
 			}
@@ -258,6 +262,9 @@
 
 // hasWorkerFor reports whether a worker of t's pool has room for it.
 func (m *Model) hasWorkerFor(t *task) bool {
+	if _, bound := m.boundTo(t); bound {
+		return false
+	}
 	w, _ := m.cheapest(m.newCandidates(m.pool(t.stage.job.Service)).workers, t)
 	return w != nil
 }
@@ -371,6 +378,9 @@
 		workers = m.gangInRack(usable, s, workers)
 	}
 	if workers == nil {
+		if m.isGangBound(s) {
+			return // room that is reserved elsewhere would not help.
+		}
 		if c.lookAhead != nil {
 			c.promiseGang(s)
 			return
@@ -431,30 +441,46 @@
 }
 
 // gangWorkers returns a worker for each task of s, or nil if they do not all fit. If rack is not empty, it uses only
-// workers of that rack.
+// workers of that rack. Tasks that are bound to a worker come first.
 func (m *Model) gangWorkers(usable []*worker, s *stage, rack string) []*worker {
-	var l []*worker
+	l := make([]*worker, len(s.tasks))
 	extra, size := map[*worker]Size{}, s.size()
 	count := map[*worker]int{}
-	for range s.tasks {
+	mayTake := func(w *worker) bool {
+		switch {
+		case rack != "" && w.rack != rack, !size.Fits(w.freeRoom().minus(extra[w])), !m.allows(w, s):
+			return false
+		}
+		return s.PerWorker == 0 || s.runsOn(w)+count[w] < s.PerWorker
+	}
+	take := func(i int, w *worker) {
+		l[i], extra[w] = w, extra[w].plus(size)
+		count[w]++
+	}
+	for i, t := range s.tasks {
+		w, bound := m.boundTo(t)
+		if !bound {
+			continue
+		}
+		if !slices.Contains(usable, w) || !mayTake(w) {
+			return nil
+		}
+		take(i, w)
+	}
+	for i := range s.tasks {
+		if l[i] != nil {
+			continue
+		}
 		var best *worker
 		for _, w := range usable {
-			if (rack != "" && w.rack != rack) || !size.Fits(w.freeRoom().minus(extra[w])) || !m.allows(w, s) {
-				continue
-			}
-			if s.PerWorker > 0 && s.runsOn(w)+count[w] >= s.PerWorker {
-				continue
-			}
-			if best == nil || w.freeRoom().minus(extra[w]).CPU > best.freeRoom().minus(extra[best]).CPU {
+			if mayTake(w) && (best == nil || w.freeRoom().minus(extra[w]).CPU > best.freeRoom().minus(extra[best]).CPU) {
 				best = w
 			}
 		}
 		if best == nil {
 			return nil
 		}
-		extra[best] = extra[best].plus(size)
-		count[best]++
-		l = append(l, best)
+		take(i, best)
 	}
 	return l
 }
--- a/fleet/batch/poll.go
+++ b/fleet/batch/poll.go
@@ -92,7 +92,7 @@
 }
 
 func (m *Model) poll(w *worker) {
-	h := PollCmd{Worker: w.ID, Addr: w.Addr, ForgetUpTo: w.forgettableEnd(), Born: w.Born, WaitMs: maxPollWaitMs}
+	h := PollCmd{Worker: w.ID, Addr: w.Addr, ForgetUpTo: w.forgettableEnd(m.now), Born: w.Born, WaitMs: maxPollWaitMs}
 	if !w.fenced && w.fence <= w.formerFence {
 		m.raiseFence(w)
 	}
@@ -158,10 +158,11 @@
 	m.markUnreachable(w, NoAnswer)
 }
 
-// forgettableEnd returns the number up to which the worker may forget its ended runs: their results are stored.
-func (w *worker) forgettableEnd() int64 {
+// forgettableEnd returns the number up to which the worker may forget its ended runs: their results are stored, and no late start can begin
+// the tasks again.
+func (w *worker) forgettableEnd(now int64) int64 {
 	for i, k := range w.unsavedEnds {
-		if k.job.storedVersion < k.version {
+		if !k.stored() || now < k.withheldUntil && len(w.unsavedEnds)-i <= maxWithheldEnds {
 			w.unsavedEnds = w.unsavedEnds[i:]
 			return max(w.sentAck, k.number-1)
 		}
--- a/fleet/batch/records.go
+++ b/fleet/batch/records.go
@@ -141,6 +141,7 @@
 	}
 	m.loadWaves(g.Waves)
 	m.loadOrders(g.Orders, g.FormerFence)
+	m.loadLateStarts(g.LateStarts)
 	m.commits.lastRev = max(m.commits.lastRev, g.Rev)
 	m.loaded = true
 	m.log("records loaded", "", "open", n, "ended", len(m.jobs)-n, "blindMs", g.BlindMs)
--- a/fleet/batch/simulation_test.go
+++ b/fleet/batch/simulation_test.go
@@ -187,6 +187,8 @@
 		case k == batch.OrdersKey:
 			w.must(json.Unmarshal(r.Value, &m.Orders))
 			m.Orders.Rev = r.Rev
+		case k == batch.LateStartsKey:
+			w.must(json.Unmarshal(r.Value, &m.LateStarts))
 		case strings.HasPrefix(k, batch.JobPrefix):
 			var s batch.StoredJob
 			w.must(json.Unmarshal(r.Value, &s))
--- a/fleet/batch/trial.go
+++ b/fleet/batch/trial.go
@@ -121,8 +121,9 @@
 func (m *Model) trialWorker(c *candidates, t *task) *worker {
 	var best *worker
 	lowest := 0.0
+	only, bound := m.boundTo(t)
 	for _, w := range c.workers {
-		if !t.stage.size().Fits(w.freeRoom()) || !m.allows(w, t.stage) {
+		if bound && w != only || !t.stage.size().Fits(w.freeRoom()) || !m.allows(w, t.stage) {
 			continue
 		}
 		if w.ID == t.crashes.trialWorkerID {
--- a/fleet/batch/txn.go
+++ b/fleet/batch/txn.go
@@ -12,6 +12,7 @@
 	writeOrders
 	writeAside
 	writeLifetimes
+	writeLateStarts
 )
 
 // write stores one record. Its rows are set when it is added to a transaction.
@@ -57,6 +58,8 @@
 		return AsideKey
 	case writeLifetimes:
 		return LifetimesKey
+	case writeLateStarts:
+		return LateStartsKey
 	}
 	return OrdersKey
 }
@@ -79,6 +82,9 @@
 	case writeLifetimes:
 		r, v := m.lifetimesRow()
 		w.rows, w.version = []Row{r}, v
+	case writeLateStarts:
+		r, v := m.lateStartsRow()
+		w.rows, w.version = []Row{r}, v
 	}
 	return w
 }
@@ -146,6 +152,8 @@
 		c.aside.writing = writing
 	case writeLifetimes:
 		c.lifetimes.writing = writing
+	case writeLateStarts:
+		c.lateStarts.writing = writing
 	case writeAccept: // the queue holds it only once.
 	}
 }
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -91,9 +91,17 @@
 
 // unsavedEnd is an ended run that the worker may forget once the job's progress is stored up to version.
 type unsavedEnd struct {
-	number  int64
-	job     *job
-	version int
+	number        int64
+	job           *job // nil if it is not known any more.
+	version       int
+	withheldUntil int64 // steady time before which it must not forget the run; 0 for any.
+}
+
+func (k unsavedEnd) stored() bool { return k.job == nil || k.job.storedVersion >= k.version }
+
+// hasUnstoredEnds reports whether w has ended runs whose results are not stored.
+func (w *worker) hasUnstoredEnds() bool {
+	return slices.ContainsFunc(w.unsavedEnds, func(k unsavedEnd) bool { return !k.stored() })
 }
 
 // rackLabelIndex is the index of the rack in a worker's labels, after the worker's kind.
@@ -213,8 +221,12 @@
 			continue
 		}
 		w.lastEnd = e.Number
+		m.endLateStart(e.Task, e.Run)
 		t := m.listedTask(e.Task)
 		if t == nil {
+			if withheld := m.withholdEndUntil(e.Task, nil, e.Reason); withheld > m.now {
+				w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{number: e.Number, withheldUntil: withheld})
+			}
 			continue
 		}
 		r := t.findRun(e.Run)
@@ -237,8 +249,9 @@
 		t.lastRun = max(t.lastRun, e.Run)
 		t.stage.job.started = true
 		t.noFormerRuns = t.noFormerRuns || r != nil && r.unknownToFormer()
-		if m.runEnded(t, e.Run, e.Reason, e.Checkpoint, r != nil && r.unknownToFormer()) || t.stage.job.version > t.stage.job.storedVersion {
-			w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{number: e.Number, job: t.stage.job, version: t.stage.job.version})
+		withheld := m.withholdEndUntil(e.Task, t, e.Reason)
+		if m.runEnded(t, e.Run, e.Reason, e.Checkpoint, r != nil && r.unknownToFormer()) || t.stage.job.version > t.stage.job.storedVersion || withheld > m.now {
+			w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{number: e.Number, job: t.stage.job, version: t.stage.job.version, withheldUntil: withheld})
 		}
 		m.pool(t.stage.job.Service).dirty = true
 	}
@@ -272,6 +285,7 @@
 			continue
 		}
 		listed[r] = true
+		m.endLateStart(e.Task, e.Run)
 		m.updateRun(r, e, g.ClockMs)
 	}
 	w.unknownRuns = unknown
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -343,6 +343,15 @@
 			o.log.Error().Str("key", batch.OrdersKey).Err(err).Msg("record cannot be read")
 		}
 	}
+	late, err := o.store.Get(ctx, batch.LateStartsKey)
+	if err != nil {
+		return m, err
+	}
+	if late.Found() {
+		if err := json.Unmarshal(late.Value(), &m.LateStarts); err != nil {
+			o.log.Error().Str("key", batch.LateStartsKey).Err(err).Msg("record cannot be read")
+		}
+	}
 	return m, nil
 }
 
