--- a/fleet/batch/successor_test.go
+++ b/fleet/batch/successor_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -184,3 +185,53 @@
 	is.Equal(b.State(j.ID), batch.StateAbsent)
 	is.Equal(len(b.stored), 0)
 }
+
+// Guards against a gang's next step, or its next run, that a successor and the former owner both start: each can learn of the end from
+// another member. The successor must not conclude from one member's end that the former owner does not know of it.
+func TestSuccessorOfGang(t *testing.T) {
+	// play ends a gang at w1 and w2 after runsMs, while the former owner may give orders at w3. Of the workers, the successor reads those
+	// in read. It reports whether the
+	// successor starts any task.
+	play := func(how batch.EndReason, runsMs int64, read ...string) bool {
+		b := newUnreadHarness("w1", "w2", "w3")
+		member := func(w string) batch.TaskName {
+			return batch.TaskName{Job: jobID(1), Index: slices.Index([]string{"w1", "w2"}, w)}
+		}
+		end := b.now + runsMs
+		b.polled = func(k batch.PollCmd) batch.PolledMsg {
+			g := batch.PolledMsg{Worker: k.Worker, Sent: b.now, ClockMs: b.now, Born: 1}
+			switch {
+			case !slices.Contains(read, k.Worker):
+				g.Result = batch.NoAnswer
+			case k.Worker == "w3":
+			case b.now < end:
+				g.Running = []batch.ActiveRun{{Task: member(k.Worker), Run: 1, Percent: 50}}
+			default:
+				g.Ended = []batch.EndedRun{{Number: 1, Task: member(k.Worker), Run: 1, Reason: how}}
+			}
+			return g
+		}
+		j := plainJob(1)
+		j.Steps = []batch.Step{
+			{Count: 2, Size: batch.Size{CPU: 1000}, EstimateMs: 3_000, Gang: true}, {Count: 2, Size: batch.Size{CPU: 1000}, EstimateMs: 600, After: []int{0}},
+		}
+		b.Update(b.now, batch.LoadedMsg{Jobs: []batch.StoredJob{{Job: j, SubmittedMs: 999_000}}, BlindMs: 18_000, FormerFence: 8})
+		var l []batch.Machine
+		for _, w := range []string{"w1", "w2", "w3"} {
+			l = append(l, batch.Machine{Name: "m-" + w, Pool: "s", State: batch.MachineUp, Worker: w})
+		}
+		b.Update(b.now, batch.MachinesMsg{Sent: b.now, List: l})
+		b.advance(runsMs + 1_000)
+		return len(b.starts) > 0
+	}
+	const late, early = 3_000, 1_500 // an early end may show in a poll of the former owner that still waits.
+	for _, how := range []batch.EndReason{batch.EndDone, batch.EndFailed} {
+		t.Run(string(how), func(t *testing.T) {
+			is := is.New(t)
+			is.True(!play(how, late, "w1", "w3"))
+			is.True(!play(how, early, "w1", "w2"))
+			is.True(play(how, late, "w1", "w2"))
+			is.True(play(how, late, "w1", "w2", "w3"))
+		})
+	}
+}
--- a/fleet/batch/task.go
+++ b/fleet/batch/task.go
@@ -404,18 +404,6 @@
 	m.markChanged(s.job)
 }
 
-// markNextStages records that no former owner can have started the steps after s, because none can know that all tasks
-// of s are done. It does nothing if a former owner may have started copies, since that owner may have seen the tasks
-// end by other runs.
-func (s *stage) markNextStages() {
-	if s.job.formerCopies || !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.unknownToFormer }) {
-		return
-	}
-	for _, o := range s.round.stages[s.number+1:] {
-		o.noFormerRuns = o.noFormerRuns || slices.Contains(o.After, s.number)
-	}
-}
-
 func (m *Model) checkDone(j *job) {
 	if j.nextRound < j.roundCount() || slices.ContainsFunc(j.rounds, func(r *round) bool { return r.stagesLeft > 0 }) {
 		return
@@ -452,14 +440,6 @@
 	return true
 }
 
-// unknownToFormer reports whether no former owner can know of the end of r: this owner started r, or r is the first run and this owner
-// found it running, and it ran after the last poll of a former owner was answered. Before a later run, an earlier one may have ended
-// without this owner's knowledge.
-func (r *run) unknownToFormer() bool {
-	w := r.worker
-	return (r.ownStart || r.number == 1) && r.workerBorn == w.Born && w.formerPollsEnd > 0 && r.listedClock >= w.formerPollsEnd
-}
-
 // stopRun sends a stop for the run, unless one was sent recently.
 func (m *Model) stopRun(r *run) {
 	if r.state == stopping && m.now-r.stopSentAt < stopRetryMs {
--- a/fleet/batch/worker.go
+++ b/fleet/batch/worker.go
@@ -248,9 +248,12 @@
 		}
 		t.lastRun = max(t.lastRun, e.Run)
 		t.stage.job.started = true
-		t.noFormerRuns = t.noFormerRuns || r != nil && r.unknownToFormer()
+		unknown := r != nil && r.endUnknownToFormer()
+		if unknown {
+			t.markEndUnknown()
+		}
 		withheld := m.withholdEndUntil(e.Task, t, e.Reason)
-		if m.runEnded(t, e.Run, e.Reason, e.Checkpoint, r != nil && r.unknownToFormer()) || t.stage.job.version > t.stage.job.storedVersion || withheld > m.now {
+		if m.runEnded(t, e.Run, e.Reason, e.Checkpoint, unknown) || t.stage.job.version > t.stage.job.storedVersion || withheld > m.now {
 			w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{number: e.Number, job: t.stage.job, version: t.stage.job.version, withheldUntil: withheld})
 		}
 		m.pool(t.stage.job.Service).dirty = true
